--- /dev/null
+++ b/crates/jasminefall-control/src/main.rs
@@ -0,0 +1,121 @@
+//! Control instance: the replicated state, the planner and the edges of operators and workers.
+//!
+//! # Module map
+//!
+//! - [`settings`]: what the settings file says
+//! - [`node`]: the replica with its state, and the handle by which others reach it
+//! - [`disk`]: the thread that syncs
+//! - [`peers`]: messages to the other replicas
+//! - [`service`]: calls of entries and other replicas
+//! - [`entry_leases`]: which entry holds which configuration
+//! - [`planner`]: placing jobs on workers
+//! - [`worker_book`]: what workers said of themselves
+//! - [`edge`]: what operators and workers speak
+
+mod disk;
+mod edge;
+mod entry_leases;
+mod node;
+mod peers;
+mod planner;
+mod service;
+mod settings;
+mod worker_book;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use actix::Actor;
+use anyhow::Context;
+use jasminefall_runtime::command_line::{self, Invocation};
+use jasminefall_runtime::logging;
+use jasminefall_runtime::supervisor::{Child, Supervisor};
+use jasminefall_wire::server::serve_control;
+use tokio::net::TcpListener;
+
+use crate::node::NodeHandle;
+use crate::settings::Settings;
+
+const PROGRAM: &str = "jasminefall-control";
+const PURPOSE: &str = "Runs a control instance of jasminefall.";
+
+fn main() -> ExitCode {
+    match command_line::parse(PROGRAM, PURPOSE, std::env::args().skip(1)) {
+        Ok(Invocation::Print(text)) => print!("{text}"),
+        Ok(Invocation::Check(path)) => match Settings::load(&path) {
+            Ok(_) => println!("{}: the settings hold", path.display()),
+            Err(problems) => return fail(&problems.to_string()),
+        },
+        Ok(Invocation::Run(path)) => match Settings::load(&path) {
+            Ok(settings) => return run(settings),
+            Err(problems) => return fail(&problems.to_string()),
+        },
+        Err(message) => return fail(&message),
+    }
+    ExitCode::SUCCESS
+}
+
+fn fail(message: &str) -> ExitCode {
+    eprintln!("{message}");
+    ExitCode::from(2)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    logging::start(PROGRAM, &settings.replica.to_string());
+    let system = actix::System::new();
+    match system.block_on(serve(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("event=stopped cause=\"{error:#}\"");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Starts the supervisor tree and the edges, and serves until a stop is asked for.
+async fn serve(settings: Settings) -> anyhow::Result<()> {
+    let settings = Rc::new(settings);
+    let handle = NodeHandle::default();
+    let supervisor = Supervisor::new(vec![
+        replica_child(settings.clone(), handle.clone()),
+        peer_child(settings.clone(), handle.clone()),
+        planner_child(handle.clone()),
+    ])
+    .start();
+    let servers = [
+        edge::operators::start(&settings, handle.clone()).context("the operators' listener")?,
+        edge::workers::start(&settings, handle).context("the workers' listener")?,
+    ];
+    log::info!(
+        "event=started replica={} peer={}",
+        settings.replica,
+        settings.peer
+    );
+    futures::future::try_join_all(servers).await?;
+    drop(supervisor);
+    log::info!("event=stopped cause=\"asked to\"");
+    Ok(())
+}
+
+fn replica_child(settings: Rc<Settings>, handle: NodeHandle) -> Child {
+    Child::new("replica", move || {
+        node::run(settings.clone(), handle.clone())
+    })
+}
+
+fn peer_child(settings: Rc<Settings>, handle: NodeHandle) -> Child {
+    Child::new("peer-listener", move || {
+        let (settings, handle) = (settings.clone(), handle.clone());
+        async move {
+            let listener = TcpListener::bind(settings.peer)
+                .await
+                .context("the peer listener")?;
+            serve_control(listener, settings.site_key.clone(), service::new(handle)).await?;
+            Ok(())
+        }
+    })
+}
+
+fn planner_child(handle: NodeHandle) -> Child {
+    Child::new("planner", move || planner::run(handle.clone()))
+}
--- /dev/null
+++ b/crates/jasminefall-control/src/peers.rs
@@ -0,0 +1,52 @@
+//! Messages to the other replicas.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jasminefall_replica::prelude::*;
+use jasminefall_wire::client::ControlLink;
+use jasminefall_wire::handshake::SiteKey;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+
+const QUEUE_LENGTH: usize = 1_024;
+const BATCH_LENGTH: usize = 64;
+const STEP_TIMEOUT: Duration = Duration::from_millis(800);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends messages to the other replicas, dropping what a silent one cannot take.
+pub(crate) struct Peers {
+    senders: BTreeMap<ReplicaId, Sender<Message>>,
+}
+
+impl Peers {
+    /// Starts a sending task for each address.
+    pub(crate) fn start(addresses: BTreeMap<ReplicaId, SocketAddr>, key: &SiteKey) -> Self {
+        let start = |(id, address)| {
+            let (sender, receiver) = channel(QUEUE_LENGTH);
+            actix_rt::spawn(send_all(ControlLink::new(address, key.clone()), receiver));
+            (id, sender)
+        };
+        Self {
+            senders: addresses.into_iter().map(start).collect(),
+        }
+    }
+
+    /// Queues a message; the algorithm sends again whatever is dropped here.
+    pub(crate) fn send(&self, message: Message) {
+        if let Some(sender) = self.senders.get(&message.to) {
+            let _ = sender.try_send(message);
+        }
+    }
+}
+
+async fn send_all(link: ControlLink, mut messages: Receiver<Message>) {
+    let mut batch = Vec::new();
+    while messages.recv_many(&mut batch, BATCH_LENGTH).await > 0 {
+        if let Err(error) = link.step(STEP_TIMEOUT, &batch).await {
+            log::debug!("event=step_failed error=\"{error}\"");
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        }
+        batch.clear();
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-control/src/service.rs
@@ -0,0 +1,37 @@
+//! Calls of entries and other replicas.
+
+use jasminefall_runtime::clock::monotonic_ms;
+use jasminefall_wire::message::{RenewAnswer, RenewRequest, Renewal};
+use jasminefall_wire::server::ControlService;
+
+use crate::entry_leases::LEASE_MS;
+use crate::node::NodeHandle;
+
+/// Creates the service that carries out calls on the node.
+pub(crate) fn new(handle: NodeHandle) -> ControlService {
+    let (stepped, proposed, renewed) = (handle.clone(), handle.clone(), handle);
+    ControlService {
+        step: Box::new(move |messages| stepped.step(messages)),
+        propose: Box::new(move |command| {
+            let handle = proposed.clone();
+            Box::pin(async move { handle.propose(command).await })
+        }),
+        renew: Box::new(move |request| Box::pin(renew(renewed.clone(), request))),
+    }
+}
+
+async fn renew(handle: NodeHandle, request: RenewRequest) -> RenewAnswer {
+    handle
+        .look_fresh(move |view| {
+            view.entry_leases
+                .note(request.entry, request.holds, monotonic_ms());
+            let configuration = &view.state.configuration;
+            let differs = configuration.version() != request.holds;
+            let published = configuration.latest().filter(|_| differs).cloned();
+            Renewal {
+                lease_ms: LEASE_MS,
+                published,
+            }
+        })
+        .await
+}
--- /dev/null
+++ b/crates/jasminefall-control/src/settings.rs
@@ -0,0 +1,130 @@
+//! What the settings file says.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use jasminefall_core::prelude::*;
+use jasminefall_replica::prelude::ReplicaId;
+use jasminefall_runtime::settings::SettingsFile;
+use jasminefall_wire::handshake::SiteKey;
+
+const EXAMPLE_ADDRESS: &str = "127.0.0.1:7101";
+
+/// Holds the addresses of a control replica.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReplicaAddresses {
+    /// Where other processes of the system reach it.
+    pub(crate) peer: SocketAddr,
+    /// Where operators reach it.
+    pub(crate) operators: SocketAddr,
+    /// Where workers reach it.
+    pub(crate) workers: SocketAddr,
+}
+
+/// Holds the settings of a control instance.
+#[derive(Debug)]
+pub(crate) struct Settings {
+    /// This replica.
+    pub(crate) replica: ReplicaId,
+    /// Where other processes of the system reach this replica.
+    pub(crate) peer: SocketAddr,
+    /// Where operators reach this replica.
+    pub(crate) operators: SocketAddr,
+    /// Where workers reach this replica.
+    pub(crate) workers: SocketAddr,
+    /// Where the replica's files are.
+    pub(crate) data_folder: PathBuf,
+    /// The secret of the site.
+    pub(crate) site_key: SiteKey,
+    /// The replicas that a new site starts with.
+    pub(crate) replicas: BTreeMap<ReplicaId, ReplicaAddresses>,
+}
+
+impl Settings {
+    /// Loads and checks the settings.
+    pub(crate) fn load(path: &Path) -> Result<Self, Problems> {
+        let mut file = SettingsFile::load(path)?;
+        let section = file.section("control");
+        let known = ["replica", "data_folder", "site_key_file"];
+        section.refuse_unknown(&known, &mut file.problems);
+        let replicas = read_replicas(&mut file);
+        let problems = &mut file.problems;
+        let replica = section.read_required("replica", "1", problems);
+        let data_folder: Option<SmolStr> = section.read_required("data_folder", "data", problems);
+        let key_file: Option<SmolStr> =
+            section.read_required("site_key_file", "site.key", problems);
+        let secret = key_file.and_then(|key_file| {
+            let secret = std::fs::read(key_file.as_str());
+            secret
+                .map_err(|error| {
+                    let remedy =
+                        "write a random secret there, the same for every process of the site";
+                    problems.add(section.place("site_key_file"), format!("{error}"), remedy);
+                })
+                .ok()
+        });
+        let own = replica.and_then(|replica| replicas.get(&replica).copied());
+        if let (Some(replica), None) = (replica, own) {
+            let remedy = format!("add [replica.{replica}] with its addresses");
+            problems.add(
+                section.place("replica"),
+                "the replica is not declared",
+                remedy,
+            );
+        }
+        let (Some(replica), Some(own), Some(data_folder), Some(secret)) =
+            (replica, own, data_folder, secret)
+        else {
+            return Err(file.problems);
+        };
+        let settings = Self {
+            replica,
+            peer: own.peer,
+            operators: own.operators,
+            workers: own.workers,
+            data_folder: PathBuf::from(data_folder.as_str()),
+            site_key: SiteKey::new(&secret),
+            replicas,
+        };
+        file.problems.into_result(settings)
+    }
+}
+
+fn read_replicas(file: &mut SettingsFile) -> BTreeMap<ReplicaId, ReplicaAddresses> {
+    let mut replicas = BTreeMap::new();
+    let problems = &mut file.problems;
+    for section in file
+        .document
+        .sections()
+        .filter(|section| section.name() != "control")
+    {
+        let id = section
+            .name()
+            .strip_prefix("replica.")
+            .and_then(|id| id.parse().ok());
+        let Some(id) = id else {
+            problems.add(
+                section.place(""),
+                "the section is unknown",
+                "use [control] or [replica.NUMBER]",
+            );
+            continue;
+        };
+        section.refuse_unknown(&["peer", "operators", "workers"], problems);
+        let peer = section.read_required("peer", EXAMPLE_ADDRESS, problems);
+        let operators = section.read_required("operators", EXAMPLE_ADDRESS, problems);
+        let workers = section.read_required("workers", EXAMPLE_ADDRESS, problems);
+        if let (Some(peer), Some(operators), Some(workers)) = (peer, operators, workers) {
+            replicas.insert(
+                id,
+                ReplicaAddresses {
+                    peer,
+                    operators,
+                    workers,
+                },
+            );
+        }
+    }
+    replicas
+}
--- /dev/null
+++ b/crates/jasminefall-core/src/desired.rs
@@ -0,0 +1,129 @@
+//! The declared objects and the check of the whole.
+//!
+//! Operators write the desired state of a site as one INI text of named objects that refer to one
+//! another. [`DesiredState::parse`] reads the text and judges the whole; it reports every fault at
+//! once.
+
+mod check;
+mod read;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::ids::{DataCentreId, EntryId, InstanceId, PoolId, RackId, ServiceId, TeamId};
+use crate::problem::Problems;
+use crate::units::{Bytes, DurationMs, MilliCores};
+
+/// The name that faults of a desired state give as their file.
+pub const DESIRED_STATE_FILE: &str = "desired-state";
+
+/// Holds everything that operators declare of a site.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct DesiredState {
+    /// The site itself.
+    pub fleet: Fleet,
+    /// The entry instances by name.
+    pub entries: BTreeMap<EntryId, EntryDeclaration>,
+    /// The services that callers address, by name.
+    pub services: BTreeMap<ServiceId, ServiceDeclaration>,
+    /// The pools of instances by name.
+    pub pools: BTreeMap<PoolId, PoolDeclaration>,
+    /// The availability budgets by name.
+    pub budgets: BTreeMap<SmolStr, Budget>,
+    /// The instances by name.
+    pub instances: BTreeMap<InstanceId, InstanceDeclaration>,
+    /// The teams by name.
+    pub teams: BTreeMap<TeamId, TeamDeclaration>,
+}
+
+/// Describes the site as a whole.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Fleet {
+    /// The name of the site.
+    pub name: SmolStr,
+    /// The latitude in degrees, north positive.
+    pub latitude_deg: f64,
+    /// The longitude in degrees, east positive.
+    pub longitude_deg: f64,
+}
+
+/// Declares an entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EntryDeclaration {
+    /// The data centre that holds the entry.
+    pub data_centre: DataCentreId,
+}
+
+/// Declares a service that callers address.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ServiceDeclaration {
+    /// The pool whose instances run the service's backend servers, if declared.
+    pub pool: Option<PoolId>,
+    /// The longest time a request may take when the caller gives none.
+    pub timeout_ms: DurationMs,
+    /// The operations that are idempotent although their HTTP method is unsafe.
+    pub idempotent: BTreeSet<SmolStr>,
+    /// The operations that are not idempotent although their HTTP method is safe.
+    pub non_idempotent: BTreeSet<SmolStr>,
+    /// The objective: requests answered in time, in parts per million.
+    pub objective_ppm: u64,
+}
+
+/// Declares a pool of instances.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PoolDeclaration {
+    /// The availability budget of the pool.
+    pub budget: SmolStr,
+    /// Whether the pool holds spare instances for the others.
+    pub spare: bool,
+}
+
+/// Declares how much of a pool may be unavailable at once.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Budget {
+    /// The most instances of a pool that may be unavailable at once, planned or not.
+    pub max_unavailable: u64,
+    /// Whether the pool's buffer must outlast the loss of a whole data centre.
+    pub survive_data_centre: bool,
+}
+
+/// Declares an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct InstanceDeclaration {
+    /// The pool that the instance belongs to at first.
+    pub pool: PoolId,
+    /// The data centre that holds the instance.
+    pub data_centre: DataCentreId,
+    /// The rack that holds the instance.
+    pub rack: RackId,
+    /// The processors of the instance.
+    pub cpu_mcores: MilliCores,
+    /// The memory of the instance.
+    pub memory_bytes: Bytes,
+    /// The accelerators of the instance.
+    pub accelerators: u64,
+}
+
+/// Declares a team with its quotas.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct TeamDeclaration {
+    /// The processors that the team's jobs may hold while others want them.
+    pub quota_mcores: MilliCores,
+    /// The weight of the team among the callers of a service.
+    pub weight: u64,
+}
+
+impl DesiredState {
+    /// Reads a desired state and judges the whole of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault at once, each with its place and remedy.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Problems> {
+        let (desired, mut problems, places) = read::read(file, text)?;
+        check::check(&desired, &places, &mut problems);
+        problems.into_result(desired)
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-core/src/desired/read.rs
@@ -0,0 +1,209 @@
+//! Turns INI text into declared objects.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::str::FromStr;
+
+use smol_str::SmolStr;
+
+use super::{
+    Budget, DesiredState, EntryDeclaration, Fleet, InstanceDeclaration, PoolDeclaration,
+    ServiceDeclaration, TeamDeclaration,
+};
+use crate::document::{Document, Section};
+use crate::problem::{Place, Problems};
+use crate::units::{Bytes, DurationMs, MilliCores};
+
+const DEFAULT_TIMEOUT_MS: DurationMs = DurationMs::new(30_000);
+const DEFAULT_OBJECTIVE_PPM: u64 = 999_000;
+const DEFAULT_QUOTA_MCORES: MilliCores = MilliCores::new(16_000);
+const DEFAULT_MAX_UNAVAILABLE: u64 = 1;
+const DEFAULT_CPU_MCORES: MilliCores = MilliCores::new(16_000);
+const DEFAULT_MEMORY_BYTES: Bytes = Bytes::new(32 << 30);
+const KINDS: [&str; 6] = ["entry", "service", "pool", "budget", "instance", "team"];
+
+/// Remembers where each key of each section stands.
+#[derive(Debug, Default)]
+pub(super) struct Places {
+    sections: BTreeMap<SmolStr, Section>,
+}
+
+impl Places {
+    /// Returns the place of a key of the object `kind.name`.
+    pub(super) fn of(&self, kind: &str, name: impl Display, key: &str) -> Place {
+        let section = format!("{kind}.{name}");
+        self.sections
+            .get(section.as_str())
+            .map(|section| section.place(key))
+            .unwrap_or_default()
+    }
+}
+
+/// Reads the objects; faults of form are returned beside what could be read.
+pub(super) fn read(file: &str, text: &str) -> Result<(DesiredState, Problems, Places), Problems> {
+    let document = Document::parse(file, text)?;
+    let mut problems = Problems::new();
+    refuse_unknown_sections(&document, &mut problems);
+    let desired = DesiredState {
+        fleet: read_fleet(file, &document, &mut problems),
+        entries: read_all(&document, "entry", &mut problems, read_entry),
+        services: read_all(&document, "service", &mut problems, read_service),
+        pools: read_all(&document, "pool", &mut problems, read_pool),
+        budgets: read_all(&document, "budget", &mut problems, read_budget),
+        instances: read_all(&document, "instance", &mut problems, read_instance),
+        teams: read_all(&document, "team", &mut problems, read_team),
+    };
+    let sections = document
+        .sections()
+        .map(|section| (section.name().into(), section.clone()));
+    Ok((
+        desired,
+        problems,
+        Places {
+            sections: sections.collect(),
+        },
+    ))
+}
+
+fn refuse_unknown_sections(document: &Document, problems: &mut Problems) {
+    for section in document
+        .sections()
+        .filter(|section| section.name() != "fleet")
+    {
+        let kind = section
+            .name()
+            .split_once('.')
+            .filter(|(_, name)| !name.is_empty());
+        if !kind.is_some_and(|(kind, _)| KINDS.contains(&kind)) {
+            let remedy = format!(
+                "write [fleet] or [KIND.NAME] with one of: {}",
+                KINDS.join(", ")
+            );
+            problems.add(section.place(""), "the section is unknown", remedy);
+        }
+    }
+}
+
+fn read_all<K, T>(
+    document: &Document,
+    kind: &str,
+    problems: &mut Problems,
+    read_one: fn(&Section, &mut Problems) -> T,
+) -> BTreeMap<K, T>
+where
+    K: FromStr + Ord,
+{
+    let named = document.named(kind);
+    named
+        .filter_map(|(name, section)| Some((name.parse().ok()?, read_one(section, problems))))
+        .collect()
+}
+
+fn read_fleet(file: &str, document: &Document, problems: &mut Problems) -> Fleet {
+    let Some(section) = document.section("fleet") else {
+        let place = Place {
+            file: file.into(),
+            section: "fleet".into(),
+            ..Place::default()
+        };
+        problems.add(
+            place,
+            "the section [fleet] is missing",
+            "add [fleet] with `name = SITE`",
+        );
+        return Fleet::default();
+    };
+    section.refuse_unknown(&["name", "latitude_deg", "longitude_deg"], problems);
+    Fleet {
+        name: section
+            .read_required("name", "mauritius", problems)
+            .unwrap_or_default(),
+        latitude_deg: section.read_or("latitude_deg", 0.0, problems),
+        longitude_deg: section.read_or("longitude_deg", 0.0, problems),
+    }
+}
+
+fn read_entry(section: &Section, problems: &mut Problems) -> EntryDeclaration {
+    section.refuse_unknown(&["data_centre"], problems);
+    EntryDeclaration {
+        data_centre: section
+            .read_required("data_centre", "dc1", problems)
+            .unwrap_or_default(),
+    }
+}
+
+fn read_service(section: &Section, problems: &mut Problems) -> ServiceDeclaration {
+    let known = [
+        "pool",
+        "timeout",
+        "idempotent",
+        "non_idempotent",
+        "objective_ppm",
+    ];
+    section.refuse_unknown(&known, problems);
+    ServiceDeclaration {
+        pool: section.read_optional("pool", problems),
+        timeout_ms: section.read_or("timeout", DEFAULT_TIMEOUT_MS, problems),
+        idempotent: section
+            .read_list("idempotent", problems)
+            .into_iter()
+            .collect(),
+        non_idempotent: section
+            .read_list("non_idempotent", problems)
+            .into_iter()
+            .collect(),
+        objective_ppm: section.read_or("objective_ppm", DEFAULT_OBJECTIVE_PPM, problems),
+    }
+}
+
+fn read_pool(section: &Section, problems: &mut Problems) -> PoolDeclaration {
+    section.refuse_unknown(&["budget", "spare"], problems);
+    PoolDeclaration {
+        budget: section
+            .read_required("budget", "standard", problems)
+            .unwrap_or_default(),
+        spare: section.read_or("spare", false, problems),
+    }
+}
+
+fn read_budget(section: &Section, problems: &mut Problems) -> Budget {
+    section.refuse_unknown(&["max_unavailable", "survive_data_centre"], problems);
+    Budget {
+        max_unavailable: section.read_or("max_unavailable", DEFAULT_MAX_UNAVAILABLE, problems),
+        survive_data_centre: section.read_or("survive_data_centre", false, problems),
+    }
+}
+
+fn read_instance(section: &Section, problems: &mut Problems) -> InstanceDeclaration {
+    let known = [
+        "pool",
+        "data_centre",
+        "rack",
+        "cpu",
+        "memory",
+        "accelerators",
+    ];
+    section.refuse_unknown(&known, problems);
+    InstanceDeclaration {
+        pool: section
+            .read_required("pool", "general", problems)
+            .unwrap_or_default(),
+        data_centre: section
+            .read_required("data_centre", "dc1", problems)
+            .unwrap_or_default(),
+        rack: section
+            .read_required("rack", "dc1-r1", problems)
+            .unwrap_or_default(),
+        cpu_mcores: section.read_or("cpu", DEFAULT_CPU_MCORES, problems),
+        memory_bytes: section.read_or("memory", DEFAULT_MEMORY_BYTES, problems),
+        accelerators: section.read_or("accelerators", 0, problems),
+    }
+}
+
+fn read_team(section: &Section, problems: &mut Problems) -> TeamDeclaration {
+    section.refuse_unknown(&["quota", "weight"], problems);
+    TeamDeclaration {
+        quota_mcores: section.read_or("quota", DEFAULT_QUOTA_MCORES, problems),
+        weight: section.read_or("weight", 1, problems),
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-entry/src/edge/backends.rs
@@ -0,0 +1,68 @@
+//! What backend servers speak.
+
+use std::sync::Arc;
+
+use actix_web::dev::Server;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use jasminefall_core::prelude::*;
+use jasminefall_runtime::clock::monotonic_ms;
+use jasminefall_wire::message::{Announcement, BackendState};
+use serde::{Deserialize, Serialize};
+
+use crate::backends::ANNOUNCEMENT_LIFETIME_MS;
+use crate::dispatch;
+use crate::shared::Shared;
+
+/// Starts the backend servers' listener.
+pub(crate) fn start(shared: &Arc<Shared>) -> std::io::Result<Server> {
+    let address = shared.settings.backends;
+    let shared = shared.clone();
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(shared.clone()))
+            .route("/v1/announce", web::post().to(announce))
+    });
+    Ok(server.workers(1).bind(address)?.run())
+}
+
+/// Says what a backend server is and whether it takes new work.
+#[derive(Debug, Deserialize)]
+struct AnnounceBody {
+    service: ServiceId,
+    address: SmolStr,
+    incarnation: Incarnation,
+    state: BackendState,
+    slots: u32,
+    connections: u32,
+}
+
+#[derive(Debug, Serialize)]
+struct AnnouncedBody {
+    lifetime_ms: u64,
+}
+
+async fn announce(shared: web::Data<Arc<Shared>>, body: web::Json<AnnounceBody>) -> HttpResponse {
+    let AnnounceBody {
+        service,
+        address,
+        incarnation,
+        state,
+        slots,
+        connections,
+    } = body.into_inner();
+    let age_ms = DurationMs::ZERO;
+    let announcement = Announcement {
+        service: service.clone(),
+        address,
+        incarnation,
+        state,
+        slots,
+        connections,
+        age_ms,
+    };
+    shared.backends().announce(monotonic_ms(), announcement);
+    dispatch::serve_queue(&shared, &service);
+    HttpResponse::Ok().json(AnnouncedBody {
+        lifetime_ms: ANNOUNCEMENT_LIFETIME_MS,
+    })
+}
--- /dev/null
+++ b/crates/jasminefall-entry/src/main.rs
@@ -0,0 +1,104 @@
+//! Entry instance: callers, backend servers' announcements, queues and routing.
+//!
+//! # Module map
+//!
+//! - [`settings`]: what the settings file says
+//! - [`shared`]: what the threads of an entry share
+//! - [`configuration`]: the desired state that the entry acts on, under its lease
+//! - [`backends`]: what backend servers announced
+//! - [`dispatch`]: queues and slots
+//! - [`exchange`]: news between entries
+//! - [`renewal`]: keeping the lease on the configuration
+//! - [`claiming`]: claims for requests that run at most once
+//! - [`forward`]: sending a request to a backend server
+//! - [`outcome`]: the three outcomes of a request
+//! - [`edge`]: what callers and backend servers speak
+
+mod backends;
+mod claiming;
+mod configuration;
+mod dispatch;
+mod edge;
+mod exchange;
+mod forward;
+mod outcome;
+mod renewal;
+mod settings;
+mod shared;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use actix::Actor;
+use anyhow::Context;
+use jasminefall_runtime::command_line::{self, Invocation};
+use jasminefall_runtime::logging;
+use jasminefall_runtime::supervisor::{Child, Supervisor};
+
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+const PROGRAM: &str = "jasminefall-entry";
+const PURPOSE: &str = "Runs an entry instance of jasminefall.";
+
+fn main() -> ExitCode {
+    match command_line::parse(PROGRAM, PURPOSE, std::env::args().skip(1)) {
+        Ok(Invocation::Print(text)) => print!("{text}"),
+        Ok(Invocation::Check(path)) => match Settings::load(&path) {
+            Ok(_) => println!("{}: the settings hold", path.display()),
+            Err(problems) => return fail(&problems.to_string()),
+        },
+        Ok(Invocation::Run(path)) => match Settings::load(&path) {
+            Ok(settings) => return run(settings),
+            Err(problems) => return fail(&problems.to_string()),
+        },
+        Err(message) => return fail(&message),
+    }
+    ExitCode::SUCCESS
+}
+
+fn fail(message: &str) -> ExitCode {
+    eprintln!("{message}");
+    ExitCode::from(2)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    logging::start(PROGRAM, settings.name.as_str());
+    let system = actix::System::new();
+    match system.block_on(serve(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("event=stopped cause=\"{error:#}\"");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Starts the supervisor tree and the edges, and serves until a stop is asked for.
+async fn serve(settings: Settings) -> anyhow::Result<()> {
+    let shared = Arc::new(Shared::new(settings));
+    let supervisor = Supervisor::new(vec![
+        child("renewal", &shared, renewal::run),
+        child("exchange", &shared, exchange::run),
+        child("peer-listener", &shared, exchange::serve),
+        child("sweeper", &shared, dispatch::sweep),
+    ])
+    .start();
+    let servers = [
+        edge::callers::start(&shared).context("the callers' listener")?,
+        edge::backends::start(&shared).context("the backend servers' listener")?,
+    ];
+    log::info!("event=started callers={}", shared.settings.callers);
+    futures::future::try_join_all(servers).await?;
+    drop(supervisor);
+    log::info!("event=stopped cause=\"asked to\"");
+    Ok(())
+}
+
+fn child<F>(name: &'static str, shared: &Arc<Shared>, run: fn(Arc<Shared>) -> F) -> Child
+where
+    F: Future<Output = anyhow::Result<()>> + 'static,
+{
+    let shared = shared.clone();
+    Child::new(name, move || run(shared.clone()))
+}
--- /dev/null
+++ b/crates/jasminefall-entry/src/renewal.rs
@@ -0,0 +1,39 @@
+//! Keeping the lease on the configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jasminefall_runtime::clock::monotonic_ms;
+use jasminefall_wire::client::ControlClient;
+use jasminefall_wire::message::RenewRequest;
+
+use crate::shared::Shared;
+
+const INTERVAL: Duration = Duration::from_millis(500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Renews the lease for ever.
+pub(crate) async fn run(shared: Arc<Shared>) -> anyhow::Result<()> {
+    let settings = &shared.settings;
+    let client = ControlClient::new(&settings.control, &settings.site_key, CALL_TIMEOUT);
+    loop {
+        let asked_at_ms = monotonic_ms();
+        let holds = shared.configuration().version();
+        let asked = RenewRequest {
+            entry: settings.name.clone(),
+            holds,
+        };
+        match client.renew(&asked).await {
+            Ok(renewal) => {
+                let is_new = renewal.published.is_some();
+                shared.configuration().renew(asked_at_ms, renewal);
+                if is_new {
+                    // Control learns at once that the new version is held.
+                    continue;
+                }
+            }
+            Err(error) => log::warn!("event=renewal_failed error=\"{error}\""),
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -0,0 +1,91 @@
+//! What the settings file says.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use jasminefall_core::prelude::*;
+use jasminefall_runtime::settings::SettingsFile;
+use jasminefall_wire::handshake::SiteKey;
+
+const KNOWN: [&str; 7] = [
+    "name",
+    "callers",
+    "backends",
+    "peer",
+    "site_key_file",
+    "control",
+    "entries",
+];
+const EXAMPLE_ADDRESS: &str = "127.0.0.1:7001";
+
+/// Holds the settings of an entry instance.
+#[derive(Debug)]
+pub(crate) struct Settings {
+    /// The name under which the desired state declares this entry.
+    pub(crate) name: EntryId,
+    /// Where callers reach it.
+    pub(crate) callers: SocketAddr,
+    /// Where backend servers announce themselves.
+    pub(crate) backends: SocketAddr,
+    /// Where other processes of the system reach it.
+    pub(crate) peer: SocketAddr,
+    /// The secret of the site.
+    pub(crate) site_key: SiteKey,
+    /// The peer addresses of the control replicas.
+    pub(crate) control: Vec<SocketAddr>,
+    /// The peer addresses of the other entries.
+    pub(crate) entries: Vec<SocketAddr>,
+}
+
+impl Settings {
+    /// Loads and checks the settings.
+    pub(crate) fn load(path: &Path) -> Result<Self, Problems> {
+        let mut file = SettingsFile::load(path)?;
+        file.refuse_unknown_sections(&["entry"]);
+        let section = file.section("entry");
+        let problems = &mut file.problems;
+        section.refuse_unknown(&KNOWN, problems);
+        let name = section.read_required("name", "e1", problems);
+        let callers = section.read_required("callers", EXAMPLE_ADDRESS, problems);
+        let backends = section.read_required("backends", EXAMPLE_ADDRESS, problems);
+        let peer = section.read_required("peer", EXAMPLE_ADDRESS, problems);
+        let control: Vec<SocketAddr> = section.read_list("control", problems);
+        if control.is_empty() {
+            let remedy = "add `control = ` with the peer addresses of the control replicas";
+            problems.add(
+                section.place("control"),
+                "no control replica is named",
+                remedy,
+            );
+        }
+        let key_file: Option<SmolStr> =
+            section.read_required("site_key_file", "site.key", problems);
+        let secret = key_file.and_then(|key_file| {
+            let secret = std::fs::read(key_file.as_str());
+            secret
+                .map_err(|error| {
+                    let remedy =
+                        "write a random secret there, the same for every process of the site";
+                    problems.add(section.place("site_key_file"), format!("{error}"), remedy);
+                })
+                .ok()
+        });
+        let entries = section.read_list("entries", problems);
+        let (Some(name), Some(callers), Some(backends), Some(peer), Some(secret)) =
+            (name, callers, backends, peer, secret)
+        else {
+            return Err(file.problems);
+        };
+        let site_key = SiteKey::new(&secret);
+        let settings = Self {
+            name,
+            callers,
+            backends,
+            peer,
+            site_key,
+            control,
+            entries,
+        };
+        file.problems.into_result(settings)
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -0,0 +1,49 @@
+//! What the threads of an entry share.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use crate::backends::Backends;
+use crate::configuration::Configuration;
+use crate::dispatch::Dispatch;
+use crate::settings::Settings;
+
+/// Holds what the threads of an entry share.
+///
+/// Each lock is held for one decision and never across a wait; where two are needed, they are taken
+/// in the order of the fields.
+pub(crate) struct Shared {
+    /// The settings.
+    pub(crate) settings: Settings,
+    configuration: Mutex<Configuration>,
+    backends: Mutex<Backends>,
+    dispatch: Mutex<Dispatch>,
+}
+
+impl Shared {
+    /// Creates the state of an entry that has heard nothing yet.
+    pub(crate) fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            configuration: Mutex::default(),
+            backends: Mutex::default(),
+            dispatch: Mutex::default(),
+        }
+    }
+
+    /// Returns the configuration.
+    pub(crate) fn configuration(&self) -> MutexGuard<'_, Configuration> {
+        self.configuration
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what backend servers announced.
+    pub(crate) fn backends(&self) -> MutexGuard<'_, Backends> {
+        self.backends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the queues and slots.
+    pub(crate) fn dispatch(&self) -> MutexGuard<'_, Dispatch> {
+        self.dispatch.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-policy/src/lib.rs
@@ -0,0 +1,21 @@
+//! Every decision of jasminefall as a pure function of state, observations and time.
+//!
+//! Nothing here performs I/O, reads a clock or starts a thread; random numbers come from a generator
+//! that the caller passes in.
+//!
+//! ```
+//! use jasminefall_policy::slots::home_slots;
+//!
+//! let shares: u32 = (0..6).map(|entry| home_slots(8, entry, 6, 3)).sum();
+//! assert_eq!(shares, 8, "the shares of all entries make up the backend server's slots");
+//! ```
+//!
+//! # Module map
+//!
+//! - [`slots`]: how the slots of a backend server are shared by the entries
+//! - [`routing`]: which backend server gets a request
+//! - [`placement`]: which worker gets a job
+
+pub mod placement;
+pub mod routing;
+pub mod slots;
--- /dev/null
+++ b/crates/jasminefall-replica/src/replica/election.rs
@@ -0,0 +1,185 @@
+//! Pre-votes, votes and the loss of leadership.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::Rng;
+
+use super::{HardState, Progress, Replica, Role};
+use crate::entry::Payload;
+use crate::message::{Body, Message};
+use crate::types::{LogIndex, ReplicaId, Term};
+
+impl Body {
+    /// Returns whether the message must not raise the receiver's term.
+    pub(super) const fn is_pre_vote(&self) -> bool {
+        matches!(
+            self,
+            Self::VoteRequest { pre: true, .. } | Self::VoteReply { pre: true, .. }
+        )
+    }
+}
+
+impl Replica {
+    /// Returns whether a message is from an older term, or would disturb a live leader.
+    pub(super) fn ignores(&self, message: &Message) -> bool {
+        if matches!(message.body, Body::VoteRequest { .. }) {
+            return message.term < self.hard_state.term || self.hears_a_leader();
+        }
+        message.term < self.hard_state.term && !message.body.is_pre_vote()
+    }
+
+    /// Returns whether a leader was heard so lately that its lease may still run.
+    fn hears_a_leader(&self) -> bool {
+        let silence_ms = self.now_ms.saturating_sub(self.heard_at_ms);
+        self.leader.is_some()
+            && (self.is_leader() || silence_ms < self.settings.election_timeout_ms)
+    }
+
+    pub(super) fn reset_election_timer(&mut self) {
+        let timeout_ms = self.settings.election_timeout_ms;
+        let wait_ms = self.random.random_range(timeout_ms..timeout_ms * 2);
+        self.election_at_ms = self.now_ms + wait_ms;
+    }
+
+    pub(super) fn start_pre_vote(&mut self) {
+        self.reset_election_timer();
+        self.leader = None;
+        if !self.membership().voters.contains(&self.id) {
+            return;
+        }
+        self.role = Role::PreCandidate(BTreeSet::from([self.id]));
+        self.ask_for_votes(true);
+        self.finish_pre_vote();
+    }
+
+    fn start_election(&mut self) {
+        let term = self.hard_state.term.next();
+        self.store_hard_state(HardState {
+            term,
+            voted_for: Some(self.id),
+        });
+        self.role = Role::Candidate(BTreeSet::new());
+        self.ask_for_votes(false);
+        // The own vote counts once it is stored, like any other.
+        let own = self.message(
+            self.id,
+            Body::VoteReply {
+                pre: false,
+                granted: true,
+            },
+        );
+        self.ready.messages_after_sync.push(own);
+    }
+
+    fn ask_for_votes(&mut self, pre: bool) {
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        let term = if pre {
+            self.hard_state.term.next()
+        } else {
+            self.hard_state.term
+        };
+        let voters: Vec<_> = self.membership().voters.iter().copied().collect();
+        for to in voters.into_iter().filter(|voter| *voter != self.id) {
+            let body = Body::VoteRequest {
+                pre,
+                last_index,
+                last_term,
+            };
+            self.ready.messages_after_sync.push(Message {
+                from: self.id,
+                to,
+                term,
+                body,
+            });
+        }
+    }
+
+    pub(super) fn answer_vote_request(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        pre: bool,
+        last: (Term, LogIndex),
+    ) {
+        let as_new = last >= (self.log.last_term(), self.log.last_index());
+        let free = pre || self.hard_state.voted_for.is_none_or(|voted| voted == from);
+        let granted = as_new && free && (!pre || term > self.hard_state.term);
+        if granted && !pre {
+            self.store_hard_state(HardState {
+                term,
+                voted_for: Some(from),
+            });
+            self.reset_election_timer();
+        }
+        let reply_term = if granted { term } else { self.hard_state.term };
+        let body = Body::VoteReply { pre, granted };
+        let reply = Message {
+            from: self.id,
+            to: from,
+            term: reply_term,
+            body,
+        };
+        self.ready.messages_after_sync.push(reply);
+    }
+
+    pub(super) fn count_vote(&mut self, from: ReplicaId, pre: bool, granted: bool) {
+        let votes = match (&mut self.role, pre) {
+            (Role::PreCandidate(votes), true) | (Role::Candidate(votes), false) => votes,
+            _ => return,
+        };
+        if granted {
+            votes.insert(from);
+        }
+        if pre {
+            self.finish_pre_vote();
+        } else {
+            self.finish_election();
+        }
+    }
+
+    fn finish_pre_vote(&mut self) {
+        if let Role::PreCandidate(votes) = &self.role
+            && self.is_quorum(votes)
+        {
+            self.start_election();
+        }
+    }
+
+    fn finish_election(&mut self) {
+        if let Role::Candidate(votes) = &self.role
+            && self.is_quorum(votes)
+        {
+            self.lead();
+        }
+    }
+
+    fn is_quorum(&self, votes: &BTreeSet<ReplicaId>) -> bool {
+        let membership = self.membership();
+        votes.intersection(&membership.voters).count() >= membership.quorum()
+    }
+
+    fn lead(&mut self) {
+        let progress = Progress {
+            sent_index: self.log.last_index(),
+            answered_at_ms: self.now_ms,
+            ..Progress::default()
+        };
+        let others: BTreeMap<_, _> = self
+            .membership()
+            .others(self.id)
+            .map(|other| (other, progress))
+            .collect();
+        self.role = Role::Leader(others);
+        self.leader = Some(self.id);
+        self.append_own(Payload::Noop);
+        self.replicate();
+    }
+
+    /// Steps down where no majority has answered for a whole election timeout.
+    pub(super) fn give_up_without_quorum(&mut self) {
+        let silence_ms = self.now_ms.saturating_sub(self.quorum_answered_at_ms());
+        if silence_ms > self.settings.election_timeout_ms {
+            self.follow(self.hard_state.term, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-replica/src/replica/replication.rs
@@ -0,0 +1,244 @@
+//! Entries, acknowledgements and snapshots.
+
+use super::{Progress, Replica, Role};
+use crate::entry::{Entry, Payload, Snapshot};
+use crate::message::Body;
+use crate::types::{LogIndex, ReplicaId, Term};
+
+impl Replica {
+    pub(super) fn append_own(&mut self, payload: Payload) -> LogIndex {
+        let index = self.log.last_index().next();
+        self.append(Entry {
+            index,
+            term: self.hard_state.term,
+            payload,
+        });
+        index
+    }
+
+    fn append(&mut self, entry: Entry) {
+        self.log.push(entry.clone());
+        self.ready.append.push(entry);
+    }
+
+    /// Sends what the others have not been sent yet.
+    pub(super) fn replicate(&mut self) {
+        let last = self.log.last_index();
+        for (to, known) in self.known_progress() {
+            if known.sent_index < last {
+                self.send_entries(to, known);
+            }
+        }
+    }
+
+    pub(super) fn send_heartbeats(&mut self) {
+        for (to, known) in self.known_progress() {
+            if self.now_ms >= known.sent_at_ms + self.settings.heartbeat_ms {
+                self.send_entries(to, known);
+            }
+        }
+    }
+
+    fn known_progress(&self) -> Vec<(ReplicaId, Progress)> {
+        let Role::Leader(progress) = &self.role else {
+            return Vec::new();
+        };
+        let known = |other| (other, progress.get(&other).copied().unwrap_or_default());
+        self.membership().others(self.id).map(known).collect()
+    }
+
+    fn send_entries(&mut self, to: ReplicaId, known: Progress) {
+        let previous_index = known.sent_index.min(self.log.last_index());
+        let Some(previous_term) = self.log.term_at(previous_index) else {
+            return self.send_snapshot(to, known);
+        };
+        let entries = self
+            .log
+            .after(previous_index, self.settings.max_batch_entries)
+            .to_vec();
+        let sent_index = entries.last().map_or(previous_index, |entry| entry.index);
+        let (commit, sent_at_ms) = (self.commit, self.now_ms);
+        self.send(
+            to,
+            Body::Append {
+                previous_index,
+                previous_term,
+                entries,
+                commit,
+                sent_at_ms,
+            },
+        );
+        self.update_progress(
+            to,
+            Progress {
+                sent_index,
+                sent_at_ms,
+                ..known
+            },
+        );
+    }
+
+    fn send_snapshot(&mut self, to: ReplicaId, known: Progress) {
+        let snapshot = self.log.snapshot().clone();
+        let (sent_index, sent_at_ms) = (snapshot.index, self.now_ms);
+        self.send(
+            to,
+            Body::InstallSnapshot {
+                snapshot,
+                sent_at_ms,
+            },
+        );
+        self.update_progress(
+            to,
+            Progress {
+                sent_index,
+                sent_at_ms,
+                ..known
+            },
+        );
+    }
+
+    fn update_progress(&mut self, of: ReplicaId, progress: Progress) {
+        if let Role::Leader(known) = &mut self.role {
+            known.insert(of, progress);
+        }
+    }
+
+    pub(super) fn follow_leader(&mut self, leader: ReplicaId) {
+        self.role = Role::Follower;
+        self.leader = Some(leader);
+        self.heard_at_ms = self.now_ms;
+        self.reset_election_timer();
+    }
+
+    pub(super) fn accept_entries(
+        &mut self,
+        previous: (LogIndex, Term),
+        entries: Vec<Entry>,
+        commit: LogIndex,
+        sent_at_ms: u64,
+    ) {
+        let leader = self.leader.unwrap_or(self.id);
+        let (previous_index, previous_term) = previous;
+        let covered = previous_index < self.log.snapshot().index;
+        if !covered && self.log.term_at(previous_index) != Some(previous_term) {
+            let match_index = self
+                .commit
+                .max(previous_index.previous().min(self.log.last_index()));
+            let match_index = match_index.min(previous_index.previous());
+            return self.send(
+                leader,
+                Body::AppendReply {
+                    accepted: false,
+                    match_index,
+                    sent_at_ms,
+                },
+            );
+        }
+        let last_new = entries.last().map_or(previous_index, |entry| entry.index);
+        for entry in entries {
+            self.accept_entry(entry);
+        }
+        self.commit = self.commit.max(commit.min(last_new));
+        let body = Body::AppendReply {
+            accepted: true,
+            match_index: last_new,
+            sent_at_ms,
+        };
+        self.send_after_sync(leader, body);
+    }
+
+    fn accept_entry(&mut self, entry: Entry) {
+        if entry.index <= self.log.snapshot().index {
+            return;
+        }
+        match self.log.term_at(entry.index) {
+            Some(term) if term == entry.term => {}
+            Some(_) => {
+                self.log.truncate_from(entry.index);
+                self.ready
+                    .append
+                    .retain(|pending| pending.index < entry.index);
+                self.synced = self.synced.min(entry.index.previous());
+                self.append(entry);
+            }
+            None => self.append(entry),
+        }
+    }
+
+    pub(super) fn accept_snapshot(&mut self, snapshot: Snapshot, sent_at_ms: u64) {
+        let match_index = snapshot.index;
+        if snapshot.index > self.commit {
+            self.commit = snapshot.index;
+            self.handed_over = snapshot.index;
+            self.log.install(snapshot.clone());
+            self.ready
+                .append
+                .retain(|pending| pending.index > snapshot.index);
+            self.synced = self.synced.max(snapshot.index);
+            self.ready.snapshot = Some(snapshot);
+        }
+        let leader = self.leader.unwrap_or(self.id);
+        self.send_after_sync(
+            leader,
+            Body::AppendReply {
+                accepted: true,
+                match_index,
+                sent_at_ms,
+            },
+        );
+    }
+
+    pub(super) fn note_progress(
+        &mut self,
+        from: ReplicaId,
+        accepted: bool,
+        match_index: LogIndex,
+        sent_at_ms: u64,
+    ) {
+        let Role::Leader(progress) = &mut self.role else {
+            return;
+        };
+        let Some(known) = progress.get_mut(&from) else {
+            return;
+        };
+        known.answered_at_ms = known.answered_at_ms.max(sent_at_ms);
+        if accepted {
+            known.match_index = known.match_index.max(match_index);
+            known.sent_index = known.sent_index.max(match_index);
+            self.advance_commit();
+        } else {
+            known.sent_index = known.match_index.max(match_index);
+        }
+        self.replicate();
+    }
+
+    /// Commits what a majority of voters has stored, if it is of the own term.
+    pub(super) fn advance_commit(&mut self) {
+        let Role::Leader(progress) = &self.role else {
+            return;
+        };
+        let membership = self.membership();
+        let mut stored: Vec<LogIndex> = membership
+            .voters
+            .iter()
+            .map(|voter| {
+                if *voter == self.id {
+                    self.synced
+                } else {
+                    progress
+                        .get(voter)
+                        .map_or(LogIndex(0), |known| known.match_index)
+                }
+            })
+            .collect();
+        stored.sort_unstable_by(|left, right| right.cmp(left));
+        let index = stored
+            .get(membership.quorum() - 1)
+            .copied()
+            .unwrap_or_default();
+        if index > self.commit && self.log.term_at(index) == Some(self.hard_state.term) {
+            self.commit = index;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-runtime/src/command_line.rs
@@ -0,0 +1,63 @@
+//! The options that every daemon takes.
+
+use std::path::PathBuf;
+
+use getopts::Options;
+
+/// Says what the command line asks of a daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Invocation {
+    /// Print this text and stop with success.
+    Print(String),
+    /// Check the settings and stop.
+    Check(PathBuf),
+    /// Run with the settings.
+    Run(PathBuf),
+}
+
+/// Reads the command line of a daemon.
+///
+/// # Errors
+///
+/// Returns a message that names the remedy where the options cannot be read.
+pub fn parse(
+    program: &str,
+    purpose: &str,
+    arguments: impl IntoIterator<Item = String>,
+) -> Result<Invocation, String> {
+    let mut options = Options::new();
+    options.reqopt("s", "settings", "the settings file (INI)", "FILE");
+    options.optflag("", "check", "check the settings and stop");
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    let arguments: Vec<String> = arguments.into_iter().collect();
+    if arguments
+        .iter()
+        .any(|argument| argument == "--help" || argument == "-h")
+    {
+        let brief = format!("{purpose}\n\nUsage: {program} --settings FILE [--check]");
+        return Ok(Invocation::Print(options.usage(&brief)));
+    }
+    if arguments
+        .iter()
+        .any(|argument| argument == "--version" || argument == "-V")
+    {
+        return Ok(Invocation::Print(format!(
+            "{program} {}\n",
+            env!("CARGO_PKG_VERSION")
+        )));
+    }
+    let hint = |error| format!("{program}: {error}; run `{program} --help` for the options");
+    let matches = options.parse(&arguments).map_err(hint)?;
+    if let Some(extra) = matches.free.first() {
+        return Err(format!(
+            "{program}: `{extra}` is not an option; run `{program} --help`"
+        ));
+    }
+    let settings = PathBuf::from(matches.opt_str("settings").unwrap_or_default());
+    Ok(if matches.opt_present("check") {
+        Invocation::Check(settings)
+    } else {
+        Invocation::Run(settings)
+    })
+}
--- /dev/null
+++ b/crates/jasminefall-runtime/src/lib.rs
@@ -0,0 +1,22 @@
+//! Command line, settings, logging and supervision shared by the programs.
+//!
+//! ```
+//! use jasminefall_runtime::settings::SettingsFile;
+//!
+//! let file = SettingsFile::parse("entry.ini", "[entry]\nname = e1\n").unwrap();
+//! assert_eq!(file.document.section("entry").unwrap().text("name"), Some("e1"));
+//! ```
+//!
+//! # Module map
+//!
+//! - [`command_line`]: the options that every daemon takes
+//! - [`settings`]: settings files
+//! - [`logging`]: one line of key=value pairs an event
+//! - [`supervisor`]: children that are restarted with back-off
+//! - [`clock`]: wall and monotonic time in milliseconds
+
+pub mod clock;
+pub mod command_line;
+pub mod logging;
+pub mod settings;
+pub mod supervisor;
--- /dev/null
+++ b/crates/jasminefall-runtime/src/settings.rs
@@ -0,0 +1,86 @@
+//! Settings files.
+
+use std::path::Path;
+
+use jasminefall_core::prelude::*;
+
+/// Holds a settings file that was read, with the faults found so far.
+#[derive(Debug)]
+pub struct SettingsFile {
+    /// The text by sections.
+    pub document: Document,
+    /// The faults found so far.
+    pub problems: Problems,
+    name: String,
+}
+
+impl SettingsFile {
+    /// Reads a settings text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of form.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Problems> {
+        let document = Document::parse(name, text)?;
+        Ok(Self {
+            document,
+            problems: Problems::new(),
+            name: name.to_owned(),
+        })
+    }
+
+    /// Loads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of form, or the one that the file cannot be read.
+    pub fn load(path: &Path) -> Result<Self, Problems> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| unreadable(&name, &error))?;
+        Self::parse(&name, &text)
+    }
+
+    /// Returns a section; where it is missing, adds a fault and returns an empty one.
+    pub fn section(&mut self, name: &str) -> Section {
+        if let Some(section) = self.document.section(name) {
+            return section.clone();
+        }
+        let place = Place {
+            file: self.name.as_str().into(),
+            section: name.into(),
+            ..Place::default()
+        };
+        self.problems
+            .add(place, "the section is missing", format!("add [{name}]"));
+        Section::default()
+    }
+
+    /// Adds a fault for every section that is not among `known`.
+    pub fn refuse_unknown_sections(&mut self, known: &[&str]) {
+        for section in self
+            .document
+            .sections()
+            .filter(|section| !known.contains(&section.name()))
+        {
+            let remedy = format!("use one of: {}", known.join(", "));
+            self.problems
+                .add(section.place(""), "the section is unknown", remedy);
+        }
+    }
+}
+
+pub use jasminefall_core::document::Section;
+
+fn unreadable(name: &str, error: &std::io::Error) -> Problems {
+    let mut problems = Problems::new();
+    let place = Place {
+        file: name.into(),
+        ..Place::default()
+    };
+    problems.add(
+        place,
+        format!("{error}"),
+        "give the path of a readable file with --settings",
+    );
+    problems
+}
--- /dev/null
+++ b/crates/jasminefall-state/src/cluster.rs
@@ -0,0 +1,74 @@
+//! The state as a whole.
+
+use serde::{Deserialize, Serialize};
+
+use crate::claims::Claims;
+use crate::command::{Command, Stamped};
+use crate::configuration::Configuration;
+use crate::jobs::Jobs;
+use crate::outcome::Outcome;
+
+/// Holds everything that the control replicas agree on.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct ClusterState {
+    /// The latest time that any command carried, in milliseconds since 1970.
+    pub now_ms: u64,
+    /// The published versions of the desired state.
+    pub configuration: Configuration,
+    /// The requests that run at most once.
+    pub claims: Claims,
+    /// The jobs and their tasks.
+    pub jobs: Jobs,
+}
+
+impl ClusterState {
+    /// Carries out one command and says what came of it.
+    pub fn apply(&mut self, stamped: Stamped) -> Outcome {
+        self.now_ms = self.now_ms.max(stamped.at_ms);
+        let now_ms = self.now_ms;
+        match stamped.command {
+            Command::Tick => Outcome::Done,
+            Command::Apply(request) => self.configuration.apply(now_ms, request),
+            Command::Claim(requests) => Outcome::Claimed(self.claims.claim(now_ms, requests)),
+            Command::Record(answers) => {
+                self.claims.record(now_ms, answers);
+                Outcome::Done
+            }
+            Command::Submit(request) => {
+                let desired = self.configuration.desired();
+                self.jobs.submit(now_ms, desired, request)
+            }
+            Command::Place(placements) => {
+                self.jobs.place(now_ms, placements);
+                Outcome::Done
+            }
+            Command::Report(reports) => {
+                self.jobs.report(now_ms, reports);
+                Outcome::Done
+            }
+            Command::Cancel(jobs) => {
+                self.jobs.cancel(now_ms, &jobs);
+                Outcome::Done
+            }
+        }
+    }
+
+    /// Returns the state as bytes for a snapshot.
+    ///
+    /// # Panics
+    ///
+    /// Never: the state holds nothing that cannot be encoded.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("the state holds nothing that cannot be encoded")
+    }
+
+    /// Reads the state from the bytes of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the bytes are not a state of this version of the program.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-state/src/command.rs
@@ -0,0 +1,38 @@
+//! What can be asked of the state.
+
+use jasminefall_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::claims::{ClaimRequest, RecordedAnswer};
+use crate::configuration::ApplyRequest;
+use crate::jobs::{JobRequest, Placement, TaskReport};
+
+/// Carries a command with the leader's clock at its proposal.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Stamped {
+    /// The leader's wall clock in milliseconds since 1970.
+    pub at_ms: u64,
+    /// The command.
+    pub command: Command,
+}
+
+/// Asks something of the state. New kinds are added at the end, so that old logs stay readable.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Moves the time on.
+    Tick,
+    /// Publishes a desired state.
+    Apply(ApplyRequest),
+    /// Claims requests before they run.
+    Claim(Vec<ClaimRequest>),
+    /// Records the answers of claimed requests.
+    Record(Vec<RecordedAnswer>),
+    /// Accepts a job.
+    Submit(JobRequest),
+    /// Places jobs on workers.
+    Place(Vec<Placement>),
+    /// Takes what a worker says of its tasks.
+    Report(Vec<TaskReport>),
+    /// Cancels jobs.
+    Cancel(Vec<JobId>),
+}
--- /dev/null
+++ b/crates/jasminefall-state/src/outcome.rs
@@ -0,0 +1,61 @@
+//! What comes of a command.
+
+use std::fmt;
+
+use jasminefall_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::claims::ClaimAnswer;
+
+/// Says what came of a command.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The command was carried out and has nothing to say.
+    Done,
+    /// A desired state was published as this version.
+    Published(Version),
+    /// The claims were judged, in the order asked.
+    Claimed(Vec<ClaimAnswer>),
+    /// A job was accepted.
+    Accepted(JobId),
+    /// The command was refused; nothing changed.
+    Refused(Refusal),
+}
+
+/// Says why a command was refused, and the remedy.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The desired state has faults.
+    Faulty(Problems),
+    /// Somebody else published first.
+    Conflict {
+        /// The version that is published now.
+        current: Version,
+        /// Who published it.
+        operator: SmolStr,
+        /// When, in milliseconds since 1970.
+        at_ms: u64,
+    },
+    /// The job can never run.
+    Impossible(SmolStr),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Faulty(problems) => write!(formatter, "{problems}"),
+            Self::Conflict {
+                current,
+                operator,
+                at_ms,
+            } => write!(
+                formatter,
+                "version {current} was published by {operator} at {at_ms} ms since 1970; \
+                 read it, merge your change and apply against {current}"
+            ),
+            Self::Impossible(reason) => write!(formatter, "the job can never run: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
--- /dev/null
+++ b/crates/jasminefall-state/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The types that nearly every user of the crate needs.
+
+pub use crate::claims::{Claim, ClaimAnswer, ClaimRequest, Claims, RecordedAnswer};
+pub use crate::cluster::ClusterState;
+pub use crate::command::{Command, Stamped};
+pub use crate::configuration::{ApplyRequest, Configuration, Published};
+pub use crate::jobs::{Job, JobRequest, JobState, Jobs, Placement, TaskReport, TaskResult};
+pub use crate::outcome::{Outcome, Refusal};
--- /dev/null
+++ b/crates/jasminefall-testing/src/lib.rs
@@ -0,0 +1,13 @@
+//! Fakes at the interfaces and a fault-injecting proxy, for tests and measurements.
+//!
+//! # Module map
+//!
+//! - [`backend`]: a backend server that records every run
+//! - [`worker`]: a worker that runs tasks by waiting
+//! - [`proxy`]: a TCP proxy that injects faults
+//! - [`site`]: the real processes of a small site on one loopback address
+
+pub mod backend;
+pub mod proxy;
+pub mod site;
+pub mod worker;
--- /dev/null
+++ b/crates/jasminefall-testing/src/site.rs
@@ -0,0 +1,312 @@
+//! The real processes of a small site on one loopback address.
+
+use std::fmt::Write;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+
+const LOCK_PORT: u16 = 20_000;
+const PEER_PORT: u16 = 21_000;
+const OPERATORS_PORT: u16 = 22_000;
+const WORKERS_PORT: u16 = 23_000;
+const ENTRY_PEER_PORT: u16 = 24_000;
+const CALLERS_PORT: u16 = 25_000;
+const BACKENDS_PORT: u16 = 26_000;
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+const WAIT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Runs the processes of a site; all end when it is dropped.
+pub struct Site {
+    folder: TempDir,
+    ip: IpAddr,
+    controls: Vec<Option<Child>>,
+    entries: Vec<Option<Child>>,
+    _lock: TcpListener,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for child in self.controls.iter_mut().chain(&mut self.entries).flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Site {
+    /// Writes the settings of a site without starting any process.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the temporary folder cannot be written.
+    #[must_use]
+    pub fn new(controls: usize, entries: usize) -> Self {
+        let (ip, lock) = reserve_ip();
+        let folder = TempDir::new().expect("a temporary folder");
+        std::fs::write(folder.path().join("key"), "a secret for tests").expect("the site key");
+        let site = Self {
+            folder,
+            ip,
+            controls: (0..controls).map(|_| None).collect(),
+            entries: (0..entries).map(|_| None).collect(),
+            _lock: lock,
+        };
+        for position in 0..controls {
+            std::fs::write(site.control_settings(position), site.control_text(position))
+                .expect("settings");
+        }
+        for position in 0..entries {
+            std::fs::write(site.entry_settings(position), site.entry_text(position))
+                .expect("settings");
+        }
+        site
+    }
+
+    /// Starts every process.
+    #[must_use]
+    pub fn started(mut self) -> Self {
+        (0..self.controls.len()).for_each(|position| self.start_control(position));
+        (0..self.entries.len()).for_each(|position| self.start_entry(position));
+        self
+    }
+
+    /// Returns the folder of the site.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Returns where operators reach a control replica.
+    #[must_use]
+    pub fn operators(&self, position: usize) -> SocketAddr {
+        self.address(OPERATORS_PORT, position)
+    }
+
+    /// Returns where workers reach the control replicas.
+    #[must_use]
+    pub fn workers(&self) -> Vec<SocketAddr> {
+        (0..self.controls.len())
+            .map(|position| self.address(WORKERS_PORT, position))
+            .collect()
+    }
+
+    /// Returns where callers reach an entry.
+    #[must_use]
+    pub fn callers(&self, position: usize) -> SocketAddr {
+        self.address(CALLERS_PORT, position)
+    }
+
+    /// Returns where backend servers announce themselves to an entry.
+    #[must_use]
+    pub fn backends(&self, position: usize) -> SocketAddr {
+        self.address(BACKENDS_PORT, position)
+    }
+
+    /// Returns an address on the site's own IP with any free port.
+    #[must_use]
+    pub const fn any_port(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, 0)
+    }
+
+    /// Starts a control replica.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program cannot be started.
+    pub fn start_control(&mut self, position: usize) {
+        let settings = self.control_settings(position);
+        self.controls[position] = Some(self.start("jasminefall-control", &settings));
+    }
+
+    /// Starts an entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program cannot be started.
+    pub fn start_entry(&mut self, position: usize) {
+        let settings = self.entry_settings(position);
+        self.entries[position] = Some(self.start("jasminefall-entry", &settings));
+    }
+
+    /// Kills a control replica without warning.
+    pub fn kill_control(&mut self, position: usize) {
+        kill(&mut self.controls[position]);
+    }
+
+    /// Kills an entry without warning.
+    pub fn kill_entry(&mut self, position: usize) {
+        kill(&mut self.entries[position]);
+    }
+
+    /// Returns the data folder of a control replica.
+    #[must_use]
+    pub fn data_folder(&self, position: usize) -> PathBuf {
+        self.folder().join(format!("data-{position}"))
+    }
+
+    /// Runs the operators' program and returns whether it succeeded, with what it printed.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program cannot be started.
+    #[must_use]
+    pub fn ctl(&self, words: &[&str]) -> (bool, String) {
+        let control: Vec<String> = (0..self.controls.len())
+            .map(|position| self.operators(position).to_string())
+            .collect();
+        let mut command = Command::new(program("jasminefallctl"));
+        let output = command
+            .arg("--control")
+            .arg(control.join(","))
+            .args(words)
+            .output();
+        let output = output.expect("jasminefallctl starts; run `cargo build --workspace` first");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        (
+            output.status.success(),
+            text + &String::from_utf8_lossy(&output.stderr),
+        )
+    }
+
+    /// Publishes a desired state against a version and waits until it is in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics where it is not accepted and in force.
+    pub fn apply(&self, base: u64, text: &str) {
+        let file = self.folder().join("desired.ini");
+        std::fs::write(&file, text).expect("the desired state");
+        let file = file.display().to_string();
+        let (success, printed) = self.ctl(&["apply", &file, "--base", &base.to_string()]);
+        assert!(success, "{printed}");
+    }
+
+    /// Returns the sections that declare the site's entries.
+    #[must_use]
+    pub fn entry_sections(&self) -> String {
+        (1..=self.entries.len()).fold(String::new(), |mut text, number| {
+            let _ = writeln!(text, "[entry.e{number}]\ndata_centre = dc1");
+            text
+        })
+    }
+
+    fn start(&self, name: &str, settings: &Path) -> Child {
+        let path = settings.with_extension("log");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(path)
+            .expect("the log file");
+        let mut command = Command::new(program(name));
+        command
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null());
+        command
+            .stderr(log)
+            .spawn()
+            .expect("the program starts; run `cargo build --workspace` first")
+    }
+
+    fn address(&self, port: u16, position: usize) -> SocketAddr {
+        let offset = u16::try_from(position).expect("few processes");
+        SocketAddr::new(self.ip, port + offset)
+    }
+
+    fn control_settings(&self, position: usize) -> PathBuf {
+        self.folder().join(format!("control-{position}.ini"))
+    }
+
+    fn entry_settings(&self, position: usize) -> PathBuf {
+        self.folder().join(format!("entry-{position}.ini"))
+    }
+
+    fn control_text(&self, position: usize) -> String {
+        let folder = self.folder().display();
+        let number = position + 1;
+        let mut text = format!(
+            "[control]\nreplica = {number}\ndata_folder = {folder}/data-{position}\nsite_key_file = {folder}/key\n"
+        );
+        for other in 0..self.controls.len() {
+            let (peer, operators, workers) = (
+                self.address(PEER_PORT, other),
+                self.operators(other),
+                self.address(WORKERS_PORT, other),
+            );
+            let number = other + 1;
+            let _ = writeln!(
+                text,
+                "[replica.{number}]\npeer = {peer}\noperators = {operators}\nworkers = {workers}"
+            );
+        }
+        text
+    }
+
+    fn entry_text(&self, position: usize) -> String {
+        let folder = self.folder().display();
+        let join = |port, count: usize, without: Option<usize>| {
+            let positions = (0..count).filter(|other| Some(*other) != without);
+            let addresses = positions.map(|other| self.address(port, other).to_string());
+            addresses.collect::<Vec<_>>().join(", ")
+        };
+        let control = join(PEER_PORT, self.controls.len(), None);
+        let entries = join(ENTRY_PEER_PORT, self.entries.len(), Some(position));
+        let (callers, backends) = (self.callers(position), self.backends(position));
+        let peer = self.address(ENTRY_PEER_PORT, position);
+        format!(
+            "[entry]\nname = e{}\ncallers = {callers}\nbackends = {backends}\npeer = {peer}\n\
+             site_key_file = {folder}/key\ncontrol = {control}\nentries = {entries}\n",
+            position + 1
+        )
+    }
+}
+
+fn kill(child: &mut Option<Child>) {
+    if let Some(mut child) = child.take() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+/// Returns the path of a program of the workspace, beside the running test.
+fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("the path of the test");
+    let folder = test
+        .parent()
+        .and_then(Path::parent)
+        .expect("the target folder");
+    folder.join(name)
+}
+
+/// Reserves a loopback address that no other site on the machine uses.
+fn reserve_ip() -> (IpAddr, TcpListener) {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = NEXT
+            .fetch_add(1, Ordering::Relaxed)
+            .wrapping_add(std::process::id().wrapping_mul(64));
+        let [_, high, middle, low] = number.to_be_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, high.max(1), middle, low.clamp(1, 254)));
+        if let Ok(lock) = TcpListener::bind((ip, LOCK_PORT)) {
+            return (ip, lock);
+        }
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics where it does not hold within a generous limit; `what` then names it.
+pub async fn wait_for<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let deadline = Instant::now() + WAIT_LIMIT;
+    while !condition().await {
+        assert!(Instant::now() < deadline, "waited in vain: {what}");
+        tokio::time::sleep(WAIT_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-wire/src/link.rs
@@ -0,0 +1,148 @@
+//! A connection to another process that is replaced when it goes silent.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::capability::FromClientHook;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::handshake::{SiteKey, prove_as_client};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Says why a call on a link failed.
+#[derive(Debug)]
+pub enum LinkError {
+    /// No connection could be made: the call has not left.
+    NotSent(std::io::Error),
+    /// No answer came in time, or the connection broke: the call may have been carried out.
+    Unknown(String),
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(error) => {
+                write!(formatter, "not sent: {error}; check that the process runs")
+            }
+            Self::Unknown(error) => write!(formatter, "no answer: {error}; send the call again"),
+        }
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+/// Holds a connection to one address, made when first used.
+///
+/// A call that gets no answer within its timeout drops the connection, so that the next call goes
+/// out on a fresh one.
+pub struct Link<C> {
+    address: SocketAddr,
+    key: SiteKey,
+    current: RefCell<Option<Rc<Connection<C>>>>,
+    connecting: tokio::sync::Mutex<()>,
+}
+
+struct Connection<C> {
+    client: C,
+    driver: JoinHandle<()>,
+}
+
+impl<C> Drop for Connection<C> {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl<C: FromClientHook + Clone + 'static> Link<C> {
+    /// Creates a link without connecting it.
+    #[must_use]
+    pub fn new(address: SocketAddr, key: SiteKey) -> Self {
+        Self {
+            address,
+            key,
+            current: RefCell::new(None),
+            connecting: tokio::sync::Mutex::new(()),
+        }
+    }
+
+    /// Returns the address of the other process.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes one call and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LinkError::NotSent`] where no connection could be made and [`LinkError::Unknown`]
+    /// where no answer came.
+    pub async fn call<T, F>(
+        &self,
+        limit: Duration,
+        make_call: impl FnOnce(C) -> F,
+    ) -> Result<T, LinkError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        let connection = self.connection().await.map_err(LinkError::NotSent)?;
+        let answer = timeout(limit, make_call(connection.client.clone())).await;
+        let failure = match answer {
+            Ok(Ok(value)) => return Ok(value),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => format!("silent for {} ms", limit.as_millis()),
+        };
+        self.forget(&connection);
+        Err(LinkError::Unknown(failure))
+    }
+
+    async fn connection(&self) -> Result<Rc<Connection<C>>, std::io::Error> {
+        let _guard = self.connecting.lock().await;
+        let held = self.current.borrow().clone();
+        if let Some(connection) = held.filter(|held| !held.driver.is_finished()) {
+            return Ok(connection);
+        }
+        let connected = timeout(CONNECT_TIMEOUT, self.connect()).await;
+        let connection = Rc::new(connected.map_err(|_| silent_while_connecting())??);
+        *self.current.borrow_mut() = Some(connection.clone());
+        Ok(connection)
+    }
+
+    async fn connect(&self) -> Result<Connection<C>, std::io::Error> {
+        let mut stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        prove_as_client(&mut stream, &self.key).await?;
+        let (reader, writer) = stream.compat().split();
+        let network = twoparty::VatNetwork::new(reader, writer, Side::Client, Default::default());
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client = system.bootstrap(Side::Server);
+        let driver = tokio::task::spawn_local(async move {
+            let _ = system.await;
+        });
+        Ok(Connection { client, driver })
+    }
+
+    fn forget(&self, failed: &Rc<Connection<C>>) {
+        let mut current = self.current.borrow_mut();
+        if current
+            .as_ref()
+            .is_some_and(|held| Rc::ptr_eq(held, failed))
+        {
+            *current = None;
+        }
+    }
+}
+
+fn silent_while_connecting() -> std::io::Error {
+    std::io::Error::new(std::io::ErrorKind::TimedOut, "no connection in time")
+}
--- /dev/null
+++ b/crates/jasminefall/src/lib.rs
@@ -0,0 +1,11 @@
+//! The embeddable parts of jasminefall under one name.
+//!
+//! ```
+//! use jasminefall::core::prelude::*;
+//!
+//! assert_eq!("4s".parse::<DurationMs>(), Ok(DurationMs::new(4_000)));
+//! ```
+
+pub use jasminefall_core as core;
+pub use jasminefall_policy as policy;
+pub use jasminefall_replica as replica;
