feat(state): keep what became of requests over time

Cause: a report on service-level burn must survive the restart of an entry, which has no disk, and must tell a quiet entry from a missing one. Change: entries report counts as numbered batches; buckets of five minutes, one hour and six hours keep them and the time that each entry covered.

--- a/crates/jasminefall-state/src/cluster.rs
+++ b/crates/jasminefall-state/src/cluster.rs
@@ -7,6 +7,7 @@
 use crate::configuration::Configuration;
 use crate::jobs::Jobs;
 use crate::outcome::Outcome;
+use crate::service_levels::ServiceLevels;
 
 /// Holds everything that the control replicas agree on.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -19,6 +20,8 @@
     pub claims: Claims,
     /// The jobs and their tasks.
     pub jobs: Jobs,
+    /// What became of requests over time.
+    pub service_levels: ServiceLevels,
 }
 
 impl ClusterState {
@@ -46,6 +49,10 @@
                 self.jobs.report(now_ms, reports);
                 Outcome::Done
             }
+            Command::Observe(batch) => {
+                self.service_levels.observe(now_ms, batch);
+                Outcome::Done
+            }
             Command::Cancel(jobs) => {
                 self.jobs.cancel(now_ms, &jobs);
                 Outcome::Done
--- a/crates/jasminefall-state/src/command.rs
+++ b/crates/jasminefall-state/src/command.rs
@@ -6,6 +6,7 @@
 use crate::claims::{ClaimRequest, RecordedAnswer};
 use crate::configuration::ApplyRequest;
 use crate::jobs::{JobRequest, Placement, TaskReport};
+use crate::service_levels::ObservationBatch;
 
 /// Carries a command with the leader's clock at its proposal.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -35,4 +36,6 @@
     Report(Vec<TaskReport>),
     /// Cancels jobs.
     Cancel(Vec<JobId>),
+    /// Takes what an entry counted of its requests.
+    Observe(ObservationBatch),
 }
--- a/crates/jasminefall-state/src/lib.rs
+++ b/crates/jasminefall-state/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`configuration`]: published versions of the desired state
 //! - [`claims`]: requests that run at most once
 //! - [`jobs`]: jobs and their tasks on workers
+//! - [`service_levels`]: what became of requests over time
 
 pub mod claims;
 pub mod cluster;
@@ -29,6 +30,7 @@
 pub mod jobs;
 pub mod outcome;
 pub mod prelude;
+pub mod service_levels;
 
 pub use cluster::ClusterState;
 pub use command::{Command, Stamped};
--- a/crates/jasminefall-state/src/prelude.rs
+++ b/crates/jasminefall-state/src/prelude.rs
@@ -6,3 +6,4 @@
 pub use crate::configuration::{ApplyRequest, Configuration, Published};
 pub use crate::jobs::{Job, JobRequest, JobState, Jobs, Placement, TaskReport, TaskResult};
 pub use crate::outcome::{Outcome, Refusal};
+pub use crate::service_levels::{Bucket, Counts, Observation, ObservationBatch, ServiceLevels};
--- /dev/null
+++ b/crates/jasminefall-state/src/service_levels.rs
@@ -0,0 +1,111 @@
+//! What became of callers' requests, by service and team, over time.
+//!
+//! Entries keep no disk, so each one reports its counts for a short period at a time, and the counts
+//! are kept here in buckets of growing length. A bucket also says how much time of which entry it
+//! covers, so that a reader can tell a quiet entry from a missing one.
+
+mod bucket;
+
+use std::collections::BTreeMap;
+
+use jasminefall_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+pub use bucket::{Bucket, Counts};
+
+/// The levels of buckets: the length of one in milliseconds, and how many are kept.
+pub const LEVELS: [(u64, usize); 3] = [(300_000, 72), (3_600_000, 72), (21_600_000, 120)];
+
+/// Holds the counts of one service and team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observation {
+    /// The service.
+    pub service: ServiceId,
+    /// The team of the callers.
+    pub team: TeamId,
+    /// What became of the requests.
+    pub counts: Counts,
+}
+
+/// Carries what one entry has counted since its previous batch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObservationBatch {
+    /// The entry.
+    pub entry: EntryId,
+    /// When the entry started, in milliseconds since 1970.
+    pub started_at_ms: u64,
+    /// The number of the batch since the start; a resend carries the same.
+    pub sequence: u64,
+    /// How long the entry counted.
+    pub period_ms: DurationMs,
+    /// The counts.
+    pub observations: Vec<Observation>,
+}
+
+/// Identifies the latest batch of an entry that was taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+struct BatchNumber {
+    started_at_ms: u64,
+    sequence: u64,
+}
+
+/// Holds the buckets of every level.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ServiceLevels {
+    levels: [BTreeMap<u64, Bucket>; LEVELS.len()],
+    latest: BTreeMap<EntryId, BatchNumber>,
+}
+
+impl ServiceLevels {
+    /// Takes a batch; one that was taken before, or is older than one taken, changes nothing.
+    pub fn observe(&mut self, now_ms: u64, batch: ObservationBatch) {
+        let ObservationBatch {
+            entry,
+            started_at_ms,
+            sequence,
+            period_ms,
+            observations,
+        } = batch;
+        let number = BatchNumber {
+            started_at_ms,
+            sequence,
+        };
+        if self
+            .latest
+            .get(&entry)
+            .is_some_and(|latest| *latest >= number)
+        {
+            return;
+        }
+        self.latest.insert(entry.clone(), number);
+        for (buckets, (length_ms, kept)) in self.levels.iter_mut().zip(LEVELS) {
+            let bucket = buckets.entry(now_ms - now_ms % length_ms).or_default();
+            bucket.add(&entry, period_ms, &observations);
+            while buckets.len() > kept {
+                buckets.pop_first();
+            }
+        }
+    }
+
+    /// Returns the buckets of the finest level that reaches back `window_ms` from `now_ms`.
+    ///
+    /// Each comes with its start in milliseconds since 1970.
+    pub fn within(&self, now_ms: u64, window_ms: u64) -> impl Iterator<Item = (u64, &Bucket)> {
+        let reaches = |(length_ms, kept): &(u64, usize)| length_ms * *kept as u64 >= window_ms;
+        let level = LEVELS.iter().position(reaches).unwrap_or(LEVELS.len() - 1);
+        let from_ms = now_ms.saturating_sub(window_ms);
+        let first_ms = from_ms - from_ms % LEVELS[level].0;
+        self.levels[level]
+            .range(first_ms..)
+            .map(|(start_ms, bucket)| (*start_ms, bucket))
+    }
+
+    /// Returns the sum of the buckets that reach back `window_ms` from `now_ms`.
+    #[must_use]
+    pub fn sum(&self, now_ms: u64, window_ms: u64) -> Bucket {
+        let mut sum = Bucket::default();
+        self.within(now_ms, window_ms)
+            .for_each(|(_, bucket)| sum.merge(bucket));
+        sum
+    }
+}
