feat(report): report on service-level burn as text and page

Cause: operators could not see which service and team uses up its objective, and how fast. Change: entries count what becomes of each request and report every 10 s, resending a batch until it is taken; control serves the sums over five windows; jasminefall-report asks every control instance, works out budgets and burn rates, and names every gap in the data.

--- a/crates/jasminefall-control/src/edge.rs
+++ b/crates/jasminefall-control/src/edge.rs
@@ -3,6 +3,7 @@
 //! The modules below translate and decide nothing.
 
 pub(crate) mod operators;
+pub(crate) mod service_levels;
 pub(crate) mod workers;
 
 use actix_web::HttpResponse;
--- a/crates/jasminefall-control/src/edge/operators.rs
+++ b/crates/jasminefall-control/src/edge/operators.rs
@@ -22,6 +22,10 @@
             .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .route("/v1/status", web::get().to(status))
+            .route(
+                "/v1/service-levels",
+                web::get().to(super::service_levels::get),
+            )
             .route("/v1/check", web::post().to(check))
             .route("/v1/apply", web::post().to(apply))
             .route("/v1/in-force/{version}", web::get().to(in_force))
--- a/crates/jasminefall-entry/src/edge/callers.rs
+++ b/crates/jasminefall-entry/src/edge/callers.rs
@@ -76,15 +76,22 @@
     body: Bytes,
 ) -> HttpResponse {
     let (service, operation) = path.into_inner();
-    let prepared = match prepare(&thread, &request, service, operation, body) {
+    let team = declared_team(&thread, &request);
+    let prepared = match prepare(&thread, &request, service.clone(), operation, body) {
         Ok(prepared) => prepared,
-        Err(reason) => return Outcome::NotRun(reason).into_response(),
+        Err(reason) => {
+            let outcome = Outcome::NotRun(reason);
+            thread.shared.recorder().note(service, team, &outcome);
+            return outcome.into_response();
+        }
     };
     let (sender, receiver) = oneshot::channel();
     let thread = thread.get_ref().clone();
     // A caller that hangs up must not cut short an exchange or its record.
     actix_rt::spawn(async move {
-        let _ = sender.send(run(&thread, prepared).await);
+        let outcome = run(&thread, prepared).await;
+        thread.shared.recorder().note(service, team, &outcome);
+        let _ = sender.send(outcome);
     });
     receiver
         .await
@@ -92,6 +99,14 @@
         .into_response()
 }
 
+/// Returns the team that a request names, or the empty one where it is not declared.
+fn declared_team(thread: &Thread, request: &HttpRequest) -> TeamId {
+    let team = TeamId::new(header(request, TEAM_HEADER).unwrap_or_default());
+    let desired = thread.shared.configuration().in_force(monotonic_ms());
+    let declared = desired.is_some_and(|desired| desired.teams.contains_key(&team));
+    if declared { team } else { TeamId::default() }
+}
+
 /// Holds a request that may run.
 struct Prepared {
     service: ServiceId,
--- a/crates/jasminefall-entry/src/main.rs
+++ b/crates/jasminefall-entry/src/main.rs
@@ -12,6 +12,7 @@
 //! - [`claiming`]: claims for requests that run at most once
 //! - [`forward`]: sending a request to a backend server
 //! - [`outcome`]: the three outcomes of a request
+//! - [`recorder`]: counts for the report on service-level burn
 //! - [`edge`]: what callers and backend servers speak
 
 mod backends;
@@ -22,6 +23,7 @@
 mod exchange;
 mod forward;
 mod outcome;
+mod recorder;
 mod renewal;
 mod settings;
 mod shared;
@@ -82,6 +84,7 @@
         child("exchange", &shared, exchange::run),
         child("peer-listener", &shared, exchange::serve),
         child("sweeper", &shared, dispatch::sweep),
+        child("recorder", &shared, recorder::run),
     ])
     .start();
     let servers = [
--- a/crates/jasminefall-entry/src/outcome.rs
+++ b/crates/jasminefall-entry/src/outcome.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns whether the caller's own request is the cause.
+    pub(crate) const fn is_callers_fault(&self) -> bool {
+        matches!(
+            self,
+            Self::Bad(_) | Self::UnknownService | Self::UnderWay | Self::KeyReused
+        )
+    }
+
     fn message(&self) -> &str {
         match self {
             Self::Bad(message) => message,
--- /dev/null
+++ b/crates/jasminefall-entry/src/recorder.rs
@@ -0,0 +1,80 @@
+//! Counting what becomes of requests, and reporting the counts to control.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jasminefall_core::prelude::*;
+use jasminefall_runtime::clock::{monotonic_ms, wall_ms};
+use jasminefall_state::prelude::*;
+use jasminefall_wire::client::ControlClient;
+
+use crate::outcome::Outcome;
+use crate::shared::Shared;
+
+const INTERVAL: Duration = Duration::from_secs(10);
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// The most services and teams counted apart; the rest is counted under empty names.
+const MAX_PAIRS: usize = 4_096;
+
+/// Counts what becomes of requests.
+#[derive(Debug, Default)]
+pub(crate) struct Recorder {
+    counts: BTreeMap<(ServiceId, TeamId), Counts>,
+}
+
+impl Recorder {
+    /// Counts one request; the team must be declared or empty.
+    pub(crate) fn note(&mut self, service: ServiceId, team: TeamId, outcome: &Outcome) {
+        if matches!(outcome, Outcome::NotRun(reason) if reason.is_callers_fault()) {
+            return;
+        }
+        let mut pair = (service, team);
+        if self.counts.len() >= MAX_PAIRS && !self.counts.contains_key(&pair) {
+            pair = Default::default();
+        }
+        let counts = self.counts.entry(pair).or_default();
+        match outcome {
+            Outcome::Answered(answer) if answer.status.is_server_error() => counts.failed += 1,
+            Outcome::Answered(_) => counts.answered += 1,
+            Outcome::NotRun(_) => counts.refused += 1,
+            Outcome::MayHaveRun => counts.unknown += 1,
+        }
+    }
+
+    fn take(&mut self) -> Vec<Observation> {
+        let counts = std::mem::take(&mut self.counts).into_iter();
+        counts
+            .map(|((service, team), counts)| Observation {
+                service,
+                team,
+                counts,
+            })
+            .collect()
+    }
+}
+
+/// Reports the counts for ever; a batch that got no answer is sent again as it was.
+pub(crate) async fn run(shared: Arc<Shared>) -> anyhow::Result<()> {
+    let settings = &shared.settings;
+    let client = ControlClient::new(&settings.control, &settings.site_key, CALL_TIMEOUT);
+    let started_at_ms = wall_ms();
+    let mut counted_from_ms = monotonic_ms();
+    for sequence in 1.. {
+        tokio::time::sleep(INTERVAL).await;
+        let now_ms = monotonic_ms();
+        let batch = ObservationBatch {
+            entry: settings.name.clone(),
+            started_at_ms,
+            sequence,
+            period_ms: DurationMs::new(now_ms.saturating_sub(counted_from_ms)),
+            observations: shared.recorder().take(),
+        };
+        counted_from_ms = now_ms;
+        let command = Command::Observe(batch);
+        while let Err(error) = client.propose(INTERVAL, &command).await {
+            log::warn!("event=observations_delayed error=\"{error}\"");
+        }
+    }
+    Ok(())
+}
--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
+use crate::recorder::Recorder;
 use crate::settings::Settings;
 
 /// Holds what the threads of an entry share.
@@ -17,6 +18,7 @@
     configuration: Mutex<Configuration>,
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
+    recorder: Mutex<Recorder>,
 }
 
 impl Shared {
@@ -27,6 +29,7 @@
             configuration: Mutex::default(),
             backends: Mutex::default(),
             dispatch: Mutex::default(),
+            recorder: Mutex::default(),
         }
     }
 
@@ -46,4 +49,9 @@
     pub(crate) fn dispatch(&self) -> MutexGuard<'_, Dispatch> {
         self.dispatch.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns the counts of what became of requests.
+    pub(crate) fn recorder(&self) -> MutexGuard<'_, Recorder> {
+        self.recorder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- /dev/null
+++ b/crates/jasminefall-report/src/text.rs
@@ -0,0 +1,127 @@
+//! The report for a terminal.
+
+use std::fmt::Write;
+
+use jasminefall_core::prelude::*;
+
+use crate::burn::{Burn, Gap, burns, gaps};
+use crate::fetch::Fetched;
+use crate::records::Records;
+
+/// Returns the report as text.
+#[must_use]
+pub fn render(fetched: &Fetched) -> String {
+    let mut text = String::from("SERVICE-LEVEL BURN\n");
+    let Some(records) = &fetched.records else {
+        write_silent(&mut text, fetched);
+        text.push_str("no control instance answered: there is nothing to report on\n");
+        return text;
+    };
+    write_completeness(&mut text, fetched, records);
+    write_table(&mut text, records);
+    text
+}
+
+/// Returns what is incomplete about the data, one sentence a line; empty where nothing is.
+#[must_use]
+pub fn incompleteness(fetched: &Fetched) -> Vec<String> {
+    let mut lines: Vec<String> = fetched
+        .silent
+        .iter()
+        .map(|silent| {
+            format!(
+                "control instance {} gave no data: {}",
+                silent.address, silent.cause
+            )
+        })
+        .collect();
+    if let Some(records) = &fetched.records {
+        if !records.fresh {
+            lines.push("no leader answered: the latest counts may be missing".to_owned());
+        }
+        lines.extend(gaps(records).iter().map(gap_line));
+    }
+    lines
+}
+
+/// Returns a rate for a table.
+#[must_use]
+pub fn rate_cell(rate: Option<f64>) -> String {
+    rate.map_or_else(|| "-".to_owned(), |rate| format!("{rate:.2}"))
+}
+
+/// Returns the name of a team for a table.
+#[must_use]
+pub fn team_cell(team: &TeamId) -> &str {
+    if team.as_str().is_empty() {
+        "(none)"
+    } else {
+        team.as_str()
+    }
+}
+
+fn gap_line(gap: &Gap) -> String {
+    let window = DurationMs::new(gap.window_ms);
+    let percent = gap.covered_share * 100.0;
+    format!(
+        "entry {} covers {percent:.0}% of the last {window}",
+        gap.entry
+    )
+}
+
+fn write_silent(text: &mut String, fetched: &Fetched) {
+    for line in incompleteness(fetched) {
+        let _ = writeln!(text, "INCOMPLETE: {line}");
+    }
+}
+
+fn write_completeness(text: &mut String, fetched: &Fetched, records: &Records) {
+    let _ = writeln!(
+        text,
+        "version {} at {} ms since 1970",
+        records.version, records.now_ms
+    );
+    write_silent(text, fetched);
+}
+
+fn write_table(text: &mut String, records: &Records) {
+    let windows = records
+        .windows
+        .iter()
+        .map(|window| DurationMs::new(window.window_ms).to_string());
+    let windows: Vec<String> = windows.map(|window| format!("{window:>8}")).collect();
+    let _ = writeln!(
+        text,
+        "{:<16} {:<16} {:>10} {:>8} {:>8} {} risk",
+        "service",
+        "team",
+        "objective",
+        "total",
+        "left",
+        windows.join(" ")
+    );
+    for burn in burns(records) {
+        write_row(text, &burn);
+    }
+}
+
+fn write_row(text: &mut String, burn: &Burn) {
+    let rates: Vec<String> = burn
+        .rates
+        .iter()
+        .map(|rate| format!("{:>8}", rate_cell(*rate)))
+        .collect();
+    let risk = burn
+        .risk
+        .map_or_else(|| "-".to_owned(), |risk| risk.to_string());
+    let _ = writeln!(
+        text,
+        "{:<16} {:<16} {:>9.3}% {:>8} {:>7.1}% {} {risk}",
+        burn.service.as_str(),
+        team_cell(&burn.team),
+        burn.objective_ppm as f64 / 10_000.0,
+        burn.counts.total(),
+        burn.budget_left * 100.0,
+        rates.join(" "),
+    );
+}
--- /dev/null
+++ b/crates/jasminefall-report/tests/report.rs
@@ -0,0 +1,97 @@
+//! The report as text and page, from whole and from incomplete data.
+
+use jasminefall_core::prelude::DurationMs;
+use jasminefall_report::fetch::{Fetched, Silent};
+use jasminefall_report::records::{Point, Records, Row, Window};
+use jasminefall_report::{page, text};
+
+const MINUTE_MS: u64 = 60_000;
+
+fn row(service: &str, team: &str, answered: u64, refused: u64, failed: u64) -> Row {
+    Row {
+        service: service.into(),
+        team: team.into(),
+        answered,
+        refused,
+        failed,
+        unknown: 0,
+    }
+}
+
+fn window(minutes: u64, covered_minutes: [u64; 2], counts: Vec<Row>) -> Window {
+    let entries = ["e1".into(), "e2".into()];
+    let covered = covered_minutes.map(|minutes| DurationMs::new(minutes * MINUTE_MS));
+    Window {
+        window_ms: minutes * MINUTE_MS,
+        covered_ms: entries.into_iter().zip(covered).collect(),
+        counts,
+    }
+}
+
+fn fetched(fresh: bool, covered_minutes: [u64; 2], silent: Vec<Silent>) -> Fetched {
+    let counts = vec![
+        row("render", "guild", 900, 100, 0),
+        row("validate", "", 100_000, 0, 10),
+    ];
+    let records = Records {
+        fresh,
+        now_ms: 600 * MINUTE_MS,
+        published_at_ms: 0,
+        entries: vec!["e1".into(), "e2".into()],
+        objectives_ppm: [("render".into(), 999_000), ("validate".into(), 999_000)].into(),
+        windows: vec![
+            window(5, covered_minutes, counts.clone()),
+            window(60, [60, 60], counts.clone()),
+            window(360, [360, 360], counts.clone()),
+        ],
+        series: vec![Point {
+            start_ms: 0,
+            row: counts[0].clone(),
+        }],
+        ..Records::default()
+    };
+    Fetched {
+        records: Some(records),
+        silent,
+    }
+}
+
+#[test]
+fn whole_data_is_reported_without_reserve() {
+    insta::assert_snapshot!(text::render(&fetched(true, [5, 5], Vec::new())));
+}
+
+#[test]
+fn missing_nodes_and_entries_are_named() {
+    let silent = Silent {
+        address: "127.0.0.1:7202".into(),
+        cause: "connection refused".into(),
+    };
+    insta::assert_snapshot!(text::render(&fetched(false, [5, 2], vec![silent])));
+}
+
+#[test]
+fn nothing_is_guessed_where_no_instance_answers() {
+    let silent = Silent {
+        address: "127.0.0.1:7201".into(),
+        cause: "connection refused".into(),
+    };
+    insta::assert_snapshot!(text::render(&Fetched {
+        records: None,
+        silent: vec![silent]
+    }));
+}
+
+#[test]
+fn the_page_is_self_contained_and_says_what_is_missing() {
+    let page = page::render(&fetched(true, [5, 2], Vec::new()));
+    assert!(page.contains("<svg"), "a plot is drawn in place");
+    assert!(
+        page.contains("Incomplete: entry e2 covers 40% of the last 5m"),
+        "{page}"
+    );
+    assert!(
+        !page.contains("src=") && !page.contains("href="),
+        "nothing is loaded from elsewhere"
+    );
+}
