feat: show metrics of entries and control instances

Cause: nothing could be watched from outside; the report alone reads back. Change: an optional listener per daemon serves /metrics; an entry counts requests by service and outcome with durations, both daemons show what they hold when asked. Labels are bounded by what is declared. The interval at which entries report their counts is a setting. Checked: tests/observability.rs drives requests through a real entry, reads them from /metrics and from the report, also after the entry is killed and control restarted.

--- a/crates/jasminefall-control/src/main.rs
+++ b/crates/jasminefall-control/src/main.rs
@@ -10,11 +10,13 @@
 //! - [`entry_leases`]: which entry holds which configuration
 //! - [`planner`]: placing jobs on workers
 //! - [`worker_book`]: what workers said of themselves
+//! - [`metrics`]: what a metrics collector sees
 //! - [`edge`]: what operators and workers speak
 
 mod disk;
 mod edge;
 mod entry_leases;
+mod metrics;
 mod node;
 mod peers;
 mod planner;
@@ -22,13 +24,16 @@
 mod settings;
 mod worker_book;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use actix::Actor;
+use actix_web::dev::Server;
 use anyhow::Context;
 use jasminefall_runtime::command_line::{self, Invocation};
 use jasminefall_runtime::logging;
+use jasminefall_runtime::metrics::serve as serve_registry;
 use jasminefall_runtime::supervisor::{Child, Supervisor};
 use jasminefall_wire::server::serve_control;
 use tokio::net::TcpListener;
@@ -82,10 +87,13 @@
         planner_child(handle.clone()),
     ])
     .start();
-    let servers = [
+    let mut servers = vec![
         edge::operators::start(&settings, handle.clone()).context("the operators' listener")?,
-        edge::workers::start(&settings, handle).context("the workers' listener")?,
+        edge::workers::start(&settings, handle.clone()).context("the workers' listener")?,
     ];
+    if let Some(address) = settings.metrics {
+        servers.push(serve_metrics(address, handle).context("the metrics' listener")?);
+    }
     log::info!(
         "event=started replica={} peer={}",
         settings.replica,
@@ -97,6 +105,14 @@
     Ok(())
 }
 
+fn serve_metrics(address: SocketAddr, handle: NodeHandle) -> std::io::Result<Server> {
+    let metrics = metrics::Metrics::default();
+    let registry = metrics.registry();
+    serve_registry(address, registry, move || {
+        metrics.clone().refresh(handle.clone())
+    })
+}
+
 fn replica_child(settings: Rc<Settings>, handle: NodeHandle) -> Child {
     Child::new("replica", move || {
         node::run(settings.clone(), handle.clone())
--- a/crates/jasminefall-control/src/settings.rs
+++ b/crates/jasminefall-control/src/settings.rs
@@ -35,6 +35,8 @@
     pub(crate) workers: SocketAddr,
     /// Where the replica's files are.
     pub(crate) data_folder: PathBuf,
+    /// Where a metrics collector reads, if anywhere.
+    pub(crate) metrics: Option<SocketAddr>,
     /// The secret of the site.
     pub(crate) site_key: SiteKey,
     /// The replicas that a new site starts with.
@@ -46,11 +48,12 @@
     pub(crate) fn load(path: &Path) -> Result<Self, Problems> {
         let mut file = SettingsFile::load(path)?;
         let section = file.section("control");
-        let known = ["replica", "data_folder", "site_key_file"];
+        let known = ["replica", "data_folder", "site_key_file", "metrics"];
         section.refuse_unknown(&known, &mut file.problems);
         let replicas = read_replicas(&mut file);
         let problems = &mut file.problems;
         let replica = section.read_required("replica", "1", problems);
+        let metrics = section.read_optional("metrics", problems);
         let data_folder: Option<SmolStr> = section.read_required("data_folder", "data", problems);
         let key_file: Option<SmolStr> =
             section.read_required("site_key_file", "site.key", problems);
@@ -84,6 +87,7 @@
             operators: own.operators,
             workers: own.workers,
             data_folder: PathBuf::from(data_folder.as_str()),
+            metrics,
             site_key: SiteKey::new(&secret),
             replicas,
         };
--- a/crates/jasminefall-entry/src/configuration.rs
+++ b/crates/jasminefall-entry/src/configuration.rs
@@ -28,6 +28,11 @@
             .filter(|_| now_ms < self.lease_until_ms)
     }
 
+    /// Returns the latest desired state held, in force or not.
+    pub(crate) fn desired(&self) -> Option<Arc<DesiredState>> {
+        self.desired.clone()
+    }
+
     /// Takes a renewal that was asked for at `asked_at_ms`; an older version changes nothing.
     pub(crate) fn renew(&mut self, asked_at_ms: u64, renewal: Renewal) {
         if let Some(published) = renewal.published {
--- a/crates/jasminefall-entry/src/dispatch.rs
+++ b/crates/jasminefall-entry/src/dispatch.rs
@@ -60,6 +60,16 @@
     }
 }
 
+impl Dispatch {
+    /// Returns how many requests wait for each service.
+    pub(crate) fn queue_lengths(&self) -> Vec<(ServiceId, usize)> {
+        self.queues
+            .iter()
+            .map(|(service, queue)| (service.clone(), queue.len()))
+            .collect()
+    }
+}
+
 /// Waits for a slot of a backend server of a service.
 pub(crate) async fn acquire(
     shared: &Arc<Shared>,
--- a/crates/jasminefall-entry/src/edge/callers.rs
+++ b/crates/jasminefall-entry/src/edge/callers.rs
@@ -22,6 +22,7 @@
 use crate::dispatch;
 use crate::forward::{self, KEY_HEADER, Outgoing};
 use crate::outcome::{NotRun, Outcome};
+use crate::recorder;
 use crate::shared::Shared;
 
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -76,12 +77,13 @@
     body: Bytes,
 ) -> HttpResponse {
     let (service, operation) = path.into_inner();
-    let team = declared_team(&thread, &request);
+    let team = TeamId::new(header(&request, TEAM_HEADER).unwrap_or_default());
+    let arrived = Instant::now();
     let prepared = match prepare(&thread, &request, service.clone(), operation, body) {
         Ok(prepared) => prepared,
         Err(reason) => {
             let outcome = Outcome::NotRun(reason);
-            thread.shared.recorder().note(service, team, &outcome);
+            recorder::note(&thread.shared, service, team, &outcome, arrived.elapsed());
             return outcome.into_response();
         }
     };
@@ -90,7 +92,7 @@
     // A caller that hangs up must not cut short an exchange or its record.
     actix_rt::spawn(async move {
         let outcome = run(&thread, prepared).await;
-        thread.shared.recorder().note(service, team, &outcome);
+        recorder::note(&thread.shared, service, team, &outcome, arrived.elapsed());
         let _ = sender.send(outcome);
     });
     receiver
@@ -99,14 +101,6 @@
         .into_response()
 }
 
-/// Returns the team that a request names, or the empty one where it is not declared.
-fn declared_team(thread: &Thread, request: &HttpRequest) -> TeamId {
-    let team = TeamId::new(header(request, TEAM_HEADER).unwrap_or_default());
-    let desired = thread.shared.configuration().in_force(monotonic_ms());
-    let declared = desired.is_some_and(|desired| desired.teams.contains_key(&team));
-    if declared { team } else { TeamId::default() }
-}
-
 /// Holds a request that may run.
 struct Prepared {
     service: ServiceId,
--- a/crates/jasminefall-entry/src/main.rs
+++ b/crates/jasminefall-entry/src/main.rs
@@ -12,6 +12,7 @@
 //! - [`claiming`]: claims for requests that run at most once
 //! - [`forward`]: sending a request to a backend server
 //! - [`outcome`]: the three outcomes of a request
+//! - [`metrics`]: what a metrics collector sees
 //! - [`recorder`]: counts for the report on service-level burn
 //! - [`edge`]: what callers and backend servers speak
 
@@ -22,19 +23,23 @@
 mod edge;
 mod exchange;
 mod forward;
+mod metrics;
 mod outcome;
 mod recorder;
 mod renewal;
 mod settings;
 mod shared;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use actix::Actor;
+use actix_web::dev::Server;
 use anyhow::Context;
 use jasminefall_runtime::command_line::{self, Invocation};
 use jasminefall_runtime::logging;
+use jasminefall_runtime::metrics::serve as serve_registry;
 use jasminefall_runtime::supervisor::{Child, Supervisor};
 
 use crate::settings::Settings;
@@ -87,10 +92,13 @@
         child("recorder", &shared, recorder::run),
     ])
     .start();
-    let servers = [
+    let mut servers = vec![
         edge::callers::start(&shared).context("the callers' listener")?,
         edge::backends::start(&shared).context("the backend servers' listener")?,
     ];
+    if let Some(address) = shared.settings.metrics {
+        servers.push(serve_metrics(address, &shared).context("the metrics' listener")?);
+    }
     log::info!("event=started callers={}", shared.settings.callers);
     futures::future::try_join_all(servers).await?;
     drop(supervisor);
@@ -98,6 +106,15 @@
     Ok(())
 }
 
+fn serve_metrics(address: SocketAddr, shared: &Arc<Shared>) -> std::io::Result<Server> {
+    let registry = shared.metrics.registry();
+    let shared = shared.clone();
+    serve_registry(address, registry, move || {
+        shared.metrics.refresh(&shared);
+        std::future::ready(())
+    })
+}
+
 fn child<F>(name: &'static str, shared: &Arc<Shared>, run: fn(Arc<Shared>) -> F) -> Child
 where
     F: Future<Output = anyhow::Result<()>> + 'static,
--- a/crates/jasminefall-entry/src/outcome.rs
+++ b/crates/jasminefall-entry/src/outcome.rs
@@ -93,6 +93,15 @@
 }
 
 impl Outcome {
+    /// Returns the word that stands for the outcome.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not-run",
+            Self::MayHaveRun => "may-have-run",
+        }
+    }
+
     /// Returns the outcome as the caller sees it.
     pub(crate) fn into_response(self) -> HttpResponse {
         match self {
--- a/crates/jasminefall-entry/src/recorder.rs
+++ b/crates/jasminefall-entry/src/recorder.rs
@@ -12,7 +12,7 @@
 use crate::outcome::Outcome;
 use crate::shared::Shared;
 
-const INTERVAL: Duration = Duration::from_secs(10);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(10);
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// The most services and teams counted apart; the rest is counted under empty names.
 const MAX_PAIRS: usize = 4_096;
@@ -24,8 +24,7 @@
 }
 
 impl Recorder {
-    /// Counts one request; the team must be declared or empty.
-    pub(crate) fn note(&mut self, service: ServiceId, team: TeamId, outcome: &Outcome) {
+    fn note(&mut self, service: ServiceId, team: TeamId, outcome: &Outcome) {
         if matches!(outcome, Outcome::NotRun(reason) if reason.is_callers_fault()) {
             return;
         }
@@ -54,6 +53,27 @@
     }
 }
 
+/// Counts one request, under empty names where service or team are not declared.
+pub(crate) fn note(
+    shared: &Shared,
+    service: ServiceId,
+    team: TeamId,
+    outcome: &Outcome,
+    took: Duration,
+) {
+    let desired = shared.configuration().desired();
+    let is_declared = desired
+        .as_ref()
+        .is_some_and(|known| known.services.contains_key(&service));
+    let declared = Some(service).filter(|_| is_declared);
+    shared.metrics.note(declared.as_ref(), outcome, took);
+    let known_team = desired.is_some_and(|known| known.teams.contains_key(&team));
+    let team = if known_team { team } else { TeamId::default() };
+    shared
+        .recorder()
+        .note(declared.unwrap_or_default(), team, outcome);
+}
+
 /// Reports the counts for ever; a batch that got no answer is sent again as it was.
 pub(crate) async fn run(shared: Arc<Shared>) -> anyhow::Result<()> {
     let settings = &shared.settings;
@@ -61,7 +81,7 @@
     let started_at_ms = wall_ms();
     let mut counted_from_ms = monotonic_ms();
     for sequence in 1.. {
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(settings.observation_interval_ms.to_duration()).await;
         let now_ms = monotonic_ms();
         let batch = ObservationBatch {
             entry: settings.name.clone(),
@@ -72,7 +92,7 @@
         };
         counted_from_ms = now_ms;
         let command = Command::Observe(batch);
-        while let Err(error) = client.propose(INTERVAL, &command).await {
+        while let Err(error) = client.propose(REPORT_TIMEOUT, &command).await {
             log::warn!("event=observations_delayed error=\"{error}\"");
         }
     }
--- a/crates/jasminefall-entry/src/settings.rs
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -7,7 +7,9 @@
 use jasminefall_runtime::settings::SettingsFile;
 use jasminefall_wire::handshake::SiteKey;
 
-const KNOWN: [&str; 7] = [
+const KNOWN: [&str; 9] = [
+    "metrics",
+    "observation_interval",
     "name",
     "callers",
     "backends",
@@ -16,6 +18,7 @@
     "control",
     "entries",
 ];
+const DEFAULT_OBSERVATION_INTERVAL_MS: DurationMs = DurationMs::new(10_000);
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7001";
 
 /// Holds the settings of an entry instance.
@@ -33,6 +36,10 @@
     pub(crate) site_key: SiteKey,
     /// The peer addresses of the control replicas.
     pub(crate) control: Vec<SocketAddr>,
+    /// Where a metrics collector reads, if anywhere.
+    pub(crate) metrics: Option<SocketAddr>,
+    /// How often counts of requests are reported to control.
+    pub(crate) observation_interval_ms: DurationMs,
     /// The peer addresses of the other entries.
     pub(crate) entries: Vec<SocketAddr>,
 }
@@ -71,6 +78,12 @@
                 .ok()
         });
         let entries = section.read_list("entries", problems);
+        let observation_interval_ms = section.read_or(
+            "observation_interval",
+            DEFAULT_OBSERVATION_INTERVAL_MS,
+            problems,
+        );
+        let metrics = section.read_optional("metrics", problems);
         let (Some(name), Some(callers), Some(backends), Some(peer), Some(secret)) =
             (name, callers, backends, peer, secret)
         else {
@@ -84,6 +97,8 @@
             peer,
             site_key,
             control,
+            metrics,
+            observation_interval_ms,
             entries,
         };
         file.problems.into_result(settings)
--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
+use crate::metrics::Metrics;
 use crate::recorder::Recorder;
 use crate::settings::Settings;
 
@@ -15,6 +16,8 @@
 pub(crate) struct Shared {
     /// The settings.
     pub(crate) settings: Settings,
+    /// What a metrics collector sees.
+    pub(crate) metrics: Metrics,
     configuration: Mutex<Configuration>,
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
@@ -26,6 +29,7 @@
     pub(crate) fn new(settings: Settings) -> Self {
         Self {
             settings,
+            metrics: Metrics::default(),
             configuration: Mutex::default(),
             backends: Mutex::default(),
             dispatch: Mutex::default(),
--- a/crates/jasminefall-runtime/src/lib.rs
+++ b/crates/jasminefall-runtime/src/lib.rs
@@ -12,11 +12,13 @@
 //! - [`command_line`]: the options that every daemon takes
 //! - [`settings`]: settings files
 //! - [`logging`]: one line of key=value pairs an event
+//! - [`metrics`]: the page that a metrics collector scrapes
 //! - [`supervisor`]: children that are restarted with back-off
 //! - [`clock`]: wall and monotonic time in milliseconds
 
 pub mod clock;
 pub mod command_line;
 pub mod logging;
+pub mod metrics;
 pub mod settings;
 pub mod supervisor;
--- a/crates/jasminefall-testing/src/lib.rs
+++ b/crates/jasminefall-testing/src/lib.rs
@@ -5,9 +5,13 @@
 //! - [`backend`]: a backend server that records every run
 //! - [`worker`]: a worker that runs tasks by waiting
 //! - [`proxy`]: a TCP proxy that injects faults
+//! - [`heartbeats`]: many workers as small stand-ins
+//! - [`usage`]: what a process costs
 //! - [`site`]: the real processes of a small site on one loopback address
 
 pub mod backend;
+pub mod heartbeats;
 pub mod proxy;
 pub mod site;
+pub mod usage;
 pub mod worker;
--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -16,6 +16,7 @@
 const ENTRY_PEER_PORT: u16 = 24_000;
 const CALLERS_PORT: u16 = 25_000;
 const BACKENDS_PORT: u16 = 26_000;
+const METRICS_PORT: u16 = 27_000;
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 const WAIT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -74,6 +75,17 @@
         self
     }
 
+    /// Returns the process ids of the control replicas and then of the entries that run.
+    #[must_use]
+    pub fn processes(&self) -> Vec<u32> {
+        self.controls
+            .iter()
+            .chain(&self.entries)
+            .flatten()
+            .map(Child::id)
+            .collect()
+    }
+
     /// Returns the folder of the site.
     #[must_use]
     pub fn folder(&self) -> &Path {
@@ -106,6 +118,18 @@
         self.address(BACKENDS_PORT, position)
     }
 
+    /// Returns where a metrics collector reads an entry.
+    #[must_use]
+    pub fn metrics(&self, position: usize) -> SocketAddr {
+        self.address(METRICS_PORT, position)
+    }
+
+    /// Returns the path of a program of the workspace.
+    #[must_use]
+    pub fn program(name: &str) -> PathBuf {
+        program(name)
+    }
+
     /// Returns an address on the site's own IP with any free port.
     #[must_use]
     pub const fn any_port(&self) -> SocketAddr {
@@ -258,9 +282,11 @@
         let entries = join(ENTRY_PEER_PORT, self.entries.len(), Some(position));
         let (callers, backends) = (self.callers(position), self.backends(position));
         let peer = self.address(ENTRY_PEER_PORT, position);
+        let metrics = self.metrics(position);
         format!(
             "[entry]\nname = e{}\ncallers = {callers}\nbackends = {backends}\npeer = {peer}\n\
-             site_key_file = {folder}/key\ncontrol = {control}\nentries = {entries}\n",
+             site_key_file = {folder}/key\ncontrol = {control}\nentries = {entries}\n\
+             metrics = {metrics}\nobservation_interval = 500ms\n",
             position + 1
         )
     }
@@ -273,14 +299,16 @@
     }
 }
 
-/// Returns the path of a program of the workspace, beside the running test.
+/// Returns the path of a program of the workspace, beside the running program or test.
 fn program(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the path of the test");
-    let folder = test
-        .parent()
-        .and_then(Path::parent)
-        .expect("the target folder");
-    folder.join(name)
+    let running = std::env::current_exe().expect("the path of the running program");
+    let folders = running.ancestors().skip(1).take(2);
+    let mut found = folders
+        .map(|folder| folder.join(name))
+        .filter(|path| path.exists());
+    found
+        .next()
+        .expect("the program is built; run `cargo build --workspace --bins` first")
 }
 
 /// Reserves a loopback address that no other site on the machine uses.
