feat: lend slots between entries, queue fairly, eject by outcome

Cause: slots of an entry that was idle or crashed stayed unused while requests waited elsewhere, a restarted entry could overload backend servers with what its past had left running, queues were one FIFO per service, and an entry that was cut off used a departed backend server for 5 s.

Change: an entry's share is the least under every version that may be in force and nothing for a while after a start (slots::shares); idle home slots are lent under bounded loans carried by the entries' exchange (slots::lent, slots::book); queues are shared by start-time fair queuing over teams and urgencies, bounded, and refuse at once what cannot be answered in time (admission); backend servers are ejected by outcome, at most a third of a pool (ejection); an announcement counts 1.8 s and readiness is only taken from answers whose age is bounded. The least-loaded scan over all backend servers went with routing.rs; an ordered index took its place.

Proof: tests/slots.rs runs 3,000 random worlds of 4 entries with lost, late and repeated messages, restarts and changes of the declared list. Six changes that break a rule each (late messages taken, older versions forgotten, no wait after a start, an earlier process's loans freed, loans outlasted, skipped versions ignored) were tried on a scratch copy; each made at least one test fail.

Conclusion: safety is shown for the decisions; real processes follow.

--- a/crates/jasminefall-entry/src/configuration.rs
+++ b/crates/jasminefall-entry/src/configuration.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Configuration {
     version: Version,
+    published_at_ms: u64,
     desired: Option<Arc<DesiredState>>,
     lease_until_ms: u64,
 }
@@ -21,6 +22,11 @@
         self.version
     }
 
+    /// Returns when the version held was published, by control's wall clock.
+    pub(crate) const fn published_at_ms(&self) -> u64 {
+        self.published_at_ms
+    }
+
     /// Returns the desired state while the lease runs.
     pub(crate) fn in_force(&self, now_ms: u64) -> Option<Arc<DesiredState>> {
         self.desired
@@ -45,6 +51,7 @@
         match DesiredState::parse(DESIRED_STATE_FILE, &published.text) {
             Ok(desired) => {
                 self.version = published.version;
+                self.published_at_ms = published.at_ms;
                 self.desired = Some(Arc::new(desired));
                 log::info!("event=configuration_taken version={}", self.version);
             }
--- a/crates/jasminefall-entry/src/dispatch.rs
+++ b/crates/jasminefall-entry/src/dispatch.rs
@@ -3,36 +3,51 @@
 //! A request waits in the queue of its service until a slot of a ready backend server is free. The
 //! slot is held until the exchange with the backend server has ended, whatever becomes of the
 //! caller.
+//!
+//! # Module map
+//!
+//! - [`state`]: the queues, slots and ejections of this entry
+//! - [`lending`]: what other entries are told and asked
+
+mod lending;
+mod state;
 
-use std::collections::{BTreeMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use jasminefall_core::prelude::*;
-use jasminefall_policy::routing::{Candidate, choose_least_loaded};
-use jasminefall_policy::slots::home_slots;
+use jasminefall_policy::admission::{Grant, Refused, Ticket};
+use jasminefall_policy::ejection::SlotOutcome;
+use jasminefall_policy::slots::book::HeldSlot;
 use jasminefall_runtime::clock::monotonic_ms;
+use jasminefall_wire::message::Announcement;
 use tokio::sync::oneshot;
 
 use crate::outcome::NotRun;
 use crate::shared::Shared;
 
+pub(crate) use self::state::Dispatch;
+
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
-const MAX_QUEUED: usize = 10_000;
-
-/// Holds the queues and what this entry has in progress at each backend server.
-#[derive(Debug, Default)]
-pub(crate) struct Dispatch {
-    queues: BTreeMap<ServiceId, VecDeque<Waiter>>,
-    in_progress: BTreeMap<SmolStr, u32>,
-    rotation: usize,
-}
+const FORGET_INTERVAL_MS: u64 = 10_000;
+const LONGEST_RETRY_AFTER_S: u64 = 60;
 
-#[derive(Debug)]
-struct Waiter {
-    deadline: Instant,
-    sender: oneshot::Sender<Slot>,
+/// What a waiting request gets: a slot, or why it gets none.
+type Answer = Result<Slot, Refused>;
+
+/// Describes a request that wants a slot.
+#[derive(Debug, Clone)]
+pub(crate) struct Wanted {
+    /// The service.
+    pub(crate) service: ServiceId,
+    /// The team that asks; one that is not declared shares one small class with the others.
+    pub(crate) team: TeamId,
+    /// How urgent the request is.
+    pub(crate) urgency: Urgency,
+    /// The bytes of its body.
+    pub(crate) body_bytes: usize,
+    /// When its answer is no longer of use.
+    pub(crate) deadline: Instant,
 }
 
 /// Holds one slot of a backend server; dropping it frees the slot.
@@ -40,6 +55,10 @@
     /// The address of the backend server.
     pub(crate) address: SmolStr,
     service: ServiceId,
+    held: HeldSlot,
+    grant: Grant,
+    taken_at: Instant,
+    outcome: SlotOutcome,
     shared: Arc<Shared>,
 }
 
@@ -49,118 +68,146 @@
     }
 }
 
+impl Slot {
+    /// Frees the slot and says what came of the request at the backend server.
+    pub(crate) fn finish(mut self, outcome: SlotOutcome) {
+        self.outcome = outcome;
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
-        let mut dispatch = self.shared.dispatch();
-        if let Some(count) = dispatch.in_progress.get_mut(&self.address) {
-            *count = count.saturating_sub(1);
-        }
-        drop(dispatch);
+        let held_ms = u64::try_from(self.taken_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.shared.dispatch().release(
+            monotonic_ms(),
+            &self.service,
+            &self.held,
+            &self.grant,
+            held_ms,
+            self.outcome,
+        );
         serve_queue(&self.shared, &self.service);
     }
 }
 
+/// Takes a waiting request out of its queue when its caller goes.
+struct Place<'shared> {
+    shared: &'shared Shared,
+    service: &'shared ServiceId,
+    ticket: Ticket,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.shared.dispatch().cancel(self.service, &self.ticket);
+    }
+}
+
 /// Waits for a slot of a backend server of a service.
-pub(crate) async fn acquire(
-    shared: &Arc<Shared>,
-    service: &ServiceId,
-    deadline: Instant,
-) -> Result<Slot, NotRun> {
+///
+/// # Errors
+///
+/// Returns why the request does not run, as soon as that is clear. Dropping the future gives up the
+/// place in the queue.
+pub(crate) async fn acquire(shared: &Arc<Shared>, wanted: Wanted) -> Result<Slot, NotRun> {
+    let now_ms = monotonic_ms();
+    let desired = shared.configuration().in_force(now_ms);
+    let desired = desired.ok_or(NotRun::NoConfiguration)?;
     let (sender, receiver) = oneshot::channel();
-    {
-        let mut dispatch = shared.dispatch();
-        let queue = dispatch.queues.entry(service.clone()).or_default();
-        if queue.len() >= MAX_QUEUED {
-            return Err(NotRun::QueueFull);
-        }
-        queue.push_back(Waiter { deadline, sender });
+    let pushed = shared
+        .dispatch()
+        .push(now_ms, &desired, &wanted, sender)
+        .map_err(overloaded)?;
+    for (evicted, refused) in pushed.evicted {
+        let _ = evicted.send(Err(refused));
     }
-    serve_queue(shared, service);
-    match tokio::time::timeout_at(deadline.into(), receiver).await {
-        Ok(Ok(slot)) => Ok(slot),
+    let _place = Place {
+        shared,
+        service: &wanted.service,
+        ticket: pushed.ticket,
+    };
+    serve_queue(shared, &wanted.service);
+    match tokio::time::timeout_at(wanted.deadline.into(), receiver).await {
+        Ok(Ok(Ok(slot))) => Ok(slot),
+        Ok(Ok(Err(refused))) => Err(overloaded(refused)),
         Ok(Err(_)) | Err(_) => Err(NotRun::NoSlotInTime),
     }
 }
 
-/// Gives free slots to those that wait, in order.
+/// Says when to come back: when what is ahead now has been served.
+fn overloaded(refused: Refused) -> NotRun {
+    let retry_after_s = refused.wait_ms.div_ceil(1_000);
+    NotRun::Overloaded {
+        retry_after_s: retry_after_s.clamp(1, LONGEST_RETRY_AFTER_S),
+    }
+}
+
+/// Takes an announcement of a backend server, from itself or from another entry.
+pub(crate) fn announce(shared: &Shared, now_ms: u64, announcement: Announcement) {
+    let mut backends = shared.backends();
+    if let Some((announced, incarnation)) = backends.announce(now_ms, announcement) {
+        shared.dispatch().announce(now_ms, announced, incarnation);
+    }
+}
+
+/// Gives free slots to those that wait, in the order of the queue.
 pub(crate) fn serve_queue(shared: &Arc<Shared>, service: &ServiceId) {
-    loop {
-        let Some((waiter, address)) = next_grant(shared, service) else {
+    let now_ms = monotonic_ms();
+    let (desired, version, published_at_ms) = {
+        let configuration = shared.configuration();
+        let Some(desired) = configuration.in_force(now_ms) else {
             return;
         };
+        let published_at_ms = configuration.published_at_ms();
+        (desired, configuration.version(), published_at_ms)
+    };
+    let mut served = {
+        let mut dispatch = shared.dispatch();
+        let name = &shared.settings.name;
+        dispatch.configure(now_ms, name, version, published_at_ms, &desired);
+        dispatch.serve(now_ms, service)
+    };
+    for (sender, refused) in served.too_late.drain(..) {
+        let _ = sender.send(Err(refused));
+    }
+    for granted in served.granted {
         let slot = Slot {
-            address,
+            address: granted.held.address.clone(),
             service: service.clone(),
+            held: granted.held,
+            grant: granted.grant,
+            taken_at: Instant::now(),
+            outcome: SlotOutcome::Unknown,
             shared: shared.clone(),
         };
         // A waiter that has gone gives its slot back as the returned value is dropped; that serves
         // the queue again by itself.
-        let _ = waiter.sender.send(slot);
+        let _ = granted.sender.send(Ok(slot));
     }
-}
-
-fn next_grant(shared: &Shared, service: &ServiceId) -> Option<(Waiter, SmolStr)> {
-    let now_ms = monotonic_ms();
-    let desired = shared.configuration().in_force(now_ms)?;
-    let backends = shared.backends();
-    let mut dispatch = shared.dispatch();
-    let dispatch = &mut *dispatch;
-    let queue = dispatch.queues.get_mut(service)?;
-    let now = Instant::now();
-    while queue
-        .front()
-        .is_some_and(|waiter| waiter.sender.is_closed() || waiter.deadline <= now)
-    {
-        queue.pop_front();
+    if served.help_wanted {
+        shared.help_wanted.notify_waiters();
     }
-    queue.front()?;
-    let ready: Vec<_> = backends.ready(service, now_ms).collect();
-    let candidates: Vec<_> = ready
-        .iter()
-        .enumerate()
-        .map(|(position, (address, backend))| {
-            let in_progress = dispatch
-                .in_progress
-                .get(*address)
-                .copied()
-                .unwrap_or_default();
-            let share = own_share(shared, &desired, address, backend.slots);
-            Candidate {
-                position,
-                free_slots: share.saturating_sub(in_progress),
-                in_progress,
-            }
-        })
-        .collect();
-    dispatch.rotation = dispatch.rotation.wrapping_add(1);
-    let chosen = choose_least_loaded(&candidates, dispatch.rotation)?;
-    let address = ready[chosen].0.clone();
-    *dispatch.in_progress.entry(address.clone()).or_default() += 1;
-    Some((queue.pop_front()?, address))
 }
 
-/// Returns the slots of a backend server whose home is this entry.
-fn own_share(shared: &Shared, desired: &DesiredState, address: &SmolStr, slots: u32) -> u32 {
-    let position = desired
-        .entries
-        .keys()
-        .position(|entry| *entry == shared.settings.name);
-    let Some(position) = position.and_then(|position| u32::try_from(position).ok()) else {
-        return 0;
-    };
-    let entries = u32::try_from(desired.entries.len()).unwrap_or(u32::MAX);
-    let mut hasher = DefaultHasher::new();
-    address.hash(&mut hasher);
-    home_slots(slots, position, entries, hasher.finish())
+/// Serves every queue in which requests wait.
+pub(crate) fn serve_waiting(shared: &Arc<Shared>) {
+    let services = shared.dispatch().waiting_services();
+    services
+        .iter()
+        .for_each(|service| serve_queue(shared, service));
 }
 
 /// Serves every queue now and then, for backend servers that became ready meanwhile.
 pub(crate) async fn sweep(shared: Arc<Shared>) -> anyhow::Result<()> {
+    let mut forgotten_at_ms = 0;
     loop {
-        let services: Vec<_> = shared.dispatch().queues.keys().cloned().collect();
-        services
-            .iter()
-            .for_each(|service| serve_queue(&shared, service));
+        let now_ms = monotonic_ms();
+        if forgotten_at_ms + FORGET_INTERVAL_MS <= now_ms {
+            forgotten_at_ms = now_ms;
+            shared.backends().forget(now_ms);
+        }
+        shared.dispatch().refresh(now_ms);
+        serve_waiting(&shared);
         tokio::time::sleep(SWEEP_INTERVAL).await;
     }
 }
--- /dev/null
+++ b/crates/jasminefall-entry/src/dispatch/state.rs
@@ -0,0 +1,296 @@
+//! The queues, slots and ejections of one entry.
+
+use std::collections::BTreeMap;
+
+use jasminefall_core::prelude::*;
+use jasminefall_policy::admission::{
+    Ask, FairQueue, Grant, QueueLimits, Refused, RefusedReason, Ticket,
+};
+use jasminefall_policy::ejection::{Ejections, SlotOutcome, Verdict};
+use jasminefall_policy::slots::book::{Announced, HeldSlot, SlotBook};
+use jasminefall_policy::slots::rotation_of;
+use jasminefall_policy::slots::shares::Division;
+use jasminefall_runtime::clock::wall_ms;
+use tokio::sync::oneshot;
+
+use super::lending::Peer;
+use super::{Answer, Wanted};
+
+/// The most requests that wait at an entry, over all services.
+const MAX_WAITING_REQUESTS: usize = 20_000;
+/// The most bytes of bodies that wait at an entry, over all services.
+const MAX_WAITING_BYTES: usize = 128 << 20;
+/// What a waiting request holds besides its body.
+const REQUEST_BYTES: usize = 1 << 10;
+/// The weight of a declared team with `weight = 1`; all undeclared teams together have one.
+const DECLARED_WEIGHT: u64 = 4;
+/// The most slots that one call grants, so that the lock is held for a short time.
+const MAX_GRANTS: usize = 256;
+/// How long after requests last waited a service still needs what it has borrowed.
+const NEED_LINGERS_MS: u64 = 500;
+
+pub(super) type Sender = oneshot::Sender<Answer>;
+
+/// Holds the queues and slots of this entry.
+#[derive(Debug)]
+pub(crate) struct Dispatch {
+    pub(super) book: SlotBook,
+    pub(super) services: BTreeMap<ServiceId, Service>,
+    pub(super) peers: BTreeMap<EntryId, Peer>,
+    pub(super) start: Incarnation,
+    version: Version,
+    division: Division,
+}
+
+/// Holds what concerns one service.
+#[derive(Debug)]
+pub(super) struct Service {
+    pub(super) queue: FairQueue<Sender>,
+    pub(super) ejections: Ejections,
+    last_waited_ms: u64,
+}
+
+/// Says that a request waits, and who had to go for it.
+pub(super) struct Pushed {
+    pub(super) ticket: Ticket,
+    pub(super) evicted: Vec<(Sender, Refused)>,
+}
+
+/// Holds one slot given to one request.
+pub(super) struct Granted {
+    pub(super) sender: Sender,
+    pub(super) held: HeldSlot,
+    pub(super) grant: Grant,
+}
+
+/// Says what serving a queue has come to.
+#[derive(Default)]
+pub(super) struct Served {
+    pub(super) granted: Vec<Granted>,
+    pub(super) too_late: Vec<(Sender, Refused)>,
+    /// Whether requests wait that another entry could help with.
+    pub(super) help_wanted: bool,
+}
+
+impl Default for Dispatch {
+    fn default() -> Self {
+        Self {
+            book: SlotBook::default(),
+            services: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            start: Incarnation::new(wall_ms()),
+            version: Version::default(),
+            division: Division {
+                position: None,
+                entries: 0,
+            },
+        }
+    }
+}
+
+impl Service {
+    fn new(limits: QueueLimits) -> Self {
+        Self {
+            queue: FairQueue::new(limits),
+            ejections: Ejections::default(),
+            last_waited_ms: 0,
+        }
+    }
+
+    /// Returns whether the service still needs the slots that it has borrowed.
+    pub(super) fn needs_loans(&self, now_ms: u64) -> bool {
+        !self.queue.is_empty() || now_ms < self.last_waited_ms + NEED_LINGERS_MS
+    }
+}
+
+impl Dispatch {
+    /// Takes the version that the entry acts on.
+    pub(super) fn configure(
+        &mut self,
+        now_ms: u64,
+        name: &EntryId,
+        version: Version,
+        published_at_ms: u64,
+        desired: &DesiredState,
+    ) {
+        if version <= self.version {
+            return;
+        }
+        // Before the first version nothing ran, so an earlier process has left nothing behind.
+        let is_fresh_site = version == Version::new(1) && published_at_ms >= self.start.get();
+        let timeouts = desired.services.values().map(|service| service.timeout_ms);
+        let longest_ms = timeouts.max().unwrap_or_default().get();
+        self.division = Division::of(desired, name);
+        self.version = version;
+        self.book
+            .configure(now_ms, version, self.division, longest_ms, is_fresh_site);
+        log::info!("event=shares_divided version={version} fresh={is_fresh_site}");
+    }
+
+    /// Takes what a backend server announced.
+    pub(super) fn announce(&mut self, now_ms: u64, announced: Announced, incarnation: Incarnation) {
+        if let Some(service) = self.services.get_mut(&announced.service) {
+            service.ejections.observe(&announced.address, incarnation);
+        }
+        self.book.announce(now_ms, announced);
+    }
+
+    /// Lets a request wait.
+    pub(super) fn push(
+        &mut self,
+        now_ms: u64,
+        desired: &DesiredState,
+        wanted: &Wanted,
+        sender: Sender,
+    ) -> Result<Pushed, Refused> {
+        let slots = self.reachable_slots(now_ms, &wanted.service);
+        let service = self
+            .services
+            .entry(wanted.service.clone())
+            .or_insert_with(|| Service::new(limits(desired)));
+        let pushed = service
+            .queue
+            .push(now_ms, slots, ask(now_ms, desired, wanted), sender)?;
+        let (ticket, evicted) = pushed;
+        let refused = Refused {
+            reason: RefusedReason::Full,
+            wait_ms: service.queue.service_time().mean_ms(),
+        };
+        let evicted = evicted.into_iter().map(|sender| (sender, refused));
+        Ok(Pushed {
+            ticket,
+            evicted: evicted.collect(),
+        })
+    }
+
+    /// Takes a request that no longer waits out of its queue.
+    pub(super) fn cancel(&mut self, service: &ServiceId, ticket: &Ticket) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.queue.cancel(ticket);
+        }
+    }
+
+    /// Gives free slots to those that wait.
+    pub(super) fn serve(&mut self, now_ms: u64, name: &ServiceId) -> Served {
+        let mut served = Served::default();
+        let reachable = self.reachable_slots(now_ms, name);
+        let longest_ms = self.book.longest_request_ms();
+        let Some(service) = self.services.get_mut(name) else {
+            return served;
+        };
+        let mut too_late = Vec::new();
+        while !service.queue.is_empty() && served.granted.len() < MAX_GRANTS {
+            let counts = self.book.counts(name);
+            let (ejections, division) = (&service.ejections, self.division);
+            let allows = |address: &SmolStr| {
+                ejections.verdict(now_ms, address, turn(division, address)) != Verdict::Leave
+            };
+            let held = self.book.take(now_ms, name, now_ms + longest_ms, allows);
+            let Some(held) = held else { break };
+            let free = counts.usable.saturating_sub(counts.in_progress).max(1);
+            let popped = service.queue.pop(now_ms, reachable, free, &mut too_late);
+            let Some((grant, _, sender)) = popped else {
+                self.book.release(&held);
+                break;
+            };
+            let turn = turn(division, &held.address);
+            if service.ejections.verdict(now_ms, &held.address, turn) == Verdict::Probe {
+                service.ejections.probe(now_ms, &held.address);
+            }
+            let granted = Granted {
+                sender,
+                held,
+                grant,
+            };
+            served.granted.push(granted);
+        }
+        let refused = Refused {
+            reason: RefusedReason::TooLate,
+            wait_ms: service.queue.service_time().mean_ms(),
+        };
+        let too_late = too_late.into_iter().map(|sender| (sender, refused));
+        served.too_late = too_late.collect();
+        if !service.queue.is_empty() {
+            service.last_waited_ms = now_ms;
+            served.help_wanted = self.idle_elsewhere(now_ms, name) > 0;
+        }
+        served
+    }
+
+    /// Takes a slot back and notes what came of the request.
+    pub(super) fn release(
+        &mut self,
+        now_ms: u64,
+        name: &ServiceId,
+        held: &HeldSlot,
+        grant: &Grant,
+        held_ms: u64,
+        outcome: SlotOutcome,
+    ) {
+        self.book.release(held);
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        // What failed fast says nothing about how long requests take.
+        match outcome {
+            SlotOutcome::Succeeded => service.queue.release(grant, held_ms),
+            SlotOutcome::Failed | SlotOutcome::Unknown => service.queue.settle(grant, held_ms),
+        }
+        if outcome != SlotOutcome::Succeeded || service.ejections.has_record(&held.address) {
+            let pool = self.book.ready_backends(now_ms, name);
+            service.ejections.note(now_ms, &held.address, outcome, pool);
+        }
+    }
+
+    /// Ends what has lapsed.
+    pub(super) fn refresh(&mut self, now_ms: u64) {
+        self.book.refresh(now_ms);
+        for service in self.services.values_mut() {
+            let book = &self.book;
+            service.ejections.retain(|address| book.knows(address));
+        }
+    }
+
+    /// Returns the services that requests wait for.
+    pub(super) fn waiting_services(&self) -> Vec<ServiceId> {
+        let waiting = self.services.iter();
+        let waiting = waiting.filter(|(_, service)| !service.queue.is_empty());
+        waiting.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns the slots that this entry has or could borrow.
+    fn reachable_slots(&self, now_ms: u64, service: &ServiceId) -> u32 {
+        let own = self.book.counts(service).usable;
+        own.saturating_add(self.idle_elsewhere(now_ms, service))
+    }
+}
+
+fn ask(now_ms: u64, desired: &DesiredState, wanted: &Wanted) -> Ask {
+    let declared = desired.teams.get(&wanted.team);
+    let remaining = wanted
+        .deadline
+        .saturating_duration_since(std::time::Instant::now());
+    Ask {
+        team: declared.map_or_else(TeamId::default, |_| wanted.team.clone()),
+        weight: declared.map_or(1, |team| team.weight.saturating_mul(DECLARED_WEIGHT)),
+        urgency: wanted.urgency,
+        bytes: wanted.body_bytes + REQUEST_BYTES,
+        deadline_ms: now_ms + u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX / 2),
+    }
+}
+
+fn limits(desired: &DesiredState) -> QueueLimits {
+    let services = desired.services.len().max(1);
+    QueueLimits {
+        requests: MAX_WAITING_REQUESTS / services,
+        bytes: MAX_WAITING_BYTES / services,
+    }
+}
+
+/// Returns how many entries probe a backend server before this one.
+fn turn(division: Division, address: &str) -> u32 {
+    let entries = u64::from(division.entries.max(1));
+    let position = u64::from(division.position.unwrap_or_default());
+    let turn = (position + rotation_of(address) % entries) % entries;
+    u32::try_from(turn).unwrap_or_default()
+}
--- a/crates/jasminefall-entry/src/edge/backends.rs
+++ b/crates/jasminefall-entry/src/edge/backends.rs
@@ -1,5 +1,6 @@
 //! What backend servers speak.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use actix_web::dev::Server;
@@ -8,11 +9,15 @@
 use jasminefall_runtime::clock::monotonic_ms;
 use jasminefall_wire::message::{Announcement, BackendState};
 use serde::{Deserialize, Serialize};
+use smol_str::format_smolstr;
 
-use crate::backends::ANNOUNCEMENT_LIFETIME_MS;
+use crate::backends::{ANNOUNCEMENT_INTERVAL_MS, ANNOUNCEMENT_LIFETIME_MS};
 use crate::dispatch;
 use crate::shared::Shared;
 
+const MAX_SLOTS: u32 = 1_024;
+const MAX_CONNECTIONS: u32 = 8_192;
+
 /// Starts the backend servers' listener.
 pub(crate) fn start(shared: &Arc<Shared>) -> std::io::Result<Server> {
     let address = shared.settings.backends;
@@ -29,7 +34,7 @@
 #[derive(Debug, Deserialize)]
 struct AnnounceBody {
     service: ServiceId,
-    address: SmolStr,
+    address: SocketAddr,
     incarnation: Incarnation,
     state: BackendState,
     slots: u32,
@@ -39,6 +44,7 @@
 #[derive(Debug, Serialize)]
 struct AnnouncedBody {
     lifetime_ms: u64,
+    interval_ms: u64,
 }
 
 async fn announce(shared: web::Data<Arc<Shared>>, body: web::Json<AnnounceBody>) -> HttpResponse {
@@ -50,19 +56,26 @@
         slots,
         connections,
     } = body.into_inner();
+    if slots > MAX_SLOTS || connections > MAX_CONNECTIONS {
+        return HttpResponse::BadRequest().body(format!(
+            "announce at most {MAX_SLOTS} slots and {MAX_CONNECTIONS} connections\n"
+        ));
+    }
     let age_ms = DurationMs::ZERO;
     let announcement = Announcement {
         service: service.clone(),
-        address,
+        // One spelling of an address, however it was written.
+        address: format_smolstr!("{address}"),
         incarnation,
         state,
         slots,
         connections,
         age_ms,
     };
-    shared.backends().announce(monotonic_ms(), announcement);
+    dispatch::announce(&shared, monotonic_ms(), announcement);
     dispatch::serve_queue(&shared, &service);
     HttpResponse::Ok().json(AnnouncedBody {
         lifetime_ms: ANNOUNCEMENT_LIFETIME_MS,
+        interval_ms: ANNOUNCEMENT_INTERVAL_MS,
     })
 }
--- a/crates/jasminefall-entry/src/edge/callers.rs
+++ b/crates/jasminefall-entry/src/edge/callers.rs
@@ -19,15 +19,17 @@
 
 use super::jobs;
 use crate::claiming;
-use crate::dispatch;
+use crate::dispatch::{self, Wanted};
 use crate::forward::{self, KEY_HEADER, Outgoing};
 use crate::outcome::{NotRun, Outcome};
 use crate::shared::Shared;
+use jasminefall_policy::ejection::SlotOutcome;
 
 const MAX_BODY_BYTES: usize = 8 << 20;
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 const TEAM_HEADER: &str = "Jasminefall-Team";
 const TIMEOUT_HEADER: &str = "Jasminefall-Timeout-Ms";
+const URGENCY_HEADER: &str = "Jasminefall-Urgency";
 
 /// Holds what one thread of the callers' listener works with.
 pub(crate) struct Thread {
@@ -94,7 +96,7 @@
 
 /// Holds a request that may run.
 struct Prepared {
-    service: ServiceId,
+    wanted: Wanted,
     outgoing: Outgoing,
     claim: Option<ClaimRequest>,
 }
@@ -121,6 +123,14 @@
         })?,
         None => declared.timeout_ms.get(),
     };
+    // No request may outlast the loan of a slot, which lasts as long as the service's own timeout.
+    let timeout_ms = timeout_ms.min(declared.timeout_ms.get());
+    let urgency = match header(request, URGENCY_HEADER) {
+        Some(text) => text
+            .parse()
+            .map_err(|error| NotRun::Bad(format_smolstr!("{URGENCY_HEADER}: {error}")))?,
+        None => Urgency::default(),
+    };
     let attempt = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
     let name = &thread.shared.settings.name;
     let path = request
@@ -155,8 +165,15 @@
             digest: claiming::digest(&outgoing.path, &outgoing.body),
         })
     };
-    Ok(Prepared {
+    let wanted = Wanted {
         service,
+        team: TeamId::new(header(request, TEAM_HEADER).unwrap_or_default()),
+        urgency,
+        body_bytes: outgoing.body.len(),
+        deadline: outgoing.deadline,
+    };
+    Ok(Prepared {
+        wanted,
         outgoing,
         claim,
     })
@@ -181,7 +198,7 @@
 
 async fn run(thread: &Thread, prepared: Prepared) -> Outcome {
     let Prepared {
-        service,
+        wanted,
         outgoing,
         claim,
     } = prepared;
@@ -195,10 +212,10 @@
         }
         None => None,
     };
-    let outcome = match dispatch::acquire(&thread.shared, &service, outgoing.deadline).await {
+    let outcome = match dispatch::acquire(&thread.shared, wanted).await {
         Ok(slot) => {
             let outcome = forward::send(&thread.client, &slot.address, &outgoing).await;
-            drop(slot);
+            slot.finish(outcome_at_slot(&outcome));
             outcome
         }
         Err(reason) => Outcome::NotRun(reason),
@@ -208,3 +225,12 @@
     }
     outcome
 }
+
+/// Returns what an outcome says of the backend server.
+fn outcome_at_slot(outcome: &Outcome) -> SlotOutcome {
+    match outcome {
+        Outcome::Answered(answer) if answer.status.is_server_error() => SlotOutcome::Failed,
+        Outcome::Answered(_) => SlotOutcome::Succeeded,
+        Outcome::NotRun(_) | Outcome::MayHaveRun => SlotOutcome::Failed,
+    }
+}
--- a/crates/jasminefall-entry/src/outcome.rs
+++ b/crates/jasminefall-entry/src/outcome.rs
@@ -18,10 +18,13 @@
     UnknownService,
     /// The entry holds no configuration in force.
     NoConfiguration,
-    /// The queue is full.
-    QueueFull,
     /// No slot became free in time.
     NoSlotInTime,
+    /// No slot can become free in time: what is ahead takes too long.
+    Overloaded {
+        /// When it is worth trying again.
+        retry_after_s: u64,
+    },
     /// No backend server could be reached.
     Unreachable,
     /// Control could not make the claim.
@@ -40,20 +43,29 @@
             Self::UnderWay => StatusCode::CONFLICT,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::NoConfiguration
-            | Self::QueueFull
             | Self::NoSlotInTime
+            | Self::Overloaded { .. }
             | Self::Unreachable
             | Self::NoClaim => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
+    const fn retry_after_s(&self) -> u64 {
+        match self {
+            Self::Overloaded { retry_after_s } => *retry_after_s,
+            _ => RETRY_AFTER_S,
+        }
+    }
+
     fn message(&self) -> &str {
         match self {
             Self::Bad(message) => message,
             Self::UnknownService => "the service is not declared; check the name in the path",
             Self::NoConfiguration => "this entry holds no configuration in force; try again",
-            Self::QueueFull => "the queue is full; try again later",
             Self::NoSlotInTime => "no backend server was free in time; try again later",
+            Self::Overloaded { .. } => {
+                "the service cannot answer in time; try again after the time in Retry-After"
+            }
             Self::Unreachable => "no backend server could be reached; try again later",
             Self::NoClaim => "the request could not be claimed; try again with the same key",
             Self::UnderWay => "the same request is under way; try again with the same key",
@@ -96,7 +108,7 @@
                 let mut response = HttpResponse::build(reason.status());
                 response.insert_header((OUTCOME_HEADER, "not-run"));
                 if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
-                    response.insert_header(("Retry-After", RETRY_AFTER_S.to_string()));
+                    response.insert_header(("Retry-After", reason.retry_after_s().to_string()));
                 }
                 response.body(format!("{}\n", reason.message()))
             }
--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -2,6 +2,8 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use tokio::sync::Notify;
+
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
@@ -17,6 +19,8 @@
     configuration: Mutex<Configuration>,
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
+    /// Wakes the exchange with other entries when requests wait that they could help with.
+    pub(crate) help_wanted: Notify,
 }
 
 impl Shared {
@@ -27,6 +31,7 @@
             configuration: Mutex::default(),
             backends: Mutex::default(),
             dispatch: Mutex::default(),
+            help_wanted: Notify::new(),
         }
     }
 
--- a/crates/jasminefall-policy/src/lib.rs
+++ b/crates/jasminefall-policy/src/lib.rs
@@ -13,9 +13,11 @@
 //! # Module map
 //!
 //! - [`slots`]: how the slots of a backend server are shared by the entries
-//! - [`routing`]: which backend server gets a request
+//! - [`admission`]: which requests wait, in which order they get slots, which are refused at once
+//! - [`ejection`]: which backend servers are left out because they fail what they are given
 //! - [`placement`]: which worker gets a job
 
+pub mod admission;
+pub mod ejection;
 pub mod placement;
-pub mod routing;
 pub mod slots;
--- a/crates/jasminefall-policy/src/slots.rs
+++ b/crates/jasminefall-policy/src/slots.rs
@@ -2,7 +2,20 @@
 //!
 //! Every slot has one home entry. The shares differ by at most one; where the slots do not divide
 //! evenly, `rotation` (a hash of the backend server) decides who gets one more, so that no entry is
-//! favoured over a whole pool.
+//! favoured over a whole pool. An entry that needs more borrows idle slots from their homes.
+//!
+//! # Module map
+//!
+//! - [`shares`]: an entry's share while several versions of the configuration may be in force
+//! - [`lent`]: the slots that an entry has lent to others
+//! - [`book`]: every slot that an entry may use, and who uses it
+
+pub mod book;
+pub mod lent;
+pub mod shares;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
 
 /// Returns the slots of a backend server whose home is the entry at position `entry` of `entries`.
 #[must_use]
@@ -12,10 +25,20 @@
     }
     let base = slots / entries;
     let remainder = slots % entries;
-    let shifted = (entry as u64 + rotation) % entries as u64;
+    let shifted = (entry as u64 + rotation % entries as u64) % entries as u64;
     if shifted < remainder as u64 {
         base + 1
     } else {
         base
     }
 }
+
+/// Returns the rotation of the backend server at an address.
+///
+/// The hash (FNV-1a) is the same in every build, so that entries of different builds agree.
+#[must_use]
+pub fn rotation_of(address: &str) -> u64 {
+    address.bytes().fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
--- a/crates/jasminefall-wire/src/message.rs
+++ b/crates/jasminefall-wire/src/message.rs
@@ -83,11 +83,62 @@
     pub age_ms: DurationMs,
 }
 
-/// Carries what an entry knows of backend servers.
+/// Counts slots or requests of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCount {
+    /// The service.
+    pub service: ServiceId,
+    /// How many.
+    pub count: u32,
+}
+
+/// Lends one slot to the entry that asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotLoan {
+    /// The lender's number of the loan.
+    pub number: u64,
+    /// The address of the backend server.
+    pub address: SmolStr,
+    /// How long the loan lasts, counted from when the borrower asked.
+    pub duration_ms: DurationMs,
+}
+
+/// Says that a backend server is ejected, or is back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ejection {
+    /// The service that the backend server runs.
+    pub service: ServiceId,
+    /// Its address.
+    pub address: SmolStr,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// The ejections in a row, zero where it is back.
+    pub strikes: u32,
+    /// How long ago this was decided.
+    pub age_ms: DurationMs,
+}
+
+/// Carries what an entry knows, and what it asks of and gives to another entry.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct News {
     /// The entry that tells.
     pub entry: EntryId,
     /// What it has heard.
     pub announcements: Vec<Announcement>,
+    /// The start of its process.
+    pub start: Incarnation,
+    /// Numbers the questions of one process to one other entry.
+    pub sequence: u64,
+    /// The start of the asked entry's process that `held` is about.
+    pub held_of: Incarnation,
+    /// The loans of the asked entry that are still held; all others are given back.
+    pub held: Vec<u64>,
+    /// The services that requests wait for, and how many slots are asked for.
+    pub wants: Vec<ServiceCount>,
+    /// The slots that could be lent.
+    pub idle: Vec<ServiceCount>,
+    /// The slots that are lent with this answer.
+    pub loans: Vec<SlotLoan>,
+    /// The ejected backend servers, and those lately back.
+    pub ejections: Vec<Ejection>,
 }
