--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -2,6 +2,8 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use tokio::sync::Notify;
+
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
@@ -22,6 +24,8 @@
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
     recorder: Mutex<Recorder>,
+    /// Wakes the exchange with other entries when requests wait that they could help with.
+    pub(crate) help_wanted: Notify,
 }
 
 impl Shared {
@@ -34,6 +38,7 @@
             backends: Mutex::default(),
             dispatch: Mutex::default(),
             recorder: Mutex::default(),
+            help_wanted: Notify::new(),
         }
     }
 
