--- /dev/null
+++ b/crates/jasminefall-runtime/tests/command_line.rs
@@ -0,0 +1,42 @@
+//! The options that every daemon takes.
+
+use std::path::PathBuf;
+
+use jasminefall_runtime::command_line::{Invocation, parse};
+
+fn run(words: &[&str]) -> Result<Invocation, String> {
+    parse(
+        "daemon",
+        "Runs a daemon.",
+        words.iter().map(|word| (*word).to_owned()),
+    )
+}
+
+#[test]
+fn each_option_asks_for_its_own_thing() {
+    let settings = PathBuf::from("a.ini");
+    assert_eq!(
+        run(&["--settings", "a.ini"]),
+        Ok(Invocation::Run(settings.clone()))
+    );
+    assert_eq!(
+        run(&["--check", "-s", "a.ini"]),
+        Ok(Invocation::Check(settings))
+    );
+    let printed = |words: &[&str]| matches!(run(words), Ok(Invocation::Print(text)) if text.contains("daemon"));
+    assert!(printed(&["--help"]) && printed(&["-h"]));
+    assert!(printed(&["--version"]) && printed(&["-V"]));
+}
+
+#[test]
+fn wrong_words_are_refused_with_a_remedy() {
+    for words in [
+        &[][..],
+        &["--settings"],
+        &["--unknown"],
+        &["-s", "a.ini", "extra"],
+    ] {
+        let message = run(words).expect_err("the words are wrong");
+        assert!(message.contains("daemon --help"), "{words:?}: {message}");
+    }
+}
