--- a/crates/jasminefall-entry/src/claiming.rs
+++ b/crates/jasminefall-entry/src/claiming.rs
@@ -1,77 +1,175 @@
 //! Claims for requests that run at most once.
 
-use std::time::Duration;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use actix_web::http::StatusCode;
+use actix_web::http::header::{HeaderName, HeaderValue};
 use jasminefall_core::prelude::*;
-use jasminefall_state::claims::ClaimKey;
-use jasminefall_state::prelude::*;
+use jasminefall_state::claims::KeptHeader;
+use jasminefall_state::prelude::{
+    ClaimAnswer, ClaimRelease, ClaimRequest, Command, KeptAnswer, RecordedAnswer, RecordedResult,
+};
 use jasminefall_wire::client::ControlClient;
 use sha2::{Digest, Sha256};
 
-use actix_web::http::StatusCode;
-
+use crate::batch::Batcher;
 use crate::outcome::{Answer, NotRun, Outcome};
+use crate::shared::{Shared, Unfinished};
 
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
-const RECORD_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long control may take to commit a claim before the request is refused.
+const CLAIM_LIMIT: Duration = Duration::from_secs(2);
+const RECORD_LIMIT: Duration = Duration::from_secs(30);
+/// The largest answer that is kept for resends.
+const MAX_KEPT_BYTES: usize = 64 << 10;
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
 /// Returns the digest by which two requests with one key are told apart.
-pub(crate) fn digest(operation: &str, body: &Bytes) -> [u8; 32] {
+pub(crate) fn digest(method: &str, path: &str, body: &[u8]) -> [u8; 32] {
     let mut hasher = Sha256::new();
-    hasher.update(operation.as_bytes());
-    hasher.update([0]);
+    for part in [method, path] {
+        hasher.update(part.as_bytes());
+        hasher.update([0]);
+    }
     hasher.update(body);
     hasher.finalize().into()
 }
 
-/// Claims a request; returns the outcome where it must not run.
-pub(crate) async fn claim(client: &ControlClient, request: ClaimRequest) -> Result<(), Outcome> {
-    let command = Command::Claim(vec![request]);
-    let answer = match client.propose(CLAIM_TIMEOUT, &command).await {
-        Ok(jasminefall_state::Outcome::Claimed(mut answers)) => answers.pop(),
-        Ok(_) | Err(_) => None,
-    };
+/// Makes, records and gives back claims in common commits.
+#[derive(Clone)]
+pub(crate) struct Claims {
+    shared: Arc<Shared>,
+    claims: Rc<Batcher<ClaimRequest>>,
+    records: Rc<Batcher<RecordedAnswer>>,
+    releases: Rc<Batcher<ClaimRelease>>,
+}
+
+impl Claims {
+    /// Creates the claims of a thread.
+    pub(crate) fn new(shared: &Arc<Shared>, control: &Rc<ControlClient>) -> Self {
+        let max_batch = shared.settings.claim_batch;
+        Self {
+            shared: shared.clone(),
+            claims: Batcher::new(control, Command::Claim, CLAIM_LIMIT, max_batch),
+            records: Batcher::new(control, Command::Record, RECORD_LIMIT, max_batch),
+            releases: Batcher::new(control, Command::Release, RECORD_LIMIT, max_batch),
+        }
+    }
+
+    /// Claims a request; returns the outcome where it must not run.
+    ///
+    /// While another attempt holds the claim, its result is waited for until the deadline.
+    pub(crate) async fn claim(
+        &self,
+        request: &ClaimRequest,
+        deadline: Instant,
+    ) -> Result<(), Outcome> {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            match self.claims.submit(request.clone()).await {
+                Ok(Some(ClaimAnswer::Granted)) => return Ok(()),
+                Ok(Some(ClaimAnswer::Held)) => {}
+                Ok(Some(answer)) => return Err(refused(answer)),
+                Ok(None) | Err(_) => {
+                    self.release(request);
+                    return Err(Outcome::NotRun(NotRun::NoClaim));
+                }
+            }
+            if Instant::now() + pause >= deadline {
+                return Err(Outcome::UnderWay);
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Gives back the claim of a request none of whose bytes has left.
+    pub(crate) fn release(&self, request: &ClaimRequest) {
+        let release = ClaimRelease {
+            key: request.key.clone(),
+            entry: request.entry.clone(),
+            attempt: request.attempt,
+        };
+        let (releases, unfinished) = (self.releases.clone(), Unfinished::new(&self.shared));
+        actix_rt::spawn(async move {
+            if releases.submit(release).await.is_err() {
+                log::warn!("event=release_failed effect=\"the claim is given up after its lease\"");
+            }
+            drop(unfinished);
+        });
+    }
+
+    /// Records what came of a claimed request whose bytes may have left.
+    pub(crate) fn record(&self, request: &ClaimRequest, outcome: &Outcome) {
+        let recorded = RecordedAnswer {
+            key: request.key.clone(),
+            result: keep(outcome),
+        };
+        let (records, unfinished) = (self.records.clone(), Unfinished::new(&self.shared));
+        actix_rt::spawn(async move {
+            if records.submit(recorded).await.is_err() {
+                log::warn!("event=record_failed effect=\"a resend learns that it may have run\"");
+            }
+            drop(unfinished);
+        });
+    }
+}
+
+fn refused(answer: ClaimAnswer) -> Outcome {
     match answer {
-        Some(ClaimAnswer::Granted) => Ok(()),
-        Some(ClaimAnswer::Held) => Err(Outcome::NotRun(NotRun::UnderWay)),
-        Some(ClaimAnswer::KeyReused) => Err(Outcome::NotRun(NotRun::KeyReused)),
-        Some(ClaimAnswer::Answered(recorded)) => Err(restore(recorded)),
-        None => Err(Outcome::NotRun(NotRun::NoClaim)),
+        ClaimAnswer::Granted | ClaimAnswer::Held => Outcome::UnderWay,
+        ClaimAnswer::Answered(result) => restore(result),
+        ClaimAnswer::KeyReused => Outcome::NotRun(NotRun::KeyReused),
+        ClaimAnswer::NoLongerKnown => Outcome::NoLongerKnown,
+        ClaimAnswer::Full => Outcome::NotRun(NotRun::ClaimsFull),
+        ClaimAnswer::KeyFromFuture => Outcome::NotRun(NotRun::Bad(SmolStr::new_static(
+            "the key's time lies in the future; set the caller's clock",
+        ))),
     }
 }
 
-/// Records what came of a claimed request.
-pub(crate) async fn record(client: &ControlClient, key: ClaimKey, outcome: &Outcome) {
-    let recorded = match outcome {
-        Outcome::Answered(answer) => RecordedAnswer {
-            key,
-            status: answer.status.as_u16(),
-            content_type: answer.content_type.clone(),
-            body: answer.body.to_vec(),
-        },
-        Outcome::NotRun(_) | Outcome::MayHaveRun => RecordedAnswer {
-            key,
-            status: 0,
-            content_type: SmolStr::default(),
-            body: Vec::new(),
-        },
+fn keep(outcome: &Outcome) -> RecordedResult {
+    let Outcome::Answered(answer) = outcome else {
+        return RecordedResult::MayHaveRun;
+    };
+    let headers = answer.headers.iter().map(|(name, value)| KeptHeader {
+        name: SmolStr::new(name.as_str()),
+        value: value.as_bytes().to_vec(),
+    });
+    let kept = KeptAnswer {
+        status: answer.status.as_u16(),
+        headers: headers.collect(),
+        body: answer.body.to_vec(),
     };
-    if let Err(error) = client
-        .propose(RECORD_TIMEOUT, &Command::Record(vec![recorded]))
-        .await
-    {
-        log::warn!("event=record_failed error=\"{error}\"");
+    if kept.kept_bytes() > MAX_KEPT_BYTES {
+        let status = kept.status;
+        return RecordedResult::TooLarge { status };
     }
+    RecordedResult::Kept(kept)
 }
 
-fn restore(recorded: RecordedAnswer) -> Outcome {
-    match StatusCode::from_u16(recorded.status) {
-        Ok(status) => Outcome::Answered(Answer {
-            status,
-            content_type: recorded.content_type,
-            body: recorded.body.into(),
+fn restore(result: RecordedResult) -> Outcome {
+    let status = |status| StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    match result {
+        RecordedResult::Kept(kept) => Outcome::Answered(Answer {
+            status: status(kept.status),
+            headers: kept
+                .headers
+                .into_iter()
+                .filter_map(restore_header)
+                .collect(),
+            body: kept.body.into(),
+            announced_bytes: None,
         }),
-        Err(_) => Outcome::MayHaveRun,
+        RecordedResult::TooLarge { status: code } => Outcome::AnsweredNotKept(status(code)),
+        RecordedResult::MayHaveRun => Outcome::MayHaveRun,
     }
 }
+
+fn restore_header(header: KeptHeader) -> Option<(HeaderName, HeaderValue)> {
+    let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+    let value = HeaderValue::from_bytes(&header.value).ok()?;
+    Some((name, value))
+}
--- a/crates/jasminefall-entry/src/edge/backends.rs
+++ b/crates/jasminefall-entry/src/edge/backends.rs
@@ -22,7 +22,7 @@
             .app_data(web::Data::new(shared.clone()))
             .route("/v1/announce", web::post().to(announce))
     });
-    Ok(server.workers(1).bind(address)?.run())
+    Ok(server.workers(1).disable_signals().bind(address)?.run())
 }
 
 /// Says what a backend server is and whether it takes new work.
--- a/crates/jasminefall-entry/src/edge/callers.rs
+++ b/crates/jasminefall-entry/src/edge/callers.rs
@@ -2,66 +2,98 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use actix_web::dev::Server;
-use actix_web::http::Method;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
-use awc::Client;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
 use jasminefall_core::prelude::*;
 use jasminefall_runtime::clock::monotonic_ms;
-use jasminefall_state::claims::{ClaimKey, ClaimRequest};
 use jasminefall_wire::client::ControlClient;
-use smol_str::format_smolstr;
 use tokio::sync::oneshot;
+use tokio::time::timeout_at;
 
-use super::jobs;
-use crate::claiming;
-use crate::dispatch;
-use crate::forward::{self, KEY_HEADER, Outgoing};
+use super::{jobs, preparing};
+use crate::claiming::Claims;
+use crate::forward::Pool;
 use crate::outcome::{NotRun, Outcome};
-use crate::shared::Shared;
+use crate::requests::Path;
+use crate::shared::{Shared, Unfinished};
 
 const MAX_BODY_BYTES: usize = 8 << 20;
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
-const TEAM_HEADER: &str = "Jasminefall-Team";
-const TIMEOUT_HEADER: &str = "Jasminefall-Timeout-Ms";
+/// How long a caller may take to send a whole head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// How many connections of callers are open at once; more wait to be accepted.
+const MAX_CONNECTIONS: usize = 4_096;
 
 /// Holds what one thread of the callers' listener works with.
 pub(crate) struct Thread {
     /// What all threads share.
     pub(crate) shared: Arc<Shared>,
     /// Calls to control.
-    pub(crate) control: ControlClient,
-    client: Client,
+    pub(crate) control: Rc<ControlClient>,
+    path: Path,
 }
 
-/// Starts the callers' listener.
+impl Thread {
+    fn new(shared: &Arc<Shared>) -> Self {
+        let settings = &shared.settings;
+        let control = ControlClient::new(&settings.control, &settings.site_key, CALL_TIMEOUT);
+        let control = Rc::new(control);
+        let pool = Rc::new(Pool::default());
+        actix_rt::spawn(sweep(pool.clone()));
+        let claims = Claims::new(shared, &control);
+        Self {
+            shared: shared.clone(),
+            control,
+            path: Path::new(shared, claims, pool),
+        }
+    }
+}
+
+async fn sweep(pool: Rc<Pool>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        pool.sweep();
+    }
+}
+
+/// Starts the callers' listener: one thread, so that what it keeps is kept once an entry.
 pub(crate) fn start(shared: &Arc<Shared>) -> std::io::Result<Server> {
     let address = shared.settings.callers;
+    let stop_limit_s = shared.settings.stop_limit_ms.get().div_ceil(1_000);
     let shared = shared.clone();
     let server = HttpServer::new(move || {
-        let settings = &shared.settings;
-        let thread = Rc::new(Thread {
-            shared: shared.clone(),
-            control: ControlClient::new(&settings.control, &settings.site_key, CALL_TIMEOUT),
-            client: forward::client(),
-        });
         App::new()
-            .app_data(web::Data::new(thread))
-            .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+            .app_data(web::Data::new(Rc::new(Thread::new(&shared))))
             .route("/ready", web::get().to(ready))
             .route("/v1/jobs", web::post().to(jobs::submit))
             .route("/v1/jobs/{job}", web::delete().to(jobs::cancel))
             .route("/call/{service}/{operation:.*}", web::to(call))
     });
-    Ok(server.workers(1).bind(address)?.run())
+    let server = server
+        .workers(1)
+        .max_connections(MAX_CONNECTIONS)
+        .client_request_timeout(HEAD_TIMEOUT)
+        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+        .keep_alive(IDLE_TIMEOUT)
+        // A caller that closes its side has hung up: what it asked for gives way.
+        .h1_allow_half_closed(false)
+        .shutdown_timeout(stop_limit_s)
+        .disable_signals();
+    Ok(server.bind(address)?.run())
 }
 
-/// Answers the balancer: ready while the configuration is in force.
+/// Answers the balancer: ready while the configuration is in force and no stop was asked for.
 async fn ready(thread: web::Data<Rc<Thread>>) -> HttpResponse {
+    if thread.shared.is_stopping() {
+        return HttpResponse::ServiceUnavailable().body("stopping\n");
+    }
     let in_force = thread.shared.configuration().in_force(monotonic_ms());
     match in_force {
         Some(_) => HttpResponse::Ok().body("ready\n"),
@@ -73,138 +105,64 @@
     thread: web::Data<Rc<Thread>>,
     request: HttpRequest,
     path: web::Path<(ServiceId, SmolStr)>,
-    body: Bytes,
+    payload: web::Payload,
 ) -> HttpResponse {
     let (service, operation) = path.into_inner();
-    let prepared = match prepare(&thread, &request, service, operation, body) {
-        Ok(prepared) => prepared,
-        Err(reason) => return Outcome::NotRun(reason).into_response(),
+    let outcome = match outcome(&thread, &request, service, &operation, payload).await {
+        Ok(outcome) => outcome,
+        Err(reason) => Outcome::NotRun(reason),
     };
-    let (sender, receiver) = oneshot::channel();
-    let thread = thread.get_ref().clone();
-    // A caller that hangs up must not cut short an exchange or its record.
-    actix_rt::spawn(async move {
-        let _ = sender.send(run(&thread, prepared).await);
-    });
-    receiver
-        .await
-        .unwrap_or(Outcome::MayHaveRun)
-        .into_response()
-}
-
-/// Holds a request that may run.
-struct Prepared {
-    service: ServiceId,
-    outgoing: Outgoing,
-    claim: Option<ClaimRequest>,
+    let mut response = outcome.into_response();
+    if thread.shared.is_stopping() {
+        response
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response
 }
 
-fn prepare(
-    thread: &Thread,
+async fn outcome(
+    thread: &Rc<Thread>,
     request: &HttpRequest,
     service: ServiceId,
-    operation: SmolStr,
-    body: Bytes,
-) -> Result<Prepared, NotRun> {
-    static ATTEMPTS: AtomicU64 = AtomicU64::new(1);
-    let desired = thread.shared.configuration().in_force(monotonic_ms());
-    let desired = desired.ok_or(NotRun::NoConfiguration)?;
-    let declared = desired
-        .services
-        .get(&service)
-        .ok_or(NotRun::UnknownService)?;
-    let timeout_ms = match header(request, TIMEOUT_HEADER) {
-        Some(text) => text.parse().map_err(|_| {
-            NotRun::Bad(format_smolstr!(
-                "{TIMEOUT_HEADER} is no number; write milliseconds"
-            ))
-        })?,
-        None => declared.timeout_ms.get(),
-    };
-    let attempt = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
-    let name = &thread.shared.settings.name;
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
-    let outgoing = Outgoing {
-        method: request.method().clone(),
-        path: backend_path(path, &service),
-        content_type: header(request, "Content-Type").map(SmolStr::new),
-        body,
-        key: header(request, KEY_HEADER).map(SmolStr::new),
-        request: format_smolstr!("{name}-{attempt}"),
-        deadline: Instant::now() + Duration::from_millis(timeout_ms),
-    };
-    let claim = if is_idempotent(declared, &operation, request.method()) {
-        None
-    } else {
-        let key = header(request, KEY_HEADER).ok_or_else(|| {
-            NotRun::Bad(format_smolstr!(
-                "the operation is not idempotent; add {KEY_HEADER}"
-            ))
-        })?;
-        let team = TeamId::new(header(request, TEAM_HEADER).unwrap_or_default());
-        Some(ClaimRequest {
-            key: ClaimKey {
-                team,
-                key: IdempotencyKey::new(key),
-            },
-            entry: name.clone(),
-            attempt,
-            digest: claiming::digest(&outgoing.path, &outgoing.body),
-        })
-    };
-    Ok(Prepared {
-        service,
-        outgoing,
-        claim,
-    })
-}
-
-/// Takes `/call/SERVICE` off a path.
-fn backend_path(path: &str, service: &ServiceId) -> SmolStr {
-    let prefix = format!("/call/{service}");
-    SmolStr::new(path.strip_prefix(prefix.as_str()).unwrap_or(path))
-}
-
-fn is_idempotent(declared: &ServiceDeclaration, operation: &str, method: &Method) -> bool {
-    if declared.non_idempotent.contains(operation) {
-        return false;
+    operation: &str,
+    payload: web::Payload,
+) -> Result<Outcome, NotRun> {
+    let arrived = Instant::now();
+    let declared = preparing::declared(&thread.shared, &service)?;
+    let deadline = preparing::deadline(request, &declared, arrived)?;
+    let body = read_body(payload, deadline).await?;
+    let shared = &thread.shared;
+    let prepared = preparing::prepare(
+        shared, request, &declared, service, operation, body, deadline,
+    )?;
+    if prepared.claim.is_none() {
+        // Dropping the future, as happens when the caller hangs up, leaves nothing undone.
+        return Ok(thread.path.run(&prepared, std::future::pending()).await);
     }
-    declared.idempotent.contains(operation) || method.is_safe()
-}
-
-fn header<'request>(request: &'request HttpRequest, name: &str) -> Option<&'request str> {
-    request.headers().get(name)?.to_str().ok()
+    let (mut sender, receiver) = oneshot::channel();
+    let (thread, unfinished) = (thread.clone(), Unfinished::new(shared));
+    // A caller that hangs up must not cut short an exchange or its record.
+    actix_rt::spawn(async move {
+        let outcome = thread.path.run(&prepared, sender.closed()).await;
+        let _ = sender.send(outcome);
+        drop(unfinished);
+    });
+    Ok(receiver.await.unwrap_or(Outcome::MayHaveRun))
 }
 
-async fn run(thread: &Thread, prepared: Prepared) -> Outcome {
-    let Prepared {
-        service,
-        outgoing,
-        claim,
-    } = prepared;
-    let key = match claim {
-        Some(request) => {
-            let key = request.key.clone();
-            if let Err(outcome) = claiming::claim(&thread.control, request).await {
-                return outcome;
+/// Reads a whole body within its limits of size and time.
+async fn read_body(mut payload: web::Payload, deadline: Instant) -> Result<Bytes, NotRun> {
+    let mut body = BytesMut::new();
+    loop {
+        let next = timeout_at(deadline.into(), payload.next()).await;
+        match next.map_err(|_| NotRun::SlowBody)? {
+            Some(Ok(chunk)) if body.len() + chunk.len() > MAX_BODY_BYTES => {
+                return Err(NotRun::TooLarge);
             }
-            Some(key)
+            Some(Ok(chunk)) => body.extend_from_slice(&chunk),
+            Some(Err(_)) => return Err(NotRun::Bad("the body was cut; send it whole".into())),
+            None => return Ok(body.freeze()),
         }
-        None => None,
-    };
-    let outcome = match dispatch::acquire(&thread.shared, &service, outgoing.deadline).await {
-        Ok(slot) => {
-            let outcome = forward::send(&thread.client, &slot.address, &outgoing).await;
-            drop(slot);
-            outcome
-        }
-        Err(reason) => Outcome::NotRun(reason),
-    };
-    if let Some(key) = key {
-        claiming::record(&thread.control, key, &outcome).await;
     }
-    outcome
 }
--- a/crates/jasminefall-entry/src/forward.rs
+++ b/crates/jasminefall-entry/src/forward.rs
@@ -1,114 +1,180 @@
 //! Sending a request to a backend server.
+//!
+//! A request counts as not run only while none of its bytes has been handed to the operating system.
+//! From then on it is answered whole, or it may have run.
 
+pub(crate) mod connection;
+mod pool;
+
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_web::http::{Method, StatusCode};
-use awc::error::{ConnectError, SendRequestError};
-use awc::{Client, Connector};
+use actix_web::http::{Method, Uri};
 use bytes::Bytes;
-use smol_str::{SmolStr, format_smolstr};
+use futures::future::LocalBoxFuture;
+use smol_str::SmolStr;
+use tokio::time::timeout;
 
-use crate::outcome::{Answer, NotRun, Outcome};
+use crate::dispatch::Slot;
+use crate::headers::HeaderList;
+use crate::outcome::{NotRun, Outcome};
+use connection::{Connection, ExchangeError};
+pub(crate) use pool::Pool;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-const MAX_CONNECTIONS: usize = 4_096;
-/// The header by which a backend server learns how long the answer is waited for.
-const TIMEOUT_HEADER: &str = "Jasminefall-Timeout-Ms";
-/// The header that carries the caller's key.
-pub(crate) const KEY_HEADER: &str = "Idempotency-Key";
-/// The header by which one request can be followed through all processes.
-const REQUEST_HEADER: &str = "Jasminefall-Request";
+/// How long an exchange that came too late is still listened to, to know when its slot is free.
+const LATE_LIMIT: Duration = Duration::from_secs(10);
+/// How long a slot stays taken after the connection of its exchange was closed.
+const CLOSED_PAUSE: Duration = Duration::from_secs(1);
 
 /// Holds what is sent to a backend server.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Outgoing {
     /// The method.
     pub(crate) method: Method,
     /// The path and query.
-    pub(crate) path: SmolStr,
-    /// The media type of the body, if any.
-    pub(crate) content_type: Option<SmolStr>,
+    pub(crate) uri: Uri,
+    /// The headers.
+    pub(crate) headers: HeaderList,
     /// The body.
     pub(crate) body: Bytes,
-    /// The caller's key, if it gave one.
-    pub(crate) key: Option<SmolStr>,
-    /// The identifier of the request.
-    pub(crate) request: SmolStr,
-    /// When the answer is no longer of use.
+    /// When the answer is no longer of use; no first byte leaves from then on.
     pub(crate) deadline: Instant,
 }
 
-/// Creates the HTTP client of a thread: it follows no redirects and repeats nothing by itself.
-pub(crate) fn client() -> Client {
-    let connector = Connector::new()
-        .timeout(CONNECT_TIMEOUT)
-        .limit(MAX_CONNECTIONS);
-    Client::builder()
-        .connector(connector)
-        .disable_redirects()
-        .disable_timeout()
-        .finish()
+/// Says on which connection a request may go out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Freshness {
+    /// On one that is kept alive, if there is one.
+    MayReuse,
+    /// Only on a new one.
+    Fresh,
 }
 
-/// Sends a request to a backend server and waits for the whole answer.
-pub(crate) async fn send(client: &Client, address: &str, outgoing: &Outgoing) -> Outcome {
-    let remaining = outgoing.deadline.saturating_duration_since(Instant::now());
-    match tokio::time::timeout(remaining, exchange(client, address, outgoing, remaining)).await {
-        Ok(outcome) => outcome,
-        Err(_) => Outcome::MayHaveRun,
-    }
+/// Runs one exchange that is under way with a backend server.
+pub(crate) struct Attempt {
+    exchange: LocalBoxFuture<'static, Outcome>,
+    slot: Option<Slot>,
+    address: SmolStr,
+    deadline: Instant,
+    sent: Rc<Cell<bool>>,
+    reused: Rc<Cell<bool>>,
+    pool: Rc<Pool>,
 }
 
-async fn exchange(
-    client: &Client,
-    address: &str,
-    outgoing: &Outgoing,
-    remaining: Duration,
-) -> Outcome {
-    let uri = format!("http://{address}{}", outgoing.path);
-    let mut request = client
-        .request(outgoing.method.clone(), uri)
-        .no_decompress()
-        .insert_header((REQUEST_HEADER, outgoing.request.as_str()))
-        .insert_header((TIMEOUT_HEADER, remaining.as_millis().to_string()));
-    if let Some(content_type) = &outgoing.content_type {
-        request = request.insert_header(("Content-Type", content_type.as_str()));
+impl Attempt {
+    /// Prepares to send a request to the backend server whose slot is given.
+    pub(crate) fn new(
+        pool: &Rc<Pool>,
+        slot: Slot,
+        outgoing: &Rc<Outgoing>,
+        freshness: Freshness,
+    ) -> Self {
+        let (sent, reused) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+        let address = slot.address.clone();
+        let exchange = exchange(
+            pool.clone(),
+            address.clone(),
+            outgoing.clone(),
+            freshness,
+            sent.clone(),
+            reused.clone(),
+        );
+        Self {
+            exchange: Box::pin(exchange),
+            slot: Some(slot),
+            address,
+            deadline: outgoing.deadline,
+            sent,
+            reused,
+            pool: pool.clone(),
+        }
     }
-    if let Some(key) = &outgoing.key {
-        request = request.insert_header((KEY_HEADER, key.as_str()));
+
+    /// Returns whether the request went out on a connection that was kept alive.
+    pub(crate) fn has_reused(&self) -> bool {
+        self.reused.get()
     }
-    let mut response = match request.send_body(outgoing.body.clone()).await {
-        Ok(response) => response,
-        Err(error) => return judge(&error),
-    };
-    let content_type = response
-        .headers()
-        .get("Content-Type")
-        .and_then(|value| value.to_str().ok());
-    let content_type = content_type.map_or_else(
-        || SmolStr::new_static("application/octet-stream"),
-        |value| format_smolstr!("{value}"),
-    );
-    let status =
-        StatusCode::from_u16(response.status().as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
-    match response.body().limit(MAX_ANSWER_BYTES).await {
-        Ok(body) => Outcome::Answered(Answer {
-            status,
-            content_type,
-            body,
-        }),
-        // A truncated or oversized answer is never passed on as whole.
-        Err(_) => Outcome::MayHaveRun,
+
+    /// Waits for the outcome, at most until the deadline; may be called again when cut short.
+    pub(crate) async fn outcome(&mut self) -> Outcome {
+        let ended = tokio::time::timeout_at(self.deadline.into(), &mut self.exchange).await;
+        match ended {
+            Ok(outcome) => {
+                self.slot = None;
+                outcome
+            }
+            Err(_) if self.sent.get() => Outcome::MayHaveRun,
+            Err(_) => {
+                self.slot = None;
+                Outcome::NotRun(NotRun::Unreachable)
+            }
+        }
+    }
+
+    /// Leaves an exchange that has not ended; its slot stays taken until the backend server is done.
+    ///
+    /// An answer that comes late is handed to `late` and goes nowhere else.
+    pub(crate) fn leave(mut self, late: impl FnOnce(Outcome) + 'static) {
+        let Some(slot) = self.slot.take() else {
+            return;
+        };
+        if !self.sent.get() {
+            return;
+        }
+        self.pool.distrust(&self.address);
+        actix_rt::spawn(async move {
+            match timeout(LATE_LIMIT, &mut self.exchange).await {
+                Ok(outcome) => late(outcome),
+                Err(_) => {
+                    drop(self.exchange);
+                    tokio::time::sleep(CLOSED_PAUSE).await;
+                }
+            }
+            drop(slot);
+        });
     }
 }
 
-/// Tells a request that cannot have left from one that may have run.
-const fn judge(error: &SendRequestError) -> Outcome {
-    match error {
-        SendRequestError::Connect(
-            ConnectError::Io(_) | ConnectError::Timeout | ConnectError::NoRecords,
-        ) => Outcome::NotRun(NotRun::Unreachable),
-        _ => Outcome::MayHaveRun,
+async fn exchange(
+    pool: Rc<Pool>,
+    address: SmolStr,
+    outgoing: Rc<Outgoing>,
+    freshness: Freshness,
+    sent: Rc<Cell<bool>>,
+    reused: Rc<Cell<bool>>,
+) -> Outcome {
+    let kept = match freshness {
+        Freshness::MayReuse => pool.take(&address),
+        Freshness::Fresh => None,
+    };
+    reused.set(kept.is_some());
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => match timeout(CONNECT_TIMEOUT, Connection::open(&address)).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(_)) | Err(_) => return Outcome::NotRun(NotRun::Unreachable),
+        },
+    };
+    // The process may have been paused at any point before this one.
+    if Instant::now() >= outgoing.deadline {
+        return Outcome::NotRun(NotRun::NoSlotInTime);
+    }
+    sent.set(true);
+    match connection.exchange(&outgoing).await {
+        Ok(answer) => {
+            if Instant::now() < outgoing.deadline {
+                pool.put(&address, connection);
+            }
+            Outcome::Answered(answer)
+        }
+        Err(error) => {
+            log::debug!("event=exchange_broken backend={address} error=\"{error}\"");
+            if error != ExchangeError::Oversized {
+                pool.distrust(&address);
+            }
+            Outcome::MayHaveRun
+        }
     }
 }
--- a/crates/jasminefall-entry/src/main.rs
+++ b/crates/jasminefall-entry/src/main.rs
@@ -9,22 +9,32 @@
 //! - [`dispatch`]: queues and slots
 //! - [`exchange`]: news between entries
 //! - [`renewal`]: keeping the lease on the configuration
+//! - [`requests`]: the path of a request from its claim to its outcome
 //! - [`claiming`]: claims for requests that run at most once
+//! - [`batch`]: many items in one commit
 //! - [`forward`]: sending a request to a backend server
-//! - [`outcome`]: the three outcomes of a request
+//! - [`headers`]: which headers are passed on
+//! - [`retry_budget`]: how many retries are allowed
+//! - [`outcome`]: the outcomes of a request
+//! - [`stop`]: the graceful stop
 //! - [`edge`]: what callers and backend servers speak
 
 mod backends;
+mod batch;
 mod claiming;
 mod configuration;
 mod dispatch;
 mod edge;
 mod exchange;
 mod forward;
+mod headers;
 mod outcome;
 mod renewal;
+mod requests;
+mod retry_budget;
 mod settings;
 mod shared;
+mod stop;
 
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -89,7 +99,10 @@
         edge::backends::start(&shared).context("the backend servers' listener")?,
     ];
     log::info!("event=started callers={}", shared.settings.callers);
+    let handles = servers.iter().map(actix_web::dev::Server::handle).collect();
+    actix_rt::spawn(stop::run(shared.clone(), handles));
     futures::future::try_join_all(servers).await?;
+    stop::wait_for_unfinished(&shared).await;
     drop(supervisor);
     log::info!("event=stopped cause=\"asked to\"");
     Ok(())
--- a/crates/jasminefall-entry/src/outcome.rs
+++ b/crates/jasminefall-entry/src/outcome.rs
@@ -1,12 +1,16 @@
-//! The three outcomes of a request.
+//! The outcomes of a request.
 
 use actix_web::HttpResponse;
+use actix_web::body::{BodySize, MessageBody};
 use actix_web::http::StatusCode;
+use actix_web::http::header::{CONTENT_LENGTH, RETRY_AFTER};
 use bytes::Bytes;
 use smol_str::SmolStr;
 
+use crate::headers::HeaderList;
+
 /// The header that names the outcome.
-const OUTCOME_HEADER: &str = "Jasminefall-Outcome";
+pub(crate) const OUTCOME_HEADER: &str = "Jasminefall-Outcome";
 const RETRY_AFTER_S: u64 = 1;
 
 /// Says why a request did not run: no byte of it has reached a backend server.
@@ -14,6 +18,10 @@
 pub(crate) enum NotRun {
     /// The caller's request is at fault.
     Bad(SmolStr),
+    /// The body is larger than is taken.
+    TooLarge,
+    /// The body did not come in time.
+    SlowBody,
     /// The service is not declared.
     UnknownService,
     /// The entry holds no configuration in force.
@@ -26,23 +34,27 @@
     Unreachable,
     /// Control could not make the claim.
     NoClaim,
-    /// The same request is under way.
-    UnderWay,
+    /// No more claims can be remembered now.
+    ClaimsFull,
     /// The key was used for another request.
     KeyReused,
+    /// The caller has gone.
+    CallerGone,
 }
 
 impl NotRun {
     const fn status(&self) -> StatusCode {
         match self {
             Self::Bad(_) => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody | Self::CallerGone => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownService => StatusCode::NOT_FOUND,
-            Self::UnderWay => StatusCode::CONFLICT,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::NoConfiguration
             | Self::QueueFull
             | Self::NoSlotInTime
             | Self::Unreachable
+            | Self::ClaimsFull
             | Self::NoClaim => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -50,14 +62,17 @@
     fn message(&self) -> &str {
         match self {
             Self::Bad(message) => message,
+            Self::TooLarge => "the body is too large; send at most 8 MiB",
+            Self::SlowBody => "the body did not come in time; send it faster or allow more time",
             Self::UnknownService => "the service is not declared; check the name in the path",
             Self::NoConfiguration => "this entry holds no configuration in force; try again",
             Self::QueueFull => "the queue is full; try again later",
             Self::NoSlotInTime => "no backend server was free in time; try again later",
             Self::Unreachable => "no backend server could be reached; try again later",
             Self::NoClaim => "the request could not be claimed; try again with the same key",
-            Self::UnderWay => "the same request is under way; try again with the same key",
+            Self::ClaimsFull => "no more keys can be remembered; use keys that carry their time",
             Self::KeyReused => "the key was used for another request; choose a new key",
+            Self::CallerGone => "the caller has gone",
         }
     }
 }
@@ -67,10 +82,16 @@
 pub(crate) enum Outcome {
     /// It ran and this is the whole answer.
     Answered(Answer),
+    /// It ran and was answered earlier; the answer was too large to be kept.
+    AnsweredNotKept(StatusCode),
     /// It did not run.
     NotRun(NotRun),
     /// It may have run.
     MayHaveRun,
+    /// It is under way through another attempt, which may yet run.
+    UnderWay,
+    /// Whether it ran is no longer remembered.
+    NoLongerKnown,
 }
 
 /// Holds a whole answer.
@@ -78,31 +99,100 @@
 pub(crate) struct Answer {
     /// The HTTP status.
     pub(crate) status: StatusCode,
-    /// The media type.
-    pub(crate) content_type: SmolStr,
+    /// The end-to-end headers.
+    pub(crate) headers: HeaderList,
     /// The body.
     pub(crate) body: Bytes,
+    /// The length that the answer to a HEAD request announced.
+    pub(crate) announced_bytes: Option<u64>,
 }
 
 impl Outcome {
     /// Returns the outcome as the caller sees it.
     pub(crate) fn into_response(self) -> HttpResponse {
         match self {
-            Self::Answered(answer) => HttpResponse::build(answer.status)
-                .insert_header((OUTCOME_HEADER, "answered"))
-                .insert_header(("Content-Type", answer.content_type.as_str()))
-                .body(answer.body),
+            Self::Answered(answer) => answer.into_response(),
+            Self::AnsweredNotKept(status) => told(
+                StatusCode::GONE,
+                "answered-not-kept",
+                &format!(
+                    "the request ran and was answered with status {status}; the answer was too large to be kept"
+                ),
+            ),
             Self::NotRun(reason) => {
-                let mut response = HttpResponse::build(reason.status());
-                response.insert_header((OUTCOME_HEADER, "not-run"));
+                let mut response = told(reason.status(), "not-run", reason.message());
                 if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
-                    response.insert_header(("Retry-After", RETRY_AFTER_S.to_string()));
+                    add_retry_after(&mut response);
                 }
-                response.body(format!("{}\n", reason.message()))
+                response
             }
-            Self::MayHaveRun => HttpResponse::GatewayTimeout()
-                .insert_header((OUTCOME_HEADER, "may-have-run"))
-                .body("the request may have run; ask again with the same key\n"),
+            Self::MayHaveRun => told(
+                StatusCode::GATEWAY_TIMEOUT,
+                "may-have-run",
+                "the request may have run; ask again with the same key",
+            ),
+            Self::UnderWay => {
+                let mut response = told(
+                    StatusCode::CONFLICT,
+                    "may-have-run",
+                    "the same request is under way; ask again with the same key",
+                );
+                add_retry_after(&mut response);
+                response
+            }
+            Self::NoLongerKnown => told(
+                StatusCode::GONE,
+                "no-longer-known",
+                "whether the request ran is no longer known; it is not run again",
+            ),
         }
     }
 }
+
+impl Answer {
+    fn into_response(self) -> HttpResponse {
+        let mut response = HttpResponse::build(self.status);
+        for (name, value) in self.headers {
+            response.append_header((name, value));
+        }
+        response.insert_header((OUTCOME_HEADER, "answered"));
+        match self.announced_bytes {
+            Some(length) if self.status == StatusCode::NOT_MODIFIED => {
+                response.insert_header((CONTENT_LENGTH, length)).finish()
+            }
+            Some(length) => response.body(HeadBody(length)),
+            None => response.body(self.body),
+        }
+    }
+}
+
+fn told(status: StatusCode, outcome: &'static str, message: &str) -> HttpResponse {
+    HttpResponse::build(status)
+        .insert_header((OUTCOME_HEADER, outcome))
+        .content_type("text/plain")
+        .body(format!("{message}\n"))
+}
+
+fn add_retry_after(response: &mut HttpResponse) {
+    response
+        .headers_mut()
+        .insert(RETRY_AFTER, RETRY_AFTER_S.into());
+}
+
+/// Stands for a body whose length is announced and whose bytes are never sent.
+struct HeadBody(u64);
+
+impl MessageBody for HeadBody {
+    type Error = std::convert::Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.0)
+    }
+
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Bytes, Self::Error>>> {
+        std::task::Poll::Ready(None)
+    }
+}
--- a/crates/jasminefall-entry/src/settings.rs
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -7,7 +7,7 @@
 use jasminefall_runtime::settings::SettingsFile;
 use jasminefall_wire::handshake::SiteKey;
 
-const KNOWN: [&str; 7] = [
+const KNOWN: [&str; 10] = [
     "name",
     "callers",
     "backends",
@@ -15,7 +15,13 @@
     "site_key_file",
     "control",
     "entries",
+    "stop_delay",
+    "stop_limit",
+    "claim_batch",
 ];
+const STOP_DELAY_MS: DurationMs = DurationMs::new(5_000);
+const STOP_LIMIT_MS: DurationMs = DurationMs::new(60_000);
+const CLAIM_BATCH: usize = 256;
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7001";
 
 /// Holds the settings of an entry instance.
@@ -35,6 +41,12 @@
     pub(crate) control: Vec<SocketAddr>,
     /// The peer addresses of the other entries.
     pub(crate) entries: Vec<SocketAddr>,
+    /// How long the listeners stay after a stop was asked for, so that the balancer can move.
+    pub(crate) stop_delay_ms: DurationMs,
+    /// How long accepted requests may take after that.
+    pub(crate) stop_limit_ms: DurationMs,
+    /// How many claims go into one commit at most.
+    pub(crate) claim_batch: usize,
 }
 
 impl Settings {
@@ -71,6 +83,9 @@
                 .ok()
         });
         let entries = section.read_list("entries", problems);
+        let stop_delay_ms = section.read_or("stop_delay", STOP_DELAY_MS, problems);
+        let stop_limit_ms = section.read_or("stop_limit", STOP_LIMIT_MS, problems);
+        let claim_batch = section.read_or("claim_batch", CLAIM_BATCH, problems).max(1);
         let (Some(name), Some(callers), Some(backends), Some(peer), Some(secret)) =
             (name, callers, backends, peer, secret)
         else {
@@ -85,6 +100,9 @@
             site_key,
             control,
             entries,
+            stop_delay_ms,
+            stop_limit_ms,
+            claim_batch,
         };
         file.problems.into_result(settings)
     }
--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the threads of an entry share.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::backends::Backends;
 use crate::configuration::Configuration;
@@ -17,6 +18,8 @@
     configuration: Mutex<Configuration>,
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
+    stopping: AtomicBool,
+    unfinished: AtomicU64,
 }
 
 impl Shared {
@@ -27,6 +30,8 @@
             configuration: Mutex::default(),
             backends: Mutex::default(),
             dispatch: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            unfinished: AtomicU64::new(0),
         }
     }
 
@@ -46,4 +51,36 @@
     pub(crate) fn dispatch(&self) -> MutexGuard<'_, Dispatch> {
         self.dispatch.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns whether a stop has been asked for.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes that a stop has been asked for.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns how many pieces of work a stop must still wait for.
+    pub(crate) fn unfinished(&self) -> u64 {
+        self.unfinished.load(Ordering::Relaxed)
+    }
+}
+
+/// Stands for a piece of work that a stop waits for, until dropped.
+pub(crate) struct Unfinished(Arc<Shared>);
+
+impl Unfinished {
+    /// Notes a piece of work.
+    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
+        shared.unfinished.fetch_add(1, Ordering::Relaxed);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for Unfinished {
+    fn drop(&mut self) {
+        self.0.unfinished.fetch_sub(1, Ordering::Relaxed);
+    }
 }
--- /dev/null
+++ b/crates/jasminefall-entry/src/stop.rs
@@ -0,0 +1,55 @@
+//! The graceful stop: readiness fails first, the listeners follow, accepted requests finish.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_web::dev::ServerHandle;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::shared::Shared;
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// How long results of claimed requests may take to be recorded once the listeners are closed.
+const RECORD_LIMIT: Duration = Duration::from_secs(15);
+
+/// Waits for SIGTERM or SIGINT, lets the balancer move, then closes the listeners.
+pub(crate) async fn run(shared: Arc<Shared>, servers: Vec<ServerHandle>) {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        log::error!("event=no_signals effect=\"no graceful stop\"");
+        return;
+    };
+    wait_for_either(&mut terminate, &mut interrupt).await;
+    shared.begin_stop();
+    let settings = &shared.settings;
+    log::info!(
+        "event=stopping delay={} limit={}",
+        settings.stop_delay_ms,
+        settings.stop_limit_ms
+    );
+    tokio::time::sleep(settings.stop_delay_ms.to_duration()).await;
+    let stops = servers.iter().map(|server| server.stop(true));
+    futures::future::join_all(stops).await;
+}
+
+async fn wait_for_either(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Waits until results are recorded and late exchanges have ended, for a limited time.
+pub(crate) async fn wait_for_unfinished(shared: &Shared) {
+    let until = Instant::now() + RECORD_LIMIT;
+    while shared.unfinished() > 0 && Instant::now() < until {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+    let unfinished = shared.unfinished();
+    if unfinished > 0 {
+        log::warn!("event=stopped_with_unfinished count={unfinished}");
+    }
+}
--- a/crates/jasminefall-state/src/cluster.rs
+++ b/crates/jasminefall-state/src/cluster.rs
@@ -50,6 +50,10 @@
                 self.jobs.cancel(now_ms, &jobs);
                 Outcome::Done
             }
+            Command::Release(releases) => {
+                self.claims.release(now_ms, &releases);
+                Outcome::Done
+            }
         }
     }
 
--- a/crates/jasminefall-state/src/command.rs
+++ b/crates/jasminefall-state/src/command.rs
@@ -3,7 +3,7 @@
 use jasminefall_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::claims::{ClaimRequest, RecordedAnswer};
+use crate::claims::{ClaimRelease, ClaimRequest, RecordedAnswer};
 use crate::configuration::ApplyRequest;
 use crate::jobs::{JobRequest, Placement, TaskReport};
 
@@ -35,4 +35,6 @@
     Report(Vec<TaskReport>),
     /// Cancels jobs.
     Cancel(Vec<JobId>),
+    /// Gives back claims of requests that did not run.
+    Release(Vec<ClaimRelease>),
 }
--- a/crates/jasminefall-state/src/prelude.rs
+++ b/crates/jasminefall-state/src/prelude.rs
@@ -1,6 +1,9 @@
 //! The types that nearly every user of the crate needs.
 
-pub use crate::claims::{Claim, ClaimAnswer, ClaimRequest, Claims, RecordedAnswer};
+pub use crate::claims::{
+    Claim, ClaimAnswer, ClaimKey, ClaimRelease, ClaimRequest, Claims, KeptAnswer, RecordedAnswer,
+    RecordedResult,
+};
 pub use crate::cluster::ClusterState;
 pub use crate::command::{Command, Stamped};
 pub use crate::configuration::{ApplyRequest, Configuration, Published};
--- a/crates/jasminefall-testing/src/backend.rs
+++ b/crates/jasminefall-testing/src/backend.rs
@@ -1,10 +1,12 @@
 //! A backend server that records every run.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
+use actix_web::http::StatusCode;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use serde_json::json;
 use tokio::task::JoinHandle;
@@ -18,17 +20,23 @@
     pub path: String,
     /// The caller's key, empty where none was given.
     pub key: String,
+    /// The headers, by name in lower case.
+    pub headers: Vec<(String, String)>,
 }
 
 /// Remembers every run.
 #[derive(Debug, Clone, Default)]
-pub struct Runs(Arc<Mutex<Vec<Run>>>);
+pub struct Runs {
+    list: Arc<Mutex<Vec<Run>>>,
+    in_progress: Arc<AtomicUsize>,
+    most_at_once: Arc<AtomicUsize>,
+}
 
 impl Runs {
     /// Returns every run so far.
     #[must_use]
     pub fn all(&self) -> Vec<Run> {
-        self.0
+        self.list
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone()
@@ -40,8 +48,23 @@
         self.all().iter().filter(|run| run.key == key).count()
     }
 
+    /// Returns how many runs were in progress at once at most.
+    #[must_use]
+    pub fn most_at_once(&self) -> usize {
+        self.most_at_once.load(Ordering::SeqCst)
+    }
+
+    fn begin(&self) {
+        let now = self.in_progress.fetch_add(1, Ordering::SeqCst) + 1;
+        self.most_at_once.fetch_max(now, Ordering::SeqCst);
+    }
+
+    fn end(&self) {
+        self.in_progress.fetch_sub(1, Ordering::SeqCst);
+    }
+
     fn add(&self, run: Run) {
-        self.0
+        self.list
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .push(run);
@@ -50,7 +73,9 @@
 
 /// Runs a fake backend server.
 ///
-/// It answers with its own address and the request's body. The query `delay_ms=N` makes it wait.
+/// It answers with its own address, the request's path and its body. The query `delay_ms=N` makes it
+/// wait, `bytes=N` adds so many bytes and `status=N` sets the status. A run is in progress until its
+/// wait is over, also when the other side has gone.
 pub struct FakeBackend {
     /// The address that it listens on.
     pub address: SocketAddr,
@@ -64,6 +89,14 @@
 struct Behaviour {
     #[serde(default)]
     delay_ms: u64,
+    #[serde(default)]
+    bytes: usize,
+    #[serde(default = "default_status")]
+    status: u16,
+}
+
+const fn default_status() -> u16 {
+    200
 }
 
 impl FakeBackend {
@@ -96,8 +129,20 @@
 
     /// Announces itself as ready to an entry, again and again, until it is stopped or leaves.
     #[must_use]
-    pub fn with_announcements(mut self, entry: SocketAddr, service: &str) -> Self {
-        let (service, address) = (service.to_owned(), self.address);
+    pub fn with_announcements(self, entry: SocketAddr, service: &str) -> Self {
+        let address = self.address;
+        self.with_announcements_of(address, entry, service)
+    }
+
+    /// Announces itself as [`Self::with_announcements`] does, under the address of a proxy.
+    #[must_use]
+    pub fn with_announcements_of(
+        mut self,
+        address: SocketAddr,
+        entry: SocketAddr,
+        service: &str,
+    ) -> Self {
+        let service = service.to_owned();
         self.announcing = Some(actix_rt::spawn(async move {
             loop {
                 let _ = announce(entry, &service, address, 1, "ready").await;
@@ -156,14 +201,35 @@
         .uri()
         .path_and_query()
         .map_or("/", |path| path.as_str());
+    let headers = request.headers().iter().map(|(name, value)| {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        (name.as_str().to_owned(), value)
+    });
     runs.add(Run {
         path: path.to_owned(),
         key: key.unwrap_or_default().to_owned(),
+        headers: headers.collect(),
+    });
+    runs.begin();
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    let (waiting, delay_ms) = (runs.clone(), behaviour.delay_ms);
+    actix_rt::spawn(async move {
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        waiting.end();
+        let _ = sender.send(());
     });
-    tokio::time::sleep(Duration::from_millis(behaviour.delay_ms)).await;
+    let _ = receiver.await;
+    let status = StatusCode::from_u16(behaviour.status).unwrap_or(StatusCode::OK);
     let address = request.app_config().local_addr();
     let text = String::from_utf8_lossy(&body);
-    HttpResponse::Ok()
+    let filling = "x".repeat(behaviour.bytes);
+    HttpResponse::build(status)
         .content_type("text/plain")
-        .body(format!("{address} {path} {text}\n"))
+        .append_header(("Set-Cookie", "first=1"))
+        .append_header(("Set-Cookie", "second=2"))
+        .append_header(("X-Backend", address.to_string()))
+        .append_header(("Keep-Alive", "timeout=5"))
+        .body(format!("{address} {path} {text}{filling}\n"))
 }
--- a/crates/jasminefall-testing/src/lib.rs
+++ b/crates/jasminefall-testing/src/lib.rs
@@ -3,11 +3,15 @@
 //! # Module map
 //!
 //! - [`backend`]: a backend server that records every run
+//! - [`caller`]: a caller that reads outcomes
+//! - [`raw_backend`]: a backend server that answers with given bytes
 //! - [`worker`]: a worker that runs tasks by waiting
 //! - [`proxy`]: a TCP proxy that injects faults
 //! - [`site`]: the real processes of a small site on one loopback address
 
 pub mod backend;
+pub mod caller;
 pub mod proxy;
+pub mod raw_backend;
 pub mod site;
 pub mod worker;
--- a/crates/jasminefall-testing/src/proxy.rs
+++ b/crates/jasminefall-testing/src/proxy.rs
@@ -23,6 +23,10 @@
     pub delay_ms: AtomicU64,
     /// After how many bytes towards the client the connection is cut; zero for never.
     pub cut_after_bytes: AtomicU64,
+    /// How much longer chunks are held back at most, by the connection: this reorders connections.
+    pub spread_ms: AtomicU64,
+    accepted: AtomicU64,
+    silent_until: AtomicU64,
 }
 
 impl Faults {
@@ -31,6 +35,29 @@
         self.drop_requests.store(silent, Ordering::SeqCst);
         self.drop_answers.store(silent, Ordering::SeqCst);
     }
+
+    /// Makes every connection that is open now silent for good; new ones work.
+    pub fn silence_existing(&self) {
+        let accepted = self.accepted.load(Ordering::SeqCst);
+        self.silent_until.store(accepted, Ordering::SeqCst);
+    }
+
+    /// Returns how many connections have been accepted.
+    #[must_use]
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::SeqCst)
+    }
+
+    fn is_silent(&self, connection: u64) -> bool {
+        connection < self.silent_until.load(Ordering::SeqCst)
+    }
+
+    fn delay(&self, connection: u64) -> Duration {
+        let spread_ms = self.spread_ms.load(Ordering::SeqCst);
+        // A multiplier without common factors scatters neighbouring connections.
+        let extra_ms = connection.wrapping_mul(7_919) % (spread_ms + 1);
+        Duration::from_millis(self.delay_ms.load(Ordering::SeqCst) + extra_ms)
+    }
 }
 
 /// Runs the proxy in front of one address.
@@ -70,6 +97,7 @@
 async fn accept(listener: TcpListener, target: SocketAddr, faults: Arc<Faults>) {
     while let Ok((client, _)) = listener.accept().await {
         let faults = faults.clone();
+        let number = faults.accepted.fetch_add(1, Ordering::SeqCst);
         tokio::spawn(async move {
             let Ok(server) = TcpStream::connect(target).await else {
                 return;
@@ -77,14 +105,20 @@
             let _ = (client.set_nodelay(true), server.set_nodelay(true));
             let (client_read, client_write) = client.into_split();
             let (server_read, server_write) = server.into_split();
-            let requests = copy(client_read, server_write, faults.clone(), false);
-            let answers = copy(server_read, client_write, faults, true);
+            let requests = copy(client_read, server_write, faults.clone(), number, false);
+            let answers = copy(server_read, client_write, faults, number, true);
             tokio::join!(requests, answers);
         });
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, faults: Arc<Faults>, answers: bool) {
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    faults: Arc<Faults>,
+    connection: u64,
+    answers: bool,
+) {
     let dropping = if answers {
         &faults.drop_answers
     } else {
@@ -96,11 +130,8 @@
         if length == 0 {
             break;
         }
-        tokio::time::sleep(Duration::from_millis(
-            faults.delay_ms.load(Ordering::SeqCst),
-        ))
-        .await;
-        if dropping.load(Ordering::SeqCst) {
+        tokio::time::sleep(faults.delay(connection)).await;
+        if dropping.load(Ordering::SeqCst) || faults.is_silent(connection) {
             continue;
         }
         let mut chunk = &buffer[..length];
@@ -115,7 +146,7 @@
         }
         passed_bytes += length as u64;
     }
-    if !dropping.load(Ordering::SeqCst) {
+    if !dropping.load(Ordering::SeqCst) && !faults.is_silent(connection) {
         let _ = to.shutdown().await;
     }
 }
--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -142,6 +142,48 @@
         kill(&mut self.entries[position]);
     }
 
+    /// Edits the settings of an entry; they count from its next start.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the settings cannot be read or written.
+    pub fn edit_entry(&self, position: usize, edit: impl FnOnce(String) -> String) {
+        let path = self.entry_settings(position);
+        let text = std::fs::read_to_string(&path).expect("the settings");
+        std::fs::write(&path, edit(text)).expect("the settings");
+    }
+
+    /// Sends a signal, such as `TERM`, `STOP` or `CONT`, to an entry that was started.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the entry does not run.
+    pub fn signal_entry(&self, position: usize, signal: &str) {
+        let child = self.entries[position].as_ref().expect("the entry runs");
+        let sent = Command::new("kill")
+            .args(["-s", signal, &child.id().to_string()])
+            .status();
+        assert!(sent.is_ok_and(|status| status.success()), "{signal}");
+    }
+
+    /// Returns how an entry has ended, or none while it runs.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the entry was never started.
+    pub fn ended_entry(&mut self, position: usize) -> Option<ExitStatus> {
+        let child = self.entries[position]
+            .as_mut()
+            .expect("the entry was started");
+        child.try_wait().expect("the state of the process")
+    }
+
+    /// Returns where other processes reach a control replica.
+    #[must_use]
+    pub fn control_peer(&self, position: usize) -> SocketAddr {
+        self.address(PEER_PORT, position)
+    }
+
     /// Returns the data folder of a control replica.
     #[must_use]
     pub fn data_folder(&self, position: usize) -> PathBuf {
--- /dev/null
+++ b/crates/jasminefall-testing/tests/requests_at_most_once.rs
@@ -0,0 +1,245 @@
+//! Requests with a key: run at most once, through any entry, whatever fails.
+
+use std::time::Duration;
+
+use jasminefall_testing::backend::FakeBackend;
+use jasminefall_testing::caller::{Call, Told};
+use jasminefall_testing::site::{Site, wait_for};
+use tokio::time::timeout;
+
+const DESIRED: &str = "\
+[fleet]
+name = demo
+[budget.standard]
+[pool.general]
+budget = standard
+[service.render]
+timeout = 20s
+";
+
+fn site(controls: usize, entries: usize) -> Site {
+    let site = Site::new(controls, entries).started();
+    site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
+    site
+}
+
+fn backend(site: &Site, entry: usize) -> FakeBackend {
+    let backend = FakeBackend::start(site.any_port()).unwrap();
+    backend.with_announcements(site.backends(entry), "render")
+}
+
+async fn wait_until_answered(site: &Site, entry: usize) {
+    wait_for("the entry answers", || async {
+        let told = Call::get(site.callers(entry), "/call/render/warm-up").send();
+        told.await.is_ok_and(|told| told.outcome == "answered")
+    })
+    .await;
+}
+
+fn publish(site: &Site, entry: usize, key: &str, query: &str) -> Call {
+    Call::post(
+        site.callers(entry),
+        &format!("/call/render/publish?{query}"),
+        key,
+    )
+}
+
+async fn told(call: Call) -> Told {
+    call.send().await.unwrap()
+}
+
+#[actix_rt::test]
+async fn the_same_key_through_two_entries_at_once_runs_once_and_both_get_the_answer() {
+    let site = site(1, 2);
+    let backend = backend(&site, 0);
+    wait_until_answered(&site, 0).await;
+    wait_until_answered(&site, 1).await;
+    let sends = (0..6).map(|number| told(publish(&site, number % 2, "a", "delay_ms=300")));
+    let answers = futures::future::join_all(sends).await;
+    for answer in &answers {
+        assert_eq!(
+            (answer.outcome.as_str(), &answer.body),
+            ("answered", &answers[0].body)
+        );
+    }
+    assert_eq!(backend.runs.count("a"), 1);
+    let resent = told(publish(&site, 1, "a", "delay_ms=300")).await;
+    assert_eq!(resent.body, answers[0].body);
+    assert_eq!(resent.header("set-cookie"), ["first=1", "second=2"]);
+
+    let other_body = told(publish(&site, 1, "a", "delay_ms=300").with_body("other")).await;
+    assert_eq!(
+        (other_body.outcome.as_str(), other_body.status),
+        ("not-run", 422)
+    );
+    let other_team = publish(&site, 1, "a", "delay_ms=1").with_header("Jasminefall-Team", "b");
+    assert_eq!(told(other_team).await.outcome, "answered");
+    assert_eq!(backend.runs.count("a"), 2);
+
+    let large = || publish(&site, 0, "large", "bytes=100000");
+    assert_eq!(told(large()).await.outcome, "answered");
+    let resent = told(large()).await;
+    assert_eq!(
+        (resent.outcome.as_str(), resent.status),
+        ("answered-not-kept", 410)
+    );
+    assert_eq!(backend.runs.count("large"), 1);
+}
+
+#[actix_rt::test]
+async fn a_request_whose_caller_hung_up_is_recorded_if_it_left_and_gives_way_if_it_did_not() {
+    let site = site(1, 1);
+    let backend = backend(&site, 0);
+    wait_until_answered(&site, 0).await;
+    let sent = publish(&site, 0, "sent", "delay_ms=400").send();
+    assert!(timeout(Duration::from_millis(150), sent).await.is_err());
+    let busy: Vec<_> = (0..8)
+        .map(|number| {
+            let path = format!("/call/render/busy?delay_ms=1500&n={number}");
+            actix_rt::spawn(Call::get(site.callers(0), &path).send())
+        })
+        .collect();
+    wait_for("every slot is taken", || async {
+        let runs = backend.runs.all();
+        runs.iter()
+            .filter(|run| run.path.starts_with("/busy"))
+            .count()
+            >= 7
+    })
+    .await;
+    let queued = publish(&site, 0, "queued", "").send();
+    assert!(timeout(Duration::from_millis(150), queued).await.is_err());
+    for call in busy {
+        assert_eq!(call.await.unwrap().unwrap().outcome, "answered");
+    }
+    assert_eq!(
+        told(publish(&site, 0, "sent", "delay_ms=400"))
+            .await
+            .outcome,
+        "answered"
+    );
+    assert_eq!(backend.runs.count("sent"), 1);
+    assert_eq!(backend.runs.count("queued"), 0);
+    assert_eq!(
+        told(publish(&site, 0, "queued", "")).await.outcome,
+        "answered"
+    );
+    assert_eq!(backend.runs.count("queued"), 1);
+}
+
+#[actix_rt::test]
+async fn a_claim_that_found_no_slot_is_given_back() {
+    let site = site(1, 1);
+    wait_for("the request is refused for want of a slot", || async {
+        let told = publish(&site, 0, "a", "").with_timeout_ms(200).send().await;
+        told.is_ok_and(|told| told.outcome == "not-run" && told.body.contains("free in time"))
+    })
+    .await;
+    let backend = backend(&site, 0);
+    wait_until_answered(&site, 0).await;
+    let again = told(publish(&site, 0, "a", "")).await;
+    assert_eq!(again.outcome, "answered");
+    assert_eq!(backend.runs.count("a"), 1);
+}
+
+#[actix_rt::test]
+async fn a_key_whose_entry_crashed_or_was_paused_is_not_run_again() {
+    let mut site = site(1, 2);
+    let backend = backend(&site, 1);
+    wait_until_answered(&site, 0).await;
+    wait_until_answered(&site, 1).await;
+    let crashed = || publish(&site, 0, "crashed", "delay_ms=600").with_timeout_ms(700);
+    let lost = actix_rt::spawn(crashed().send());
+    wait_for("the request runs", || async {
+        backend.runs.count("crashed") == 1
+    })
+    .await;
+    site.kill_entry(0);
+    assert!(lost.await.unwrap().is_err());
+    site.start_entry(0);
+    wait_until_answered(&site, 0).await;
+
+    // Every slot is taken, so that the claimed request waits while its entry is paused.
+    let busy = (0..16).map(|number| {
+        let path = format!("/call/render/busy?delay_ms=2500&n={number}");
+        actix_rt::spawn(Call::get(site.callers(number % 2), &path).send())
+    });
+    let _busy: Vec<_> = busy.collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let paused = || publish(&site, 0, "paused", "").with_timeout_ms(1_000);
+    let waiting = actix_rt::spawn(paused().send());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.signal_entry(0, "STOP");
+    for key in ["crashed", "paused"] {
+        let query = if key == "crashed" { "delay_ms=600" } else { "" };
+        let given_up = told(publish(&site, 1, key, query).with_timeout_ms(15_000)).await;
+        assert_eq!(given_up.outcome, "may-have-run", "{key}");
+    }
+    site.signal_entry(0, "CONT");
+    let late = waiting.await.unwrap().unwrap();
+    assert_ne!(late.outcome, "answered");
+    wait_until_answered(&site, 0).await;
+    assert_eq!(backend.runs.count("crashed"), 1);
+    assert_eq!(backend.runs.count("paused"), 0);
+}
+
+#[actix_rt::test]
+async fn without_a_quorum_a_claim_is_refused_as_not_run_and_idempotent_requests_go_on() {
+    let mut site = site(3, 1);
+    let backend = backend(&site, 0);
+    wait_until_answered(&site, 0).await;
+    site.kill_control(1);
+    site.kill_control(2);
+    let refused = told(publish(&site, 0, "a", "")).await;
+    assert_eq!((refused.outcome.as_str(), refused.status), ("not-run", 503));
+    assert_eq!(refused.header("retry-after"), ["1"]);
+    assert_eq!(backend.runs.count("a"), 0);
+    site.start_control(1);
+    wait_for("the same key runs", || async {
+        let told = publish(&site, 0, "a", "").send().await;
+        told.is_ok_and(|told| told.outcome == "answered")
+    })
+    .await;
+    assert_eq!(backend.runs.count("a"), 1);
+}
+
+#[actix_rt::test]
+async fn a_stop_fails_readiness_first_and_cuts_no_request() {
+    let mut site = Site::new(1, 1);
+    site.edit_entry(0, |text| text + "stop_delay = 1s\n");
+    site = site.started();
+    site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
+    let backend = backend(&site, 0);
+    wait_until_answered(&site, 0).await;
+    let before = actix_rt::spawn(publish(&site, 0, "before", "delay_ms=2500").send());
+    wait_for("the request runs", || async {
+        backend.runs.count("before") == 1
+    })
+    .await;
+    site.signal_entry(0, "TERM");
+    wait_for("readiness fails", || async {
+        let told = Call::get(site.callers(0), "/ready").send().await;
+        told.is_ok_and(|told| told.status == 503)
+    })
+    .await;
+    let during = told(publish(&site, 0, "during", "")).await;
+    assert_eq!(
+        during.outcome, "answered",
+        "the listener stays until the balancer has moved"
+    );
+    assert_eq!(before.await.unwrap().unwrap().outcome, "answered");
+    let mut ended = None;
+    for _ in 0..1_000 {
+        ended = site.ended_entry(0);
+        if ended.is_some() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+    site.start_entry(0);
+    wait_until_answered(&site, 0).await;
+    let resent = told(publish(&site, 0, "before", "delay_ms=2500")).await;
+    assert_eq!(resent.outcome, "answered");
+    assert_eq!(backend.runs.count("before"), 1);
+}
