--- a/crates/jasminefall-entry/src/edge/callers.rs
+++ b/crates/jasminefall-entry/src/edge/callers.rs
@@ -108,10 +108,10 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let (service, operation) = path.into_inner();
-    let outcome = match outcome(&thread, &request, service, &operation, payload).await {
-        Ok(outcome) => outcome,
-        Err(reason) => Outcome::NotRun(reason),
-    };
+    let team = preparing::declared_team(&thread.shared, &request);
+    let asked = outcome(&thread, &request, service.clone(), &operation, payload).await;
+    let outcome = asked.unwrap_or_else(Outcome::NotRun);
+    thread.shared.recorder().note(service, team, &outcome);
     let mut response = outcome.into_response();
     if thread.shared.is_stopping() {
         response
--- a/crates/jasminefall-entry/src/edge/preparing.rs
+++ b/crates/jasminefall-entry/src/edge/preparing.rs
@@ -42,6 +42,14 @@
     declared.cloned().ok_or(NotRun::UnknownService)
 }
 
+/// Returns the team that a request names, or the empty one where it is not declared.
+pub(super) fn declared_team(shared: &Shared, request: &HttpRequest) -> TeamId {
+    let team = TeamId::new(header(request, TEAM_HEADER).unwrap_or_default());
+    let desired = shared.configuration().in_force(monotonic_ms());
+    let declared = desired.is_some_and(|desired| desired.teams.contains_key(&team));
+    if declared { team } else { TeamId::default() }
+}
+
 /// Returns when the answer is no longer of use.
 pub(super) fn deadline(
     request: &HttpRequest,
--- a/crates/jasminefall-entry/src/main.rs
+++ b/crates/jasminefall-entry/src/main.rs
@@ -16,6 +16,7 @@
 //! - [`headers`]: which headers are passed on
 //! - [`retry_budget`]: how many retries are allowed
 //! - [`outcome`]: the outcomes of a request
+//! - [`recorder`]: counts for the report on service-level burn
 //! - [`stop`]: the graceful stop
 //! - [`edge`]: what callers and backend servers speak
 
@@ -29,6 +30,7 @@
 mod forward;
 mod headers;
 mod outcome;
+mod recorder;
 mod renewal;
 mod requests;
 mod retry_budget;
@@ -92,6 +94,7 @@
         child("exchange", &shared, exchange::run),
         child("peer-listener", &shared, exchange::serve),
         child("sweeper", &shared, dispatch::sweep),
+        child("recorder", &shared, recorder::run),
     ])
     .start();
     let servers = [
--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
+use crate::recorder::Recorder;
 use crate::settings::Settings;
 
 /// Holds what the threads of an entry share.
@@ -20,6 +21,7 @@
     dispatch: Mutex<Dispatch>,
     stopping: AtomicBool,
     unfinished: AtomicU64,
+    recorder: Mutex<Recorder>,
 }
 
 impl Shared {
@@ -32,6 +34,7 @@
             dispatch: Mutex::default(),
             stopping: AtomicBool::new(false),
             unfinished: AtomicU64::new(0),
+            recorder: Mutex::default(),
         }
     }
 
@@ -52,6 +55,11 @@
         self.dispatch.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the counts of what became of requests.
+    pub(crate) fn recorder(&self) -> MutexGuard<'_, Recorder> {
+        self.recorder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether a stop has been asked for.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
