--- a/crates/jasminefall-state/src/command.rs
+++ b/crates/jasminefall-state/src/command.rs
@@ -3,7 +3,7 @@
 use jasminefall_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::claims::{ClaimRequest, RecordedAnswer};
+use crate::claims::{ClaimRelease, ClaimRequest, RecordedAnswer};
 use crate::configuration::ApplyRequest;
 use crate::jobs::{JobRequest, Placement, TaskReport};
 use crate::service_levels::ObservationBatch;
@@ -38,4 +38,6 @@
     Cancel(Vec<JobId>),
     /// Takes what an entry counted of its requests.
     Observe(ObservationBatch),
+    /// Gives back claims of requests that did not run.
+    Release(Vec<ClaimRelease>),
 }
