--- a/crates/jasminefall-testing/src/usage.rs
+++ b/crates/jasminefall-testing/src/usage.rs
@@ -1,6 +1,8 @@
-//! What a process costs, as the kernel counts it.
+//! What processes cost, as the kernel counts it.
 
+use std::collections::BTreeMap;
 use std::fs;
+use std::process::Command;
 
 /// The length of one tick of the kernel's processor accounting, in milliseconds.
 const TICK_MS: u64 = 10;
@@ -16,12 +18,26 @@
     pub cpu_ms: u64,
     /// The resident memory in bytes.
     pub memory_bytes: u64,
+    /// The bytes sent and received on the TCP connections that are open now.
+    pub traffic_bytes: u64,
 }
 
 impl Usage {
-    /// Returns what a process has used; none where it does not run.
+    /// Returns what each process has used; nothing for one that does not run.
     #[must_use]
-    pub fn of(process: u32) -> Option<Self> {
+    pub fn of_all(processes: &[u32]) -> Vec<Self> {
+        let traffic = traffic_by_process();
+        let one = |process: &u32| {
+            let traffic_bytes = traffic.get(process).copied().unwrap_or_default();
+            Self {
+                traffic_bytes,
+                ..Self::of(*process).unwrap_or_default()
+            }
+        };
+        processes.iter().map(one).collect()
+    }
+
+    fn of(process: u32) -> Option<Self> {
         let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
         let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
         let ticks = |field: usize| fields.get(field)?.parse::<u64>().ok();
@@ -31,6 +47,34 @@
         Some(Self {
             cpu_ms,
             memory_bytes: pages * PAGE_BYTES,
+            traffic_bytes: 0,
         })
     }
 }
+
+/// Returns the bytes of each process's open TCP connections, as `ss` lists them.
+fn traffic_by_process() -> BTreeMap<u32, u64> {
+    let mut traffic = BTreeMap::new();
+    let Ok(output) = Command::new("ss").args(["-tinpOH"]).output() else {
+        return traffic;
+    };
+    for line in String::from_utf8_lossy(&output.stdout).lines() {
+        let Some(process) = number_after(line, "pid=") else {
+            continue;
+        };
+        let sent = number_after(line, "bytes_sent:").unwrap_or_default();
+        let received = number_after(line, "bytes_received:").unwrap_or_default();
+        if let Ok(process) = u32::try_from(process) {
+            *traffic.entry(process).or_default() += sent + received;
+        }
+    }
+    traffic
+}
+
+fn number_after(line: &str, label: &str) -> Option<u64> {
+    let rest = line.split_once(label)?.1;
+    let digits = rest
+        .find(|character: char| !character.is_ascii_digit())
+        .unwrap_or(rest.len());
+    rest[..digits].parse().ok()
+}
