feat(core): judge the desired state as a whole, every fault at once

Cause: only references were judged; a syntax fault hid all others; the INI library reads a backslash at the end of a line as its continuation (proptest: key `a = !\\` lost its backslash and would have swallowed the next line). Change: the lines are read here, with every fault of form beside those of the whole: unknown references, cycles of waves, an instance declared twice (two pools), budgets that cannot hold, waves that cannot finish, quotas over capacity, values and names out of range, hidden characters, objects in use. Differences between two texts, object by object.

--- a/crates/jasminefall-core/src/desired.rs
+++ b/crates/jasminefall-core/src/desired.rs
@@ -5,6 +5,8 @@
 //! once.
 
 mod check;
+pub mod difference;
+pub mod in_use;
 mod read;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,7 +14,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::ids::{DataCentreId, EntryId, InstanceId, PoolId, RackId, ServiceId, TeamId};
+pub use difference::{KeyChange, ObjectChange, ObjectChangeKind, differences};
+pub use in_use::InUse;
+
+use crate::ids::{DataCentreId, EntryId, InstanceId, PoolId, RackId, ServiceId, TeamId, WaveId};
 use crate::problem::Problems;
 use crate::units::{Bytes, DurationMs, MilliCores};
 
@@ -36,6 +41,8 @@
     pub instances: BTreeMap<InstanceId, InstanceDeclaration>,
     /// The teams by name.
     pub teams: BTreeMap<TeamId, TeamDeclaration>,
+    /// The maintenance waves by name.
+    pub waves: BTreeMap<WaveId, WaveDeclaration>,
 }
 
 /// Describes the site as a whole.
@@ -87,6 +94,8 @@
     pub max_unavailable: u64,
     /// Whether the pool's buffer must outlast the loss of a whole data centre.
     pub survive_data_centre: bool,
+    /// Whether the budget must hold when a whole rack is lost.
+    pub survive_rack: bool,
 }
 
 /// Declares an instance.
@@ -115,6 +124,17 @@
     pub weight: u64,
 }
 
+/// Declares a maintenance wave.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct WaveDeclaration {
+    /// The pools that the wave goes through, in this order.
+    pub pools: Vec<PoolId>,
+    /// The most instances that the wave stops at once.
+    pub max_parallel: u64,
+    /// The waves that must be complete before this one starts.
+    pub after: Vec<WaveId>,
+}
+
 impl DesiredState {
     /// Reads a desired state and judges the whole of it.
     ///
@@ -122,8 +142,31 @@
     ///
     /// Returns every fault at once, each with its place and remedy.
     pub fn parse(file: &str, text: &str) -> Result<Self, Problems> {
-        let (desired, mut problems, places) = read::read(file, text)?;
+        let (desired, mut problems, places) = read::read(file, text);
+        check::check(&desired, &places, &mut problems);
+        problems.sort();
+        problems.into_result(desired)
+    }
+
+    /// Reads a desired state and judges it as the successor of what is used now.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault at once, those of removing what is in use included.
+    pub fn parse_successor(file: &str, text: &str, in_use: &InUse) -> Result<Self, Problems> {
+        let (desired, mut problems, places) = read::read(file, text);
         check::check(&desired, &places, &mut problems);
+        in_use::check(&desired, in_use, file, &mut problems);
+        problems.sort();
         problems.into_result(desired)
     }
+
+    /// Reads the objects of a text that was judged when it was published, without judging it again.
+    ///
+    /// What cannot be read is left out, so that every replica gets the same objects from the same
+    /// text even where the rules of the whole have become stricter since.
+    #[must_use]
+    pub fn read_published(text: &str) -> Self {
+        read::read(DESIRED_STATE_FILE, text).0
+    }
 }
--- /dev/null
+++ b/crates/jasminefall-core/src/desired/check/budgets.rs
@@ -0,0 +1,66 @@
+//! Judges whether availability budgets can hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::pool_sizes;
+use crate::desired::read::Places;
+use crate::desired::{Budget, DesiredState};
+use crate::ids::{PoolId, RackId};
+use crate::problem::Problems;
+
+/// Adds a fault for each pool whose budget cannot hold.
+pub(super) fn check(desired: &DesiredState, places: &Places, problems: &mut Problems) {
+    let sizes = pool_sizes(desired);
+    for (name, pool) in &desired.pools {
+        let Some(budget) = desired.budgets.get(&pool.budget) else {
+            continue;
+        };
+        let size = sizes.get(name).copied().unwrap_or_default();
+        let place = places.of("pool", name, "budget");
+        // A pool of one instance can be maintained only by stopping it, so a budget of one is meant.
+        if size > 1 && budget.max_unavailable >= size {
+            let message = format!(
+                "the budget lets all {size} instances be unavailable at once (max_unavailable is {})",
+                budget.max_unavailable
+            );
+            let remedy = "lower max_unavailable below the size of the pool";
+            problems.add(place.clone(), message, remedy);
+        }
+        if let Some((message, remedy)) = unsurvivable(desired, name, budget) {
+            problems.add(place, message, remedy);
+        }
+    }
+}
+
+/// Returns why a pool cannot outlast a loss that its budget wants it to outlast.
+fn unsurvivable(
+    desired: &DesiredState,
+    pool: &PoolId,
+    budget: &Budget,
+) -> Option<(String, &'static str)> {
+    let members = || {
+        let instances = desired.instances.values();
+        instances.filter(|instance| instance.pool == *pool)
+    };
+    let data_centres: BTreeSet<_> = members().map(|instance| &instance.data_centre).collect();
+    if budget.survive_data_centre && data_centres.len() == 1 {
+        let message = "the pool must survive a data centre but stands in one only".to_owned();
+        return Some((
+            message,
+            "spread its instances over two data centres or more",
+        ));
+    }
+    let mut racks: BTreeMap<&RackId, u64> = BTreeMap::new();
+    members().for_each(|instance| *racks.entry(&instance.rack).or_insert(0) += 1);
+    let (rack, count) = racks.into_iter().max_by_key(|(_, count)| *count)?;
+    (budget.survive_rack && count > budget.max_unavailable).then(|| {
+        let message = format!(
+            "the rack `{rack}` holds {count} of the pool, the budget survives the loss of {}",
+            budget.max_unavailable
+        );
+        (
+            message,
+            "spread the pool over more racks or raise max_unavailable",
+        )
+    })
+}
--- a/crates/jasminefall-core/src/desired/read.rs
+++ b/crates/jasminefall-core/src/desired/read.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Budget, DesiredState, EntryDeclaration, Fleet, InstanceDeclaration, PoolDeclaration,
-    ServiceDeclaration, TeamDeclaration,
+    ServiceDeclaration, TeamDeclaration, WaveDeclaration,
 };
 use crate::document::{Document, Section};
 use crate::problem::{Place, Problems};
@@ -20,7 +20,11 @@
 const DEFAULT_MAX_UNAVAILABLE: u64 = 1;
 const DEFAULT_CPU_MCORES: MilliCores = MilliCores::new(16_000);
 const DEFAULT_MEMORY_BYTES: Bytes = Bytes::new(32 << 30);
-const KINDS: [&str; 6] = ["entry", "service", "pool", "budget", "instance", "team"];
+const DEFAULT_MAX_PARALLEL: u64 = 1;
+const MAX_NAME_BYTES: usize = 128;
+const KINDS: [&str; 7] = [
+    "entry", "service", "pool", "budget", "instance", "team", "wave",
+];
 
 /// Remembers where each key of each section stands.
 #[derive(Debug, Default)]
@@ -31,18 +35,29 @@
 impl Places {
     /// Returns the place of a key of the object `kind.name`.
     pub(super) fn of(&self, kind: &str, name: impl Display, key: &str) -> Place {
+        self.of_section(&format!("{kind}.{name}"), key)
+    }
+
+    /// Returns the place of a key of a section.
+    pub(super) fn of_section(&self, section: &str, key: &str) -> Place {
+        let section = self.sections.get(section);
+        section
+            .map(|section| section.place(key))
+            .unwrap_or_default()
+    }
+
+    /// Returns whether the object `kind.name` gives a key rather than leaving it to its default.
+    pub(super) fn gives(&self, kind: &str, name: impl Display, key: &str) -> bool {
         let section = format!("{kind}.{name}");
         self.sections
             .get(section.as_str())
-            .map(|section| section.place(key))
-            .unwrap_or_default()
+            .is_some_and(|section| section.text(key).is_some())
     }
 }
 
 /// Reads the objects; faults of form are returned beside what could be read.
-pub(super) fn read(file: &str, text: &str) -> Result<(DesiredState, Problems, Places), Problems> {
-    let document = Document::parse(file, text)?;
-    let mut problems = Problems::new();
+pub(super) fn read(file: &str, text: &str) -> (DesiredState, Problems, Places) {
+    let (document, mut problems) = Document::read(file, text);
     refuse_unknown_sections(&document, &mut problems);
     let desired = DesiredState {
         fleet: read_fleet(file, &document, &mut problems),
@@ -52,17 +67,13 @@
         budgets: read_all(&document, "budget", &mut problems, read_budget),
         instances: read_all(&document, "instance", &mut problems, read_instance),
         teams: read_all(&document, "team", &mut problems, read_team),
+        waves: read_all(&document, "wave", &mut problems, read_wave),
     };
     let sections = document
         .sections()
         .map(|section| (section.name().into(), section.clone()));
-    Ok((
-        desired,
-        problems,
-        Places {
-            sections: sections.collect(),
-        },
-    ))
+    let sections = sections.collect();
+    (desired, problems, Places { sections })
 }
 
 fn refuse_unknown_sections(document: &Document, problems: &mut Problems) {
@@ -81,9 +92,25 @@
             );
             problems.add(section.place(""), "the section is unknown", remedy);
         }
+        refuse_bad_name(section, problems);
     }
 }
 
+fn refuse_bad_name(section: &Section, problems: &mut Problems) {
+    let (_, name) = section.name().split_once('.').unwrap_or_default();
+    let message = if name.len() > MAX_NAME_BYTES {
+        format!("the name is {} bytes long", name.len())
+    } else if name.trim() != name {
+        "the name has blanks around it".to_owned()
+    } else if name.contains([',', '/']) {
+        "the name holds a comma or a slash".to_owned()
+    } else {
+        return;
+    };
+    let remedy = format!("use at most {MAX_NAME_BYTES} bytes without comma, slash or outer blanks");
+    problems.add(section.place(""), message, remedy);
+}
+
 fn read_all<K, T>(
     document: &Document,
     kind: &str,
@@ -167,10 +194,14 @@
 }
 
 fn read_budget(section: &Section, problems: &mut Problems) -> Budget {
-    section.refuse_unknown(&["max_unavailable", "survive_data_centre"], problems);
+    section.refuse_unknown(
+        &["max_unavailable", "survive_data_centre", "survive_rack"],
+        problems,
+    );
     Budget {
         max_unavailable: section.read_or("max_unavailable", DEFAULT_MAX_UNAVAILABLE, problems),
         survive_data_centre: section.read_or("survive_data_centre", false, problems),
+        survive_rack: section.read_or("survive_rack", false, problems),
     }
 }
 
@@ -207,3 +238,12 @@
         weight: section.read_or("weight", 1, problems),
     }
 }
+
+fn read_wave(section: &Section, problems: &mut Problems) -> WaveDeclaration {
+    section.refuse_unknown(&["pools", "max_parallel", "after"], problems);
+    WaveDeclaration {
+        pools: section.read_list("pools", problems),
+        max_parallel: section.read_or("max_parallel", DEFAULT_MAX_PARALLEL, problems),
+        after: section.read_list("after", problems),
+    }
+}
--- a/crates/jasminefall-core/src/document.rs
+++ b/crates/jasminefall-core/src/document.rs
@@ -1,18 +1,20 @@
 //! INI text with the line of every key.
 //!
-//! The text is read by the `rust-ini` library with quotes and escapes off. What that library lets
-//! pass silently (a key given twice, a section given twice, a key outside of sections) is reported
-//! here as a fault.
+//! Values are kept as written, quotes and backslashes included. A line that is no section, no key
+//! and no comment, a key given twice, a section given twice and a key outside of sections are faults.
+//! The usual libraries let some of these pass and read a backslash at the end of a line as its
+//! continuation, which is why the lines are read here.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
 use std::str::FromStr;
 
-use ini::{Ini, ParseOption};
 use smol_str::SmolStr;
 
 use crate::problem::{Place, Problems};
 
+const SYNTAX_REMEDY: &str = "write sections as [name] and keys as `key = value`, one a line";
+
 /// Holds one key's value with its line.
 #[derive(Debug, Clone)]
 struct Value {
@@ -20,7 +22,7 @@
     line: u32,
 }
 
-/// Holds one section of a document and remembers which keys were asked for.
+/// Holds one section of a document.
 #[derive(Debug, Clone, Default)]
 pub struct Section {
     file: SmolStr,
@@ -44,63 +46,44 @@
     /// Returns every fault of form: broken syntax, a key outside of sections, repeated sections and
     /// repeated keys.
     pub fn parse(file: &str, text: &str) -> Result<Self, Problems> {
-        let text = text.trim_start_matches('\u{feff}').replace("\r\n", "\n");
-        let option = ParseOption {
-            enabled_quote: false,
-            enabled_escape: false,
-            ..ParseOption::default()
-        };
-        let parsed =
-            Ini::load_from_str_opt(&text, option).map_err(|error| syntax_problem(file, &error))?;
-        let lines = Lines::new(&text);
+        let (document, problems) = Self::read(file, text);
+        problems.into_result(document)
+    }
+
+    /// Reads what can be read of a text, beside every fault of form.
+    #[must_use]
+    pub fn read(file: &str, text: &str) -> (Self, Problems) {
+        let text = text.trim_start_matches('\u{feff}');
         let mut problems = Problems::new();
-        let mut sections: Vec<Section> = Vec::new();
-        for (name, properties) in &parsed {
-            let name = SmolStr::new(name.unwrap_or_default());
-            if name.is_empty() {
-                for (key, _) in properties.iter() {
-                    problems.add(
-                        Place {
-                            file: file.into(),
-                            line: lines.key("", key, 0),
-                            section: name.clone(),
-                            key: key.into(),
-                        },
-                        "the key stands before the first section",
-                        "move it under a section such as [fleet]",
-                    );
+        let mut names = BTreeSet::new();
+        let mut sections = vec![Section::new(file, SmolStr::default(), 0)];
+        for (line, row) in (1..).zip(text.lines()) {
+            match Row::read(row) {
+                Ok(Row::Blank) => {}
+                Ok(Row::Section(name)) => {
+                    let section = Section::new(file, name.clone(), line);
+                    if !names.insert(name) {
+                        let remedy = "merge it with the first one or give it another name";
+                        problems.add(section.place(""), "the section is given twice", remedy);
+                    }
+                    sections.push(section);
                 }
-                continue;
-            }
-            let line = lines.section(&name);
-            let mut section = Section {
-                file: file.into(),
-                name: name.clone(),
-                line,
-                values: BTreeMap::new(),
-            };
-            if lines.section_count(&name) > 1 {
-                problems.add(
-                    section.place(""),
-                    "the section is given twice",
-                    "merge the two sections into one",
-                );
-            }
-            for (key, text) in properties.iter() {
-                let line = lines.key(&name, key, 0);
-                let value = Value {
-                    text: text.into(),
-                    line,
-                };
-                if section.values.insert(key.into(), value).is_some() {
-                    let mut place = section.place(key);
-                    place.line = lines.key(&name, key, 1);
-                    problems.add(place, "the key is given twice", "keep one of the two");
+                Ok(Row::Key(key, text)) => {
+                    if let Some(section) = sections.last_mut() {
+                        section.insert(key, Value { text, line }, &mut problems);
+                    }
+                }
+                Err(message) => {
+                    problems.add(text_place(file, line), message, SYNTAX_REMEDY);
                 }
             }
-            sections.push(section);
         }
-        problems.into_result(Self { sections })
+        let stray = sections.remove(0);
+        stray.report_stray_keys(&mut problems);
+        // Of a section that is given twice the first one counts.
+        let mut kept = BTreeSet::new();
+        sections.retain(|section| kept.insert(section.name.clone()));
+        (Self { sections }, problems)
     }
 
     /// Returns the section with exactly this name.
@@ -127,6 +110,36 @@
 }
 
 impl Section {
+    fn new(file: &str, name: SmolStr, line: u32) -> Self {
+        Self {
+            file: file.into(),
+            name,
+            line,
+            values: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a key; of one that is given twice the first value counts.
+    fn insert(&mut self, key: SmolStr, value: Value, problems: &mut Problems) {
+        if self.values.contains_key(&key) {
+            let mut place = self.place(&key);
+            place.line = value.line;
+            problems.add(place, "the key is given twice", "keep one of the two");
+            return;
+        }
+        self.values.insert(key, value);
+    }
+
+    fn report_stray_keys(&self, problems: &mut Problems) {
+        for key in self.values.keys() {
+            problems.add(
+                self.place(key),
+                "the key stands before the first section",
+                "move it under a section such as [fleet]",
+            );
+        }
+    }
+
     /// Returns the name of the section.
     #[must_use]
     pub fn name(&self) -> &str {
@@ -234,69 +247,52 @@
     }
 }
 
-/// Finds the lines of sections and keys in a text.
-struct Lines<'text> {
-    rows: Vec<(u32, &'text str, Option<&'text str>)>,
+/// Tells the kinds of lines apart.
+enum Row {
+    Blank,
+    Section(SmolStr),
+    Key(SmolStr, SmolStr),
 }
 
-impl<'text> Lines<'text> {
-    fn new(text: &'text str) -> Self {
-        let mut rows = Vec::new();
-        let mut section = "";
-        for (number, row) in (1..).zip(text.lines()) {
-            let row = row.trim();
-            if let Some(name) = row
-                .strip_prefix('[')
-                .and_then(|rest| rest.split(']').next())
-            {
-                section = name.trim();
-                rows.push((number, section, None));
-            } else if let Some((key, _)) = row
-                .split_once(['=', ':'])
-                .filter(|_| !row.starts_with(['#', ';']))
-            {
-                rows.push((number, section, Some(key.trim())));
-            }
+impl Row {
+    fn read(row: &str) -> Result<Self, &'static str> {
+        if row.chars().any(is_forbidden) {
+            return Err("the line holds a control character");
         }
-        Self { rows }
-    }
-
-    fn section(&self, name: &str) -> u32 {
-        self.rows
-            .iter()
-            .find(|row| row.1 == name && row.2.is_none())
-            .map_or(0, |row| row.0)
-    }
-
-    fn section_count(&self, name: &str) -> usize {
-        self.rows
-            .iter()
-            .filter(|row| row.1 == name && row.2.is_none())
-            .count()
+        let row = row.trim();
+        if row.is_empty() || row.starts_with(['#', ';']) {
+            return Ok(Self::Blank);
+        }
+        if let Some(rest) = row.strip_prefix('[') {
+            let name = rest.strip_suffix(']').filter(|name| !name.contains(']'));
+            let name = name.ok_or("the section name is not closed at the end of the line")?;
+            let is_plain = !name.is_empty() && name.trim() == name;
+            return is_plain
+                .then(|| Self::Section(name.into()))
+                .ok_or("the section name is empty or has blanks around it");
+        }
+        let (key, value) = row
+            .split_once(['=', ':'])
+            .ok_or("the line is neither a section nor a key with a value")?;
+        let key = key.trim();
+        (!key.is_empty())
+            .then(|| Self::Key(key.into(), value.trim().into()))
+            .ok_or("the key is empty")
     }
+}
 
-    fn key(&self, section: &str, key: &str, repeat: usize) -> u32 {
-        let mut found = self
-            .rows
-            .iter()
-            .filter(|row| row.1 == section && row.2 == Some(key));
-        found.nth(repeat).map_or(0, |row| row.0)
-    }
+/// Returns whether a character could hide what a line says.
+fn is_forbidden(character: char) -> bool {
+    let is_control = character.is_control() && character != '\t';
+    let reorders = matches!(character, '\u{202a}'..='\u{202e}' | '\u{2066}'..='\u{2069}');
+    let is_invisible = matches!(character, '\u{200b}' | '\u{feff}' | '\u{2028}' | '\u{2029}');
+    is_control || reorders || is_invisible
 }
 
-/// Turns a syntax error of the library into a fault.
-fn syntax_problem(file: &str, error: &ini::ParseError) -> Problems {
-    let mut problems = Problems::new();
-    let line = u32::try_from(error.line + 1).unwrap_or_default();
-    let place = Place {
+fn text_place(file: &str, line: u32) -> Place {
+    Place {
         file: file.into(),
         line,
         ..Place::default()
-    };
-    problems.add(
-        place,
-        error.msg.clone().into_owned(),
-        "write sections as [name] and keys as `key = value`",
-    );
-    problems
+    }
 }
--- a/crates/jasminefall-core/src/prelude.rs
+++ b/crates/jasminefall-core/src/prelude.rs
@@ -1,8 +1,8 @@
 //! The types that nearly every file needs.
 
 pub use crate::desired::{
-    Budget, DesiredState, EntryDeclaration, InstanceDeclaration, PoolDeclaration,
-    ServiceDeclaration, TeamDeclaration,
+    Budget, DesiredState, EntryDeclaration, InUse, InstanceDeclaration, ObjectChange,
+    PoolDeclaration, ServiceDeclaration, TeamDeclaration, WaveDeclaration,
 };
 pub use crate::document::Document;
 pub use crate::ids::{
--- a/crates/jasminefall-core/src/problem.rs
+++ b/crates/jasminefall-core/src/problem.rs
@@ -72,6 +72,12 @@
         });
     }
 
+    /// Puts the faults in the order of the text, each once.
+    pub fn sort(&mut self) {
+        self.list.sort();
+        self.list.dedup();
+    }
+
     /// Returns `value` when nothing was found, the faults otherwise.
     ///
     /// # Errors
