feat(state): publish by compare-and-set alone, within bounds

Cause: apply judged the text inside the replicated state machine, so replicas of two program versions could differ; history and answers grew without end; on an empty site any base was taken, so a change whose answer is forgotten could have been published twice. Change: apply compares base, name and digest only; the objects are derived from the text and not stored; 500 versions within 4 MiB beside the latest and 4,000 answers are kept, the oldest go first; a change's name stands for one text and base.

--- a/crates/jasminefall-state/src/cluster.rs
+++ b/crates/jasminefall-state/src/cluster.rs
@@ -69,6 +69,8 @@
     ///
     /// Returns an error where the bytes are not a state of this version of the program.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        let mut state: Self = postcard::from_bytes(bytes)?;
+        state.configuration.derive();
+        Ok(state)
     }
 }
--- a/crates/jasminefall-state/src/configuration.rs
+++ b/crates/jasminefall-state/src/configuration.rs
@@ -1,14 +1,32 @@
 //! Published versions of the desired state.
+//!
+//! Publishing is compare-and-set on the version that a text was written against. The text is judged
+//! before it is proposed, by the leader alone: what stands here only compares versions and names, so
+//! that replicas of different program versions cannot come to different outcomes. The objects are
+//! derived from the latest text and never stored.
+//!
+//! A change is published at most once even after its answer has been forgotten: its base is then an
+//! older version for good, because versions only grow.
+
+mod answers;
+mod history;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use jasminefall_core::desired::DESIRED_STATE_FILE;
 use jasminefall_core::prelude::*;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
+use self::answers::Answers;
+pub use self::answers::MAX_ANSWERS;
+use self::history::History;
+pub use self::history::{MAX_HISTORY_BYTES, MAX_HISTORY_VERSIONS};
 use crate::outcome::{Outcome, Refusal};
 
+/// For how long an entry that is declared no longer is remembered; far longer than any lease.
+const RETIRED_KEPT_MS: u64 = 3_600_000;
+
 /// Asks for a desired state to be published.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ApplyRequest {
@@ -22,6 +40,16 @@
     pub text: String,
 }
 
+impl ApplyRequest {
+    /// Returns the hash of what is asked, by which a reuse of the change's name is told from a resend.
+    fn digest(&self) -> [u8; 32] {
+        let mut hash = Sha256::new();
+        hash.update(self.base.get().to_le_bytes());
+        hash.update(self.text.as_bytes());
+        hash.finalize().into()
+    }
+}
+
 /// Holds one published version.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Published {
@@ -33,22 +61,26 @@
     pub at_ms: u64,
     /// The INI text.
     pub text: Arc<str>,
+    /// The change that published it.
+    pub change: ChangeId,
 }
 
 /// Holds the published versions and what each change was answered.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Configuration {
-    history: Vec<Published>,
-    answers: BTreeMap<ChangeId, Outcome>,
+    history: History,
+    answers: Answers,
+    /// The entries that are declared no longer, with the time of their removal.
+    retired_entries: BTreeMap<EntryId, u64>,
+    #[serde(skip)]
     desired: Arc<DesiredState>,
 }
 
 impl Configuration {
-    /// Returns the version in force.
+    /// Returns the latest published version.
     #[must_use]
     pub fn version(&self) -> Version {
-        self.history
-            .last()
+        self.latest()
             .map(|published| published.version)
             .unwrap_or_default()
     }
@@ -56,56 +88,97 @@
     /// Returns the latest published text with its origin.
     #[must_use]
     pub fn latest(&self) -> Option<&Published> {
-        self.history.last()
+        self.history.latest()
     }
 
     /// Returns the objects of the latest version.
     #[must_use]
-    pub fn desired(&self) -> &Arc<DesiredState> {
+    pub const fn desired(&self) -> &Arc<DesiredState> {
         &self.desired
     }
 
-    /// Returns every version kept, oldest first.
+    /// Returns the versions kept, oldest first.
+    #[must_use]
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &Published> {
+        self.history.iter()
+    }
+
+    /// Returns a version if it is still kept.
+    #[must_use]
+    pub fn published(&self, version: Version) -> Option<&Published> {
+        self.history.get(version)
+    }
+
+    /// Returns the entries that were declared in the last hour and are declared no longer.
     #[must_use]
-    pub fn history(&self) -> &[Published] {
-        &self.history
+    pub fn retired_entries(&self) -> impl Iterator<Item = &EntryId> {
+        self.retired_entries.keys()
     }
 
-    /// Publishes a desired state if it holds as a whole and was written against the latest version.
+    /// Returns what a change was answered, if it is remembered.
+    #[must_use]
+    pub fn answer(&self, request: &ApplyRequest) -> Option<Outcome> {
+        self.answers.get(&request.change, &request.digest())
+    }
+
+    /// Publishes a judged text if it was written against the latest version.
     pub fn apply(&mut self, now_ms: u64, request: ApplyRequest) -> Outcome {
-        if let Some(answer) = self.answers.get(&request.change) {
-            return answer.clone();
+        if let Some(answer) = self.answer(&request) {
+            return answer;
         }
-        let change = request.change.clone();
-        let outcome = match self.publish(now_ms, request) {
-            Ok(version) => Outcome::Published(version),
-            Err(refusal) => Outcome::Refused(refusal),
+        let (change, digest) = (request.change.clone(), request.digest());
+        let answer = match self.conflict(&request) {
+            Some(refusal) => Outcome::Refused(refusal),
+            None => Outcome::Published(self.publish(now_ms, request)),
         };
-        self.answers.insert(change, outcome.clone());
-        outcome
+        self.answers.insert(change, digest, answer.clone());
+        answer
     }
 
-    fn publish(&mut self, now_ms: u64, request: ApplyRequest) -> Result<Version, Refusal> {
-        if let Some(latest) = self
-            .latest()
-            .filter(|latest| latest.version != request.base)
-        {
-            return Err(Refusal::Conflict {
-                current: latest.version,
-                operator: latest.operator.clone(),
-                at_ms: latest.at_ms,
-            });
+    /// Derives the objects from the latest text; called once after the state has been read.
+    pub(crate) fn derive(&mut self) {
+        let text = self.latest().map(|published| published.text.clone());
+        let text = text.unwrap_or_default();
+        self.desired = Arc::new(DesiredState::read_published(&text));
+    }
+
+    fn conflict(&self, request: &ApplyRequest) -> Option<Refusal> {
+        let current = self.version();
+        if current == request.base {
+            return None;
         }
-        let desired =
-            DesiredState::parse(DESIRED_STATE_FILE, &request.text).map_err(Refusal::Faulty)?;
+        let latest = self.latest().cloned().unwrap_or_default();
+        Some(Refusal::Conflict {
+            current,
+            operator: latest.operator,
+            at_ms: latest.at_ms,
+        })
+    }
+
+    fn publish(&mut self, now_ms: u64, request: ApplyRequest) -> Version {
         let version = self.version().next();
-        self.desired = Arc::new(desired);
+        let before = self.desired.clone();
         self.history.push(Published {
             version,
             operator: request.operator,
             at_ms: now_ms,
             text: request.text.into(),
+            change: request.change,
         });
-        Ok(version)
+        self.derive();
+        self.retire_entries(now_ms, &before);
+        version
+    }
+
+    fn retire_entries(&mut self, now_ms: u64, before: &DesiredState) {
+        let declared = &self.desired.entries;
+        self.retired_entries.retain(|entry, retired_at_ms| {
+            !declared.contains_key(entry) && now_ms < retired_at_ms.saturating_add(RETIRED_KEPT_MS)
+        });
+        for entry in before.entries.keys() {
+            if !declared.contains_key(entry) {
+                self.retired_entries.insert(entry.clone(), now_ms);
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/jasminefall-state/src/configuration/history.rs
@@ -0,0 +1,52 @@
+//! The published versions that are kept.
+
+use std::collections::VecDeque;
+
+use jasminefall_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use super::Published;
+
+/// The most versions that are kept.
+pub const MAX_HISTORY_VERSIONS: usize = 500;
+/// The most bytes of text that are kept beside the latest version.
+pub const MAX_HISTORY_BYTES: usize = 4 << 20;
+
+/// Holds versions, oldest first, within bounds.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub(super) struct History {
+    versions: VecDeque<Published>,
+    /// The bytes of text of all versions.
+    text_bytes: usize,
+}
+
+impl History {
+    pub(super) fn latest(&self) -> Option<&Published> {
+        self.versions.back()
+    }
+
+    pub(super) fn iter(&self) -> impl DoubleEndedIterator<Item = &Published> {
+        self.versions.iter()
+    }
+
+    pub(super) fn get(&self, version: Version) -> Option<&Published> {
+        let first = self.versions.front()?.version;
+        let position = version.get().checked_sub(first.get())?;
+        self.versions.get(usize::try_from(position).ok()?)
+    }
+
+    /// Adds the next version and drops the oldest ones that exceed the bounds.
+    pub(super) fn push(&mut self, published: Published) {
+        let latest_bytes = published.text.len();
+        self.text_bytes += latest_bytes;
+        self.versions.push_back(published);
+        while self.versions.len() > 1
+            && (self.versions.len() > MAX_HISTORY_VERSIONS
+                || self.text_bytes - latest_bytes > MAX_HISTORY_BYTES)
+        {
+            if let Some(oldest) = self.versions.pop_front() {
+                self.text_bytes -= oldest.text.len();
+            }
+        }
+    }
+}
--- a/crates/jasminefall-state/src/outcome.rs
+++ b/crates/jasminefall-state/src/outcome.rs
@@ -38,6 +38,8 @@
     },
     /// The job can never run.
     Impossible(SmolStr),
+    /// The name of the change was used for another text or base.
+    ChangeReused,
 }
 
 impl fmt::Display for Refusal {
@@ -54,6 +56,9 @@
                  read it, merge your change and apply against {current}"
             ),
             Self::Impossible(reason) => write!(formatter, "the job can never run: {reason}"),
+            Self::ChangeReused => formatter.write_str(
+                "the name of the change was used for another text or base; give this one a new name",
+            ),
         }
     }
 }
--- /dev/null
+++ b/crates/jasminefall-state/tests/configuration.rs
@@ -0,0 +1,145 @@
+//! Publishing by compare-and-set, resends and the bounds of what is kept.
+
+use jasminefall_core::prelude::*;
+use jasminefall_state::configuration::{MAX_ANSWERS, MAX_HISTORY_BYTES, MAX_HISTORY_VERSIONS};
+use jasminefall_state::prelude::*;
+
+fn request(change: &str, base: u64, text: &str) -> ApplyRequest {
+    ApplyRequest {
+        change: change.into(),
+        operator: "amina".into(),
+        base: Version::new(base),
+        text: text.into(),
+    }
+}
+
+fn published(version: u64) -> Outcome {
+    Outcome::Published(Version::new(version))
+}
+
+fn text(name: &str) -> String {
+    format!("[fleet]\nname = {name}\n")
+}
+
+/// Publishes `count` versions on top of what there is.
+fn publish_many(state: &mut ClusterState, count: usize, text: &str) {
+    for _ in 0..count {
+        let base = state.configuration.version().get();
+        let outcome = state
+            .configuration
+            .apply(0, request(&format!("filler-{base}"), base, text));
+        assert_eq!(outcome, published(base + 1));
+    }
+}
+
+#[test]
+fn the_first_version_is_written_against_version_zero() {
+    let mut configuration = Configuration::default();
+    let outcome = configuration.apply(0, request("c", 7, &text("a")));
+    assert!(matches!(
+        outcome,
+        Outcome::Refused(Refusal::Conflict { .. })
+    ));
+    assert_eq!(configuration.version(), Version::default());
+}
+
+#[test]
+fn of_two_operators_with_one_base_the_second_is_told_who_and_when() {
+    let mut configuration = Configuration::default();
+    assert_eq!(
+        configuration.apply(5, request("c1", 0, &text("a"))),
+        published(1)
+    );
+    let conflict = Outcome::Refused(Refusal::Conflict {
+        current: Version::new(1),
+        operator: "amina".into(),
+        at_ms: 5,
+    });
+    assert_eq!(
+        configuration.apply(9, request("c2", 0, &text("b"))),
+        conflict
+    );
+}
+
+#[test]
+fn a_resend_gets_its_first_answer_after_other_changes_and_a_snapshot() {
+    let mut state = ClusterState::default();
+    let first = request("c1", 0, &text("a"));
+    let late = request("c2", 0, &text("b"));
+    assert_eq!(state.configuration.apply(1, first.clone()), published(1));
+    let refused = state.configuration.apply(2, late.clone());
+    publish_many(&mut state, 3, &text("c"));
+    let mut restored = ClusterState::from_bytes(&state.to_bytes()).unwrap();
+    assert_eq!(restored, state);
+    assert_eq!(restored.configuration.apply(9, first), published(1));
+    assert_eq!(restored.configuration.apply(9, late), refused);
+    assert_eq!(restored.configuration.version(), Version::new(4));
+}
+
+#[test]
+fn the_name_of_a_change_stands_for_one_text_and_one_base() {
+    let mut configuration = Configuration::default();
+    configuration.apply(0, request("c", 0, &text("a")));
+    for other in [request("c", 0, &text("b")), request("c", 1, &text("a"))] {
+        let reused = Outcome::Refused(Refusal::ChangeReused);
+        assert_eq!(configuration.apply(0, other), reused);
+    }
+}
+
+#[test]
+fn a_change_whose_answer_was_forgotten_is_not_published_again() {
+    let mut state = ClusterState::default();
+    let first = request("first", 0, &text("a"));
+    assert_eq!(state.configuration.apply(0, first.clone()), published(1));
+    publish_many(&mut state, MAX_ANSWERS, &text("b"));
+    assert_eq!(state.configuration.answer(&first), None);
+    let version = state.configuration.version();
+    let outcome = state.configuration.apply(0, first);
+    assert!(matches!(
+        outcome,
+        Outcome::Refused(Refusal::Conflict { .. })
+    ));
+    assert_eq!(state.configuration.version(), version);
+}
+
+#[test]
+fn a_text_that_could_not_be_judged_here_is_published_all_the_same() {
+    // The leader has judged it; a replica of another version must come to the same outcome.
+    let mut configuration = Configuration::default();
+    let outcome = configuration.apply(0, request("c", 0, "[later.kind]\nkey = 1\n[team.t]\n"));
+    assert_eq!(outcome, published(1));
+    assert!(
+        configuration
+            .desired()
+            .teams
+            .contains_key(&TeamId::new("t"))
+    );
+}
+
+#[test]
+fn history_and_snapshot_are_bounded() {
+    const LARGE_BYTES: usize = 600 << 10;
+    let mut state = ClusterState::default();
+    let large = text("a") + &format!("# {}\n", "x".repeat(LARGE_BYTES));
+    publish_many(&mut state, 30, &large);
+    let kept: usize = state
+        .configuration
+        .history()
+        .map(|kept| kept.text.len())
+        .sum();
+    assert!(kept <= MAX_HISTORY_BYTES + large.len());
+    assert!(state.to_bytes().len() <= MAX_HISTORY_BYTES + 2 * large.len());
+    publish_many(&mut state, 2 * MAX_HISTORY_VERSIONS, &text("b"));
+    assert_eq!(state.configuration.history().count(), MAX_HISTORY_VERSIONS);
+    let oldest = state.configuration.history().next().unwrap().version;
+    assert_eq!(
+        state.configuration.published(oldest).unwrap().version,
+        oldest
+    );
+    assert_eq!(
+        state
+            .configuration
+            .published(Version::new(oldest.get() - 1)),
+        None
+    );
+}
