feat: tokens for operators, leases by process, history, diff and rollback

Cause: whoever reached the operators' listener could publish under any name; a paused entry and its replacement shared one lease entry, so that in force could be said while the paused one's lease ran; an entry removed by a version was not waited for; half-open handshakes were unbounded.

--- /dev/null
+++ b/crates/jasminefall-control/src/edge/operators/authorization.rs
@@ -0,0 +1,98 @@
+//! Who may call.
+//!
+//! Whatever is not known to only look needs the role that may change the site.
+
+use actix_web::body::{EitherBody, MessageBody};
+use actix_web::dev::{ServiceRequest, ServiceResponse};
+use actix_web::http::header::{AUTHORIZATION, WWW_AUTHENTICATE};
+use actix_web::http::{Method, StatusCode};
+use actix_web::middleware::Next;
+use actix_web::{Error, HttpMessage, HttpResponse, web};
+use jasminefall_runtime::tokens::{Operator, Role, Tokens};
+
+use crate::edge::ErrorBody;
+
+const SCHEME: &str = "Bearer ";
+/// The calls that only look although their HTTP method is unsafe.
+const READING_POSTS: [&str; 1] = ["/v1/check"];
+
+/// Lets a call pass whose token gives the role that it needs.
+pub(super) async fn authorize(
+    tokens: web::Data<Tokens>,
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<EitherBody<impl MessageBody>>, Error> {
+    let needed = needed_role(request.method(), request.path());
+    let operator = bearer(&request).and_then(|secret| tokens.authenticate(secret));
+    let refusal = match operator {
+        None => unknown_token(),
+        Some(operator) if operator.role < needed => role_too_low(operator, needed),
+        Some(operator) => {
+            if needed == Role::Operate {
+                log_call(operator, &request);
+            }
+            request.extensions_mut().insert(operator.clone());
+            let answered = next.call(request).await?;
+            return Ok(answered.map_into_left_body());
+        }
+    };
+    log::warn!(
+        "event=operator_refused status={} method={} path=\"{}\" peer={}",
+        refusal.status().as_u16(),
+        request.method(),
+        request.path().escape_debug(),
+        peer(&request)
+    );
+    Ok(request.into_response(refusal).map_into_right_body())
+}
+
+fn needed_role(method: &Method, path: &str) -> Role {
+    if method.is_safe() || READING_POSTS.contains(&path) {
+        Role::Read
+    } else {
+        Role::Operate
+    }
+}
+
+/// Returns the secret that the call brings.
+fn bearer(request: &ServiceRequest) -> Option<&[u8]> {
+    let value = request.headers().get(AUTHORIZATION)?.as_bytes();
+    value.strip_prefix(SCHEME.as_bytes())
+}
+
+fn unknown_token() -> HttpResponse {
+    let body = ErrorBody {
+        error: "the call brings no known token; send `Authorization: Bearer TOKEN` with a token \
+                whose SHA-256 the control settings declare under [token.NAME]"
+            .to_owned(),
+        leader_peer: None,
+    };
+    HttpResponse::Unauthorized()
+        .insert_header((WWW_AUTHENTICATE, "Bearer"))
+        .json(body)
+}
+
+fn role_too_low(operator: &Operator, needed: Role) -> HttpResponse {
+    let Operator { name, role } = operator;
+    let error = format!(
+        "the token `{name}` has the role {role}, the call needs {needed}; use a token of that role"
+    );
+    let leader_peer = None;
+    HttpResponse::build(StatusCode::FORBIDDEN).json(ErrorBody { error, leader_peer })
+}
+
+fn log_call(operator: &Operator, request: &ServiceRequest) {
+    log::info!(
+        "event=operator_call operator=\"{}\" method={} path=\"{}\" peer={}",
+        operator.name,
+        request.method(),
+        request.path().escape_debug(),
+        peer(request)
+    );
+}
+
+fn peer(request: &ServiceRequest) -> String {
+    request
+        .peer_addr()
+        .map_or_else(|| "unknown".to_owned(), |address| address.to_string())
+}
--- /dev/null
+++ b/crates/jasminefall-control/src/edge/operators/publishing.rs
@@ -0,0 +1,245 @@
+//! Judging, publishing and rolling back a desired state.
+
+use std::collections::BTreeMap;
+
+use actix_web::{HttpResponse, web};
+use jasminefall_core::desired::{DESIRED_STATE_FILE, differences};
+use jasminefall_core::prelude::*;
+use jasminefall_runtime::clock::monotonic_ms;
+use jasminefall_runtime::tokens::Operator;
+use jasminefall_state::prelude::*;
+use jasminefall_wire::message::ControlError;
+use serde::{Deserialize, Serialize};
+
+use crate::edge::{ErrorBody, refuse};
+use crate::node::{NodeHandle, View};
+
+const MAX_CHANGE_BYTES: usize = 128;
+
+/// Adds the calls of this module.
+pub(super) fn add_routes(routes: &mut web::ServiceConfig) {
+    routes
+        .route("/v1/check", web::post().to(check))
+        .route("/v1/apply", web::post().to(apply))
+        .route("/v1/rollback", web::post().to(rollback))
+        .route("/v1/in-force/{version}", web::get().to(in_force));
+}
+
+/// Judges a text as the successor of what is used now, without publishing it.
+async fn check(handle: web::Data<NodeHandle>, text: String) -> HttpResponse {
+    let looked = handle.look_fresh(|view| in_use(view)).await;
+    match looked.map(|in_use| judge(&text, &in_use)) {
+        Ok(Ok(_)) => HttpResponse::Ok().json(Problems::new()),
+        Ok(Err(problems)) => HttpResponse::UnprocessableEntity().json(problems),
+        Err(error) => refuse(&error),
+    }
+}
+
+/// Asks for a desired state to be published.
+#[derive(Debug, Deserialize)]
+struct ApplyBody {
+    change: ChangeId,
+    base: Version,
+    text: String,
+}
+
+async fn apply(
+    handle: web::Data<NodeHandle>,
+    operator: web::ReqData<Operator>,
+    body: web::Json<ApplyBody>,
+) -> HttpResponse {
+    let ApplyBody { change, base, text } = body.into_inner();
+    let operator = operator.name.clone();
+    publish(
+        &handle,
+        ApplyRequest {
+            change,
+            operator,
+            base,
+            text,
+        },
+    )
+    .await
+}
+
+/// Asks for an older version to be published again as a new one.
+#[derive(Debug, Deserialize)]
+struct RollbackBody {
+    change: ChangeId,
+    base: Version,
+    to: Version,
+}
+
+async fn rollback(
+    handle: web::Data<NodeHandle>,
+    operator: web::ReqData<Operator>,
+    body: web::Json<RollbackBody>,
+) -> HttpResponse {
+    let RollbackBody { change, base, to } = body.into_inner();
+    let find = move |view: &mut View| view.state.configuration.published(to).cloned();
+    let text = match handle.look_fresh(find).await {
+        Ok(Some(published)) => published.text.to_string(),
+        Ok(None) => return super::history::not_kept(to),
+        Err(error) => return refuse(&error),
+    };
+    let operator = operator.name.clone();
+    publish(
+        &handle,
+        ApplyRequest {
+            change,
+            operator,
+            base,
+            text,
+        },
+    )
+    .await
+}
+
+#[derive(Debug, Serialize)]
+struct AppliedBody {
+    version: Version,
+}
+
+/// Judges a text and proposes it; a change that was answered before gets its first answer again.
+async fn publish(handle: &NodeHandle, request: ApplyRequest) -> HttpResponse {
+    let is_named = (1..=MAX_CHANGE_BYTES).contains(&request.change.as_str().len());
+    if !is_named || request.change.as_str().contains(char::is_control) {
+        return bad_change();
+    }
+    let asked = request.clone();
+    let look = move |view: &mut View| (view.state.configuration.answer(&asked), in_use(view));
+    let (answered, in_use) = match handle.look_fresh(look).await {
+        Ok(looked) => looked,
+        Err(error) => return refuse(&error),
+    };
+    let outcome = match answered {
+        Some(answer) => Ok(answer),
+        None => match judge(&request.text, &in_use) {
+            Ok(_) => handle.propose(Command::Apply(request.clone())).await,
+            Err(problems) => Ok(Outcome::Refused(Refusal::Faulty(problems))),
+        },
+    };
+    answer(handle, request.base, outcome).await
+}
+
+fn bad_change() -> HttpResponse {
+    HttpResponse::BadRequest().json(ErrorBody {
+        error: format!(
+            "the name of the change must have 1 to {MAX_CHANGE_BYTES} bytes without control \
+             characters; name it anew"
+        ),
+        leader_peer: None,
+    })
+}
+
+fn judge(text: &str, in_use: &InUse) -> Result<DesiredState, Problems> {
+    DesiredState::parse_successor(DESIRED_STATE_FILE, text, in_use)
+}
+
+/// Counts the work that holds on to declared objects.
+fn in_use(view: &View) -> InUse {
+    let mut jobs_by_team = BTreeMap::new();
+    let mut tasks_by_instance = BTreeMap::new();
+    for job in view.state.jobs.iter() {
+        let placed = match &job.state {
+            JobState::Waiting => None,
+            JobState::Placed { worker, .. } => Some(InstanceId::new(worker.as_str())),
+            _ => continue,
+        };
+        *jobs_by_team.entry(job.request.team.clone()).or_insert(0) += 1;
+        if let Some(instance) = placed {
+            *tasks_by_instance.entry(instance).or_insert(0) += 1;
+        }
+    }
+    InUse {
+        jobs_by_team,
+        tasks_by_instance,
+    }
+}
+
+async fn answer(
+    handle: &NodeHandle,
+    base: Version,
+    outcome: Result<Outcome, ControlError>,
+) -> HttpResponse {
+    match outcome {
+        Ok(Outcome::Published(version)) => HttpResponse::Ok().json(AppliedBody { version }),
+        Ok(Outcome::Refused(Refusal::Faulty(problems))) => {
+            HttpResponse::UnprocessableEntity().json(problems)
+        }
+        Ok(Outcome::Refused(refusal)) => conflict(handle, base, &refusal).await,
+        Ok(_) => HttpResponse::InternalServerError().finish(),
+        Err(error) => refuse(&error),
+    }
+}
+
+/// Says who published first, when, and what differs from the version that the text was written
+/// against.
+#[derive(Debug, Serialize)]
+struct ConflictBody {
+    error: String,
+    current: Option<Version>,
+    operator: Option<SmolStr>,
+    at_ms: Option<u64>,
+    /// None where the older version is not kept any more.
+    changed: Option<Vec<ObjectChange>>,
+}
+
+async fn conflict(handle: &NodeHandle, base: Version, refusal: &Refusal) -> HttpResponse {
+    let mut body = ConflictBody {
+        error: refusal.to_string(),
+        current: None,
+        operator: None,
+        at_ms: None,
+        changed: None,
+    };
+    if let Refusal::Conflict {
+        current,
+        operator,
+        at_ms,
+    } = refusal
+    {
+        let texts = texts(handle, base, *current).await;
+        body.current = Some(*current);
+        body.operator = Some(operator.clone());
+        body.at_ms = Some(*at_ms);
+        body.changed = texts.map(|[before, after]| differences(&before, &after));
+    }
+    HttpResponse::Conflict().json(body)
+}
+
+/// Returns the texts of two versions where both are kept; version zero is empty.
+async fn texts(handle: &NodeHandle, before: Version, after: Version) -> Option<[String; 2]> {
+    let find = move |view: &mut View, _: &_, _: Result<(), ControlError>| {
+        let text = |version| super::history::text(&view.state.configuration, version);
+        Some([text(before)?, text(after)?])
+    };
+    handle.look(find).await.ok().flatten()
+}
+
+#[derive(Debug, Serialize)]
+struct InForceBody {
+    version: Version,
+    in_force: bool,
+    lagging: Vec<EntryId>,
+}
+
+/// Says whether every entry that may act on a configuration has this version or a later one.
+async fn in_force(handle: web::Data<NodeHandle>, version: web::Path<u64>) -> HttpResponse {
+    let version = Version::new(*version);
+    let looked = handle
+        .look_fresh(move |view| {
+            let configuration = &view.state.configuration;
+            let lagging = view
+                .entry_leases
+                .lagging(configuration, version, monotonic_ms());
+            let published = configuration.version() >= version;
+            InForceBody {
+                version,
+                in_force: published && lagging.is_empty(),
+                lagging,
+            }
+        })
+        .await;
+    looked.map_or_else(|error| refuse(&error), |body| HttpResponse::Ok().json(body))
+}
--- a/crates/jasminefall-control/src/service.rs
+++ b/crates/jasminefall-control/src/service.rs
@@ -4,7 +4,6 @@
 use jasminefall_wire::message::{RenewAnswer, RenewRequest, Renewal};
 use jasminefall_wire::server::ControlService;
 
-use crate::entry_leases::LEASE_MS;
 use crate::node::NodeHandle;
 
 /// Creates the service that carries out calls on the node.
@@ -23,14 +22,22 @@
 async fn renew(handle: NodeHandle, request: RenewRequest) -> RenewAnswer {
     handle
         .look_fresh(move |view| {
-            view.entry_leases
-                .note(request.entry, request.holds, monotonic_ms());
             let configuration = &view.state.configuration;
+            let lease_ms = view
+                .entry_leases
+                .renew(configuration, &request, monotonic_ms());
+            if lease_ms.is_none() {
+                log::warn!(
+                    "event=entry_refused entry=\"{}\" cause=\"not declared\" \
+                     remedy=\"declare it in the desired state or correct its name\"",
+                    request.entry
+                );
+            }
             let differs = configuration.version() != request.holds;
             let published = configuration.latest().filter(|_| differs).cloned();
             Renewal {
-                lease_ms: LEASE_MS,
-                published,
+                lease_ms,
+                published: published.filter(|_| lease_ms.is_some()),
             }
         })
         .await
--- a/crates/jasminefall-control/src/settings.rs
+++ b/crates/jasminefall-control/src/settings.rs
@@ -6,7 +6,8 @@
 
 use jasminefall_core::prelude::*;
 use jasminefall_replica::prelude::ReplicaId;
-use jasminefall_runtime::settings::SettingsFile;
+use jasminefall_runtime::settings::{self, SettingsFile};
+use jasminefall_runtime::tokens::Tokens;
 use jasminefall_wire::handshake::SiteKey;
 
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7101";
@@ -37,6 +38,8 @@
     pub(crate) data_folder: PathBuf,
     /// The secret of the site.
     pub(crate) site_key: SiteKey,
+    /// Who may make operators' calls.
+    pub(crate) tokens: Tokens,
     /// The replicas that a new site starts with.
     pub(crate) replicas: BTreeMap<ReplicaId, ReplicaAddresses>,
 }
@@ -49,21 +52,15 @@
         let known = ["replica", "data_folder", "site_key_file"];
         section.refuse_unknown(&known, &mut file.problems);
         let replicas = read_replicas(&mut file);
+        let tokens = Tokens::read(
+            &path.display().to_string(),
+            &file.document,
+            &mut file.problems,
+        );
         let problems = &mut file.problems;
         let replica = section.read_required("replica", "1", problems);
         let data_folder: Option<SmolStr> = section.read_required("data_folder", "data", problems);
-        let key_file: Option<SmolStr> =
-            section.read_required("site_key_file", "site.key", problems);
-        let secret = key_file.and_then(|key_file| {
-            let secret = std::fs::read(key_file.as_str());
-            secret
-                .map_err(|error| {
-                    let remedy =
-                        "write a random secret there, the same for every process of the site";
-                    problems.add(section.place("site_key_file"), format!("{error}"), remedy);
-                })
-                .ok()
-        });
+        let secret = settings::read_site_key(&section, problems);
         let own = replica.and_then(|replica| replicas.get(&replica).copied());
         if let (Some(replica), None) = (replica, own) {
             let remedy = format!("add [replica.{replica}] with its addresses");
@@ -85,6 +82,7 @@
             workers: own.workers,
             data_folder: PathBuf::from(data_folder.as_str()),
             site_key: SiteKey::new(&secret),
+            tokens,
             replicas,
         };
         file.problems.into_result(settings)
@@ -97,7 +95,7 @@
     for section in file
         .document
         .sections()
-        .filter(|section| section.name() != "control")
+        .filter(|section| section.name() != "control" && !section.name().starts_with("token."))
     {
         let id = section
             .name()
@@ -107,7 +105,7 @@
             problems.add(
                 section.place(""),
                 "the section is unknown",
-                "use [control] or [replica.NUMBER]",
+                "use [control], [replica.NUMBER] or [token.NAME]",
             );
             continue;
         };
--- a/crates/jasminefall-entry/src/configuration.rs
+++ b/crates/jasminefall-entry/src/configuration.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use jasminefall_core::desired::DESIRED_STATE_FILE;
 use jasminefall_core::prelude::*;
 use jasminefall_state::prelude::*;
 use jasminefall_wire::message::Renewal;
@@ -10,15 +9,19 @@
 /// Holds the configuration and until when the entry may act on it.
 #[derive(Debug, Default)]
 pub(crate) struct Configuration {
-    version: Version,
+    /// The latest version ever taken; an older one is never taken again.
+    latest: Version,
     desired: Option<Arc<DesiredState>>,
     lease_until_ms: u64,
 }
 
 impl Configuration {
-    /// Returns the version held.
+    /// Returns the version that the entry may act on, zero for none.
     pub(crate) const fn version(&self) -> Version {
-        self.version
+        match self.desired {
+            Some(_) => self.latest,
+            None => Version::new(0),
+        }
     }
 
     /// Returns the desired state while the lease runs.
@@ -28,33 +31,36 @@
             .filter(|_| now_ms < self.lease_until_ms)
     }
 
-    /// Takes a renewal that was asked for at `asked_at_ms`; an older version changes nothing.
+    /// Takes a renewal that was asked for at `asked_at_ms`.
+    ///
+    /// An older version changes nothing. A refusal ends the lease at once.
     pub(crate) fn renew(&mut self, asked_at_ms: u64, renewal: Renewal) {
+        let Some(lease_ms) = renewal.lease_ms else {
+            self.desired = None;
+            return;
+        };
         if let Some(published) = renewal.published {
-            if published.version < self.version {
+            if published.version < self.latest {
+                log::error!(
+                    "event=configuration_refused version={} cause=\"version {} was taken before\"",
+                    published.version,
+                    self.latest
+                );
                 return;
             }
             self.take(&published);
         }
-        self.lease_until_ms = self
-            .lease_until_ms
-            .max(asked_at_ms + renewal.lease_ms.get());
+        let until_ms = asked_at_ms + lease_ms.get();
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
     }
 
+    /// Takes a version, which was judged before it was published.
     fn take(&mut self, published: &Published) {
-        match DesiredState::parse(DESIRED_STATE_FILE, &published.text) {
-            Ok(desired) => {
-                self.version = published.version;
-                self.desired = Some(Arc::new(desired));
-                log::info!("event=configuration_taken version={}", self.version);
-            }
-            Err(problems) => {
-                let count = problems.list.len();
-                log::error!(
-                    "event=configuration_refused version={} faults={count}",
-                    published.version
-                );
-            }
-        }
+        self.latest = published.version;
+        self.desired = Some(Arc::new(DesiredState::read_published(&published.text)));
+        log::info!("event=configuration_taken version={}", self.latest);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/jasminefall-entry/src/renewal.rs
+++ b/crates/jasminefall-entry/src/renewal.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jasminefall_runtime::clock::monotonic_ms;
+use jasminefall_core::prelude::*;
+use jasminefall_runtime::clock::{monotonic_ms, wall_ms};
 use jasminefall_wire::client::ControlClient;
 use jasminefall_wire::message::RenewRequest;
 
@@ -16,19 +17,25 @@
 pub(crate) async fn run(shared: Arc<Shared>) -> anyhow::Result<()> {
     let settings = &shared.settings;
     let client = ControlClient::new(&settings.control, &settings.site_key, CALL_TIMEOUT);
+    let incarnation = Incarnation::new(wall_ms());
     loop {
         let asked_at_ms = monotonic_ms();
         let holds = shared.configuration().version();
         let asked = RenewRequest {
             entry: settings.name.clone(),
             holds,
+            incarnation,
         };
         match client.renew(&asked).await {
             Ok(renewal) => {
                 let is_new = renewal.published.is_some();
+                let is_refused = renewal.lease_ms.is_none();
+                if is_refused {
+                    log_refusal(&settings.name);
+                }
                 shared.configuration().renew(asked_at_ms, renewal);
-                if is_new {
-                    // Control learns at once that the new version is held.
+                if is_new || (is_refused && holds > Version::default()) {
+                    // Control learns at once what is held now.
                     continue;
                 }
             }
@@ -37,3 +44,10 @@
         tokio::time::sleep(INTERVAL).await;
     }
 }
+
+fn log_refusal(entry: &EntryId) {
+    log::error!(
+        "event=renewal_refused entry=\"{entry}\" cause=\"not declared\" \
+         remedy=\"add [entry.{entry}] to the desired state or correct `name` in the settings\""
+    );
+}
--- a/crates/jasminefall-entry/src/settings.rs
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use jasminefall_core::prelude::*;
-use jasminefall_runtime::settings::SettingsFile;
+use jasminefall_runtime::settings::{self, SettingsFile};
 use jasminefall_wire::handshake::SiteKey;
 
 const KNOWN: [&str; 7] = [
@@ -58,18 +58,7 @@
                 remedy,
             );
         }
-        let key_file: Option<SmolStr> =
-            section.read_required("site_key_file", "site.key", problems);
-        let secret = key_file.and_then(|key_file| {
-            let secret = std::fs::read(key_file.as_str());
-            secret
-                .map_err(|error| {
-                    let remedy =
-                        "write a random secret there, the same for every process of the site";
-                    problems.add(section.place("site_key_file"), format!("{error}"), remedy);
-                })
-                .ok()
-        });
+        let secret = settings::read_site_key(&section, problems);
         let entries = section.read_list("entries", problems);
         let (Some(name), Some(callers), Some(backends), Some(peer), Some(secret)) =
             (name, callers, backends, peer, secret)
--- a/crates/jasminefall-runtime/src/lib.rs
+++ b/crates/jasminefall-runtime/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`settings`]: settings files
 //! - [`logging`]: one line of key=value pairs an event
 //! - [`supervisor`]: children that are restarted with back-off
+//! - [`tokens`]: operators' tokens
 //! - [`clock`]: wall and monotonic time in milliseconds
 
 pub mod clock;
@@ -20,3 +21,4 @@
 pub mod logging;
 pub mod settings;
 pub mod supervisor;
+pub mod tokens;
--- a/crates/jasminefall-runtime/src/settings.rs
+++ b/crates/jasminefall-runtime/src/settings.rs
@@ -4,6 +4,9 @@
 
 use jasminefall_core::prelude::*;
 
+const SITE_KEY: &str = "site_key_file";
+const MIN_SITE_KEY_BYTES: usize = 16;
+
 /// Holds a settings file that was read, with the faults found so far.
 #[derive(Debug)]
 pub struct SettingsFile {
@@ -40,6 +43,12 @@
         Self::parse(&name, &text)
     }
 
+    /// Returns the name of the file.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Returns a section; where it is missing, adds a fault and returns an empty one.
     pub fn section(&mut self, name: &str) -> Section {
         if let Some(section) = self.document.section(name) {
@@ -69,6 +78,24 @@
     }
 }
 
+/// Reads the secret that the processes of a site share from the file that `site_key_file` names.
+pub fn read_site_key(section: &Section, problems: &mut Problems) -> Option<Vec<u8>> {
+    let file: SmolStr = section.read_required(SITE_KEY, "site.key", problems)?;
+    let remedy = "write a random secret there, the same for every process of the site";
+    match std::fs::read(file.as_str()) {
+        Ok(secret) if secret.len() >= MIN_SITE_KEY_BYTES => Some(secret),
+        Ok(_) => {
+            let message = format!("the site key has fewer than {MIN_SITE_KEY_BYTES} bytes");
+            problems.add(section.place(SITE_KEY), message, remedy);
+            None
+        }
+        Err(error) => {
+            problems.add(section.place(SITE_KEY), format!("{error}"), remedy);
+            None
+        }
+    }
+}
+
 pub use jasminefall_core::document::Section;
 
 fn unreadable(name: &str, error: &std::io::Error) -> Problems {
--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -16,6 +16,11 @@
 const ENTRY_PEER_PORT: u16 = 24_000;
 const CALLERS_PORT: u16 = 25_000;
 const BACKENDS_PORT: u16 = 26_000;
+const OPERATE_TOKEN: &str = "operate-token-for-tests";
+const OPERATE_TOKEN_SHA256: &str =
+    "9db7e4623d1f25613cd401e84b1a6262929112129b0daf6b33af600f84e2f6f8";
+const READ_TOKEN: &str = "read-token-for-tests";
+const READ_TOKEN_SHA256: &str = "034a18b02f9980ffc4c7b91fe20d9958638c3f488e9413f54510f19374b0784f";
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 const WAIT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,6 +53,8 @@
         let (ip, lock) = reserve_ip();
         let folder = TempDir::new().expect("a temporary folder");
         std::fs::write(folder.path().join("key"), "a secret for tests").expect("the site key");
+        std::fs::write(folder.path().join("token"), OPERATE_TOKEN).expect("the token");
+        std::fs::write(folder.path().join("read-token"), READ_TOKEN).expect("the token");
         let site = Self {
             folder,
             ip,
@@ -80,6 +87,76 @@
         self.folder.path()
     }
 
+    /// Returns the token of the operator `tests`, who may look and change.
+    #[must_use]
+    pub const fn operate_token(&self) -> &'static str {
+        OPERATE_TOKEN
+    }
+
+    /// Returns the token of the operator `reader`, who may only look.
+    #[must_use]
+    pub const fn read_token(&self) -> &'static str {
+        READ_TOKEN
+    }
+
+    /// Returns where other processes reach a control replica.
+    #[must_use]
+    pub fn control_peer(&self, position: usize) -> SocketAddr {
+        self.address(PEER_PORT, position)
+    }
+
+    /// Lets an entry reach the control replicas at these addresses, from its next start on.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the settings cannot be written.
+    pub fn set_control_of_entry(&self, position: usize, control: &[SocketAddr]) {
+        let path = self.entry_settings(position);
+        let addresses: Vec<String> = control.iter().map(ToString::to_string).collect();
+        let replaced = self
+            .entry_text(position)
+            .lines()
+            .fold(String::new(), |text, line| {
+                if line.starts_with("control = ") {
+                    text + "control = " + &addresses.join(", ") + "\n"
+                } else {
+                    text + line + "\n"
+                }
+            });
+        std::fs::write(path, replaced).expect("settings");
+    }
+
+    /// Sends a signal such as `STOP` or `CONT` to an entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the entry does not run.
+    pub fn signal_entry(&self, position: usize, signal: &str) {
+        let child = self.entries[position].as_ref().expect("the entry runs");
+        let mut command = Command::new("kill");
+        let sent = command
+            .args(["-s", signal, &child.id().to_string()])
+            .status();
+        assert!(
+            sent.is_ok_and(|status| status.success()),
+            "the signal is sent"
+        );
+    }
+
+    /// Returns what an entry has logged.
+    #[must_use]
+    pub fn entry_log(&self, position: usize) -> String {
+        let path = self.entry_settings(position).with_extension("log");
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Returns what a control replica has logged.
+    #[must_use]
+    pub fn control_log(&self, position: usize) -> String {
+        let path = self.control_settings(position).with_extension("log");
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Returns where operators reach a control replica.
     #[must_use]
     pub fn operators(&self, position: usize) -> SocketAddr {
@@ -155,21 +232,18 @@
     /// Panics where the program cannot be started.
     #[must_use]
     pub fn ctl(&self, words: &[&str]) -> (bool, String) {
-        let control: Vec<String> = (0..self.controls.len())
-            .map(|position| self.operators(position).to_string())
-            .collect();
-        let mut command = Command::new(program("jasminefallctl"));
-        let output = command
-            .arg("--control")
-            .arg(control.join(","))
-            .args(words)
-            .output();
-        let output = output.expect("jasminefallctl starts; run `cargo build --workspace` first");
-        let text = String::from_utf8_lossy(&output.stdout).into_owned();
-        (
-            output.status.success(),
-            text + &String::from_utf8_lossy(&output.stderr),
-        )
+        run(self.ctl_command(words))
+    }
+
+    /// Runs the operators' program while the tasks of the test, such as its proxies, go on.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program cannot be started.
+    pub async fn ctl_beside(&self, words: &[&str]) -> (bool, String) {
+        let command = self.ctl_command(words);
+        let ran = tokio::task::spawn_blocking(move || run(command)).await;
+        ran.expect("the program starts")
     }
 
     /// Publishes a desired state against a version and waits until it is in force.
@@ -178,13 +252,43 @@
     ///
     /// Panics where it is not accepted and in force.
     pub fn apply(&self, base: u64, text: &str) {
-        let file = self.folder().join("desired.ini");
-        std::fs::write(&file, text).expect("the desired state");
-        let file = file.display().to_string();
+        let file = self.write_desired(text);
         let (success, printed) = self.ctl(&["apply", &file, "--base", &base.to_string()]);
         assert!(success, "{printed}");
     }
 
+    /// Publishes a desired state while the tasks of the test, such as its proxies, go on.
+    ///
+    /// # Panics
+    ///
+    /// Panics where it is not accepted and in force.
+    pub async fn apply_beside(&self, base: u64, text: &str) {
+        let file = self.write_desired(text);
+        let base = base.to_string();
+        let (success, printed) = self.ctl_beside(&["apply", &file, "--base", &base]).await;
+        assert!(success, "{printed}");
+    }
+
+    fn write_desired(&self, text: &str) -> String {
+        let file = self.folder().join("desired.ini");
+        std::fs::write(&file, text).expect("the desired state");
+        file.display().to_string()
+    }
+
+    fn ctl_command(&self, words: &[&str]) -> Command {
+        let control: Vec<String> = (0..self.controls.len())
+            .map(|position| self.operators(position).to_string())
+            .collect();
+        let mut command = Command::new(program("jasminefallctl"));
+        command
+            .arg("--control")
+            .arg(control.join(","))
+            .arg("--token-file")
+            .arg(self.folder().join("token"))
+            .args(words);
+        command
+    }
+
     /// Returns the sections that declare the site's entries.
     #[must_use]
     pub fn entry_sections(&self) -> String {
@@ -230,7 +334,10 @@
         let folder = self.folder().display();
         let number = position + 1;
         let mut text = format!(
-            "[control]\nreplica = {number}\ndata_folder = {folder}/data-{position}\nsite_key_file = {folder}/key\n"
+            "[control]\nreplica = {number}\ndata_folder = {folder}/data-{position}\n\
+             site_key_file = {folder}/key\n\
+             [token.tests]\nsha256 = {OPERATE_TOKEN_SHA256}\nrole = operate\n\
+             [token.reader]\nsha256 = {READ_TOKEN_SHA256}\nrole = read\n"
         );
         for other in 0..self.controls.len() {
             let (peer, operators, workers) = (
@@ -266,6 +373,15 @@
     }
 }
 
+/// Runs a command and returns whether it succeeded, with what it printed.
+fn run(mut command: Command) -> (bool, String) {
+    let output = command.output();
+    let output = output.expect("jasminefallctl starts; run `cargo build --workspace` first");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let success = output.status.success();
+    (success, text + &String::from_utf8_lossy(&output.stderr))
+}
+
 fn kill(child: &mut Option<Child>) {
     if let Some(mut child) = child.take() {
         let _ = child.kill();
--- a/crates/jasminefall-wire/src/message.rs
+++ b/crates/jasminefall-wire/src/message.rs
@@ -38,15 +38,18 @@
 pub struct RenewRequest {
     /// The entry that asks.
     pub entry: EntryId,
-    /// The version that the entry acts on.
+    /// The version that the entry acts on, zero where it acts on none.
     pub holds: Version,
+    /// The number of the entry's start, which tells two processes of one name apart.
+    pub incarnation: Incarnation,
 }
 
 /// Gives a lease on the configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
-    /// How long the entry may act on the configuration, counted from when it asked.
-    pub lease_ms: DurationMs,
+    /// How long the entry may act on the configuration, counted from when it asked; none where the
+    /// configuration does not declare the entry.
+    pub lease_ms: Option<DurationMs>,
     /// The latest configuration, if the entry holds another.
     pub published: Option<Published>,
 }
--- a/crates/jasminefall-wire/src/server.rs
+++ b/crates/jasminefall-wire/src/server.rs
@@ -1,5 +1,6 @@
 //! Accepting connections of other processes.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,6 +13,7 @@
 use jasminefall_replica::message::Message;
 use jasminefall_state::Command;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -22,6 +24,8 @@
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// The most connections that may be short of a proof; beyond it the oldest one is closed.
+pub const MAX_HANDSHAKES: usize = 128;
 
 /// A future that stays on its thread.
 pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
@@ -132,16 +136,16 @@
     key: SiteKey,
     bootstrap: Client,
 ) -> Result<(), std::io::Error> {
+    let mut handshakes = VecDeque::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (key, bootstrap) = (
-                    key.clone(),
-                    Client {
-                        hook: bootstrap.hook.add_ref(),
-                    },
-                );
-                tokio::task::spawn_local(serve_connection(stream, key, bootstrap));
+                let bootstrap = Client {
+                    hook: bootstrap.hook.add_ref(),
+                };
+                let handshake = shake_hands(stream, key.clone(), bootstrap);
+                make_room(&mut handshakes);
+                handshakes.push_back(tokio::task::spawn_local(handshake).abort_handle());
             }
             Err(error) => {
                 // A lack of file descriptors passes; the listener itself stays sound.
@@ -152,13 +156,31 @@
     }
 }
 
-async fn serve_connection(mut stream: TcpStream, key: SiteKey, bootstrap: Client) {
+/// Closes the oldest connection that has proved nothing where there are too many.
+///
+/// A sound handshake takes a few round trips, so silent connections cannot keep one out.
+fn make_room(handshakes: &mut VecDeque<AbortHandle>) {
+    handshakes.retain(|handshake| !handshake.is_finished());
+    if handshakes.len() >= MAX_HANDSHAKES
+        && let Some(oldest) = handshakes.pop_front()
+    {
+        log::warn!("event=handshake_failed error=\"too many at once\"");
+        oldest.abort();
+    }
+}
+
+async fn shake_hands(mut stream: TcpStream, key: SiteKey, bootstrap: Client) {
     let proved = timeout(HANDSHAKE_TIMEOUT, prove_as_server(&mut stream, &key)).await;
     match proved {
-        Ok(Ok(())) => {}
-        Ok(Err(error)) => return log::warn!("event=handshake_failed error=\"{error}\""),
-        Err(_) => return log::warn!("event=handshake_failed error=\"silent\""),
+        Ok(Ok(())) => {
+            tokio::task::spawn_local(serve_connection(stream, bootstrap));
+        }
+        Ok(Err(error)) => log::warn!("event=handshake_failed error=\"{error}\""),
+        Err(_) => log::warn!("event=handshake_failed error=\"silent\""),
     }
+}
+
+async fn serve_connection(stream: TcpStream, bootstrap: Client) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
--- a/crates/jasminefallctl/src/arguments.rs
+++ b/crates/jasminefallctl/src/arguments.rs
@@ -6,11 +6,22 @@
 
 const PROGRAM: &str = "jasminefallctl";
 const CONTROL_VARIABLE: &str = "JASMINEFALL_CONTROL";
+const TOKEN_VARIABLE: &str = "JASMINEFALL_TOKEN_FILE";
 const COMMANDS: &str = "\
 Commands:
-    check FILE            judge a desired state
-    apply FILE --base N   publish a desired state written against version N
-    status                show the site";
+    check FILE              judge a desired state, without any control instance
+    diff FILE               show what a desired state changes against the latest version
+    diff BEFORE AFTER       show what differs between two versions
+    apply FILE --base N     publish a desired state written against version N
+    export [VERSION]        print the latest version, or another, as it was written
+    history                 list the published versions
+    rollback VERSION --base N
+                            publish an older version again as a new one
+    status                  show the site and which replicas answer
+
+Exit codes:
+    0 done   2 usage   3 faulty desired state   4 somebody else published first
+    5 no answer   6 durable but not yet in force   7 not allowed   8 not kept";
 
 /// Holds what the command line asks for.
 #[derive(Debug)]
@@ -19,17 +30,24 @@
     pub(crate) control: Vec<String>,
     /// Whether answers are printed as JSON.
     pub(crate) json: bool,
-    /// Who asks.
-    pub(crate) operator: String,
+    /// The token that proves who asks.
+    pub(crate) token: Option<String>,
     /// The name of the change, so that a resend is recognised.
     pub(crate) change: Option<String>,
     /// The version that a desired state was written against.
-    pub(crate) base: u64,
+    pub(crate) base: Option<u64>,
     /// The command and its own arguments.
     pub(crate) words: Vec<String>,
 }
 
 impl Arguments {
+    /// Returns the version that a text was written against.
+    pub(crate) fn base(&self) -> Result<u64, Failure> {
+        self.base.ok_or_else(|| {
+            usage("--base is missing; give the version that the text was written against")
+        })
+    }
+
     /// Reads the command line; returns none where a text was asked for and printed.
     pub(crate) fn parse(
         arguments: impl IntoIterator<Item = String>,
@@ -48,18 +66,22 @@
             println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
             return Ok(None);
         }
+        if let Some(unknown) = matches.free.first().filter(|word| word.starts_with('-')) {
+            return Err(usage(&format!("`{unknown}` is no option")));
+        }
         let control = matches
             .opt_str("control")
             .or_else(|| std::env::var(CONTROL_VARIABLE).ok());
-        let base = matches.opt_get_default("base", 0);
+        let base = matches.opt_get("base");
         let base = base.map_err(|_| usage("--base is no number"))?;
+        let token_file = matches
+            .opt_str("token-file")
+            .or_else(|| std::env::var(TOKEN_VARIABLE).ok());
         let split = |list: String| list.split(',').map(|word| word.trim().to_owned()).collect();
         Ok(Some(Self {
             control: control.map(split).unwrap_or_default(),
             json: matches.opt_present("json"),
-            operator: matches
-                .opt_str("operator")
-                .unwrap_or_else(|| "operator".to_owned()),
+            token: token_file.map(|file| read_token(&file)).transpose()?,
             change: matches.opt_str("change"),
             base,
             words: matches.free,
@@ -74,6 +96,17 @@
     ))
 }
 
+fn read_token(file: &str) -> Result<String, Failure> {
+    let read = std::fs::read_to_string(file);
+    let text = read.map_err(|error| usage(&format!("the token file {file}: {error}")))?;
+    let token = text.trim();
+    if token.is_empty() || !token.chars().all(|character| character.is_ascii_graphic()) {
+        let message = format!("the token file {file} must hold one word of ASCII characters");
+        return Err(usage(&message));
+    }
+    Ok(token.to_owned())
+}
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt(
@@ -82,7 +115,7 @@
         "operators' addresses of the control replicas",
         "IP:PORT,...",
     );
-    options.optopt("", "operator", "who asks", "NAME");
+    options.optopt("t", "token-file", "the file with your token", "FILE");
     options.optopt(
         "",
         "change",
--- a/crates/jasminefallctl/src/main.rs
+++ b/crates/jasminefallctl/src/main.rs
@@ -20,10 +20,10 @@
     let arguments = match Arguments::parse(std::env::args().skip(1)) {
         Ok(Some(arguments)) => arguments,
         Ok(None) => return ExitCode::SUCCESS,
-        Err(failure) => return failure.report(),
+        Err(failure) => return failure.report(false),
     };
     match actix_rt::System::new().block_on(command::run(&arguments)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(failure) => failure.report(),
+        Err(failure) => failure.report(arguments.json),
     }
 }
