--- a/crates/jasminefall-entry/src/configuration.rs
+++ b/crates/jasminefall-entry/src/configuration.rs
@@ -11,6 +11,7 @@
 pub(crate) struct Configuration {
     /// The latest version ever taken; an older one is never taken again.
     latest: Version,
+    published_at_ms: u64,
     desired: Option<Arc<DesiredState>>,
     lease_until_ms: u64,
 }
@@ -24,6 +25,11 @@
         }
     }
 
+    /// Returns when the version held was published, by control's wall clock.
+    pub(crate) const fn published_at_ms(&self) -> u64 {
+        self.published_at_ms
+    }
+
     /// Returns the desired state while the lease runs.
     pub(crate) fn in_force(&self, now_ms: u64) -> Option<Arc<DesiredState>> {
         self.desired
@@ -31,6 +37,11 @@
             .filter(|_| now_ms < self.lease_until_ms)
     }
 
+    /// Returns the latest desired state held, in force or not.
+    pub(crate) fn desired(&self) -> Option<Arc<DesiredState>> {
+        self.desired.clone()
+    }
+
     /// Takes a renewal that was asked for at `asked_at_ms`.
     ///
     /// An older version changes nothing. A refusal ends the lease at once.
@@ -57,6 +68,7 @@
     /// Takes a version, which was judged before it was published.
     fn take(&mut self, published: &Published) {
         self.latest = published.version;
+        self.published_at_ms = published.at_ms;
         self.desired = Some(Arc::new(DesiredState::read_published(&published.text)));
         log::info!("event=configuration_taken version={}", self.latest);
     }
--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -2,9 +2,13 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use tokio::sync::Notify;
+
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
+use crate::metrics::Metrics;
+use crate::recorder::Recorder;
 use crate::settings::Settings;
 
 /// Holds what the threads of an entry share.
@@ -14,9 +18,14 @@
 pub(crate) struct Shared {
     /// The settings.
     pub(crate) settings: Settings,
+    /// What a metrics collector sees.
+    pub(crate) metrics: Metrics,
     configuration: Mutex<Configuration>,
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
+    recorder: Mutex<Recorder>,
+    /// Wakes the exchange with other entries when requests wait that they could help with.
+    pub(crate) help_wanted: Notify,
 }
 
 impl Shared {
@@ -24,9 +33,12 @@
     pub(crate) fn new(settings: Settings) -> Self {
         Self {
             settings,
+            metrics: Metrics::default(),
             configuration: Mutex::default(),
             backends: Mutex::default(),
             dispatch: Mutex::default(),
+            recorder: Mutex::default(),
+            help_wanted: Notify::new(),
         }
     }
 
@@ -46,4 +58,9 @@
     pub(crate) fn dispatch(&self) -> MutexGuard<'_, Dispatch> {
         self.dispatch.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns the counts of what became of requests.
+    pub(crate) fn recorder(&self) -> MutexGuard<'_, Recorder> {
+        self.recorder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/jasminefall-runtime/src/lib.rs
+++ b/crates/jasminefall-runtime/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`command_line`]: the options that every daemon takes
 //! - [`settings`]: settings files
 //! - [`logging`]: one line of key=value pairs an event
+//! - [`metrics`]: the page that a metrics collector scrapes
 //! - [`supervisor`]: children that are restarted with back-off
 //! - [`tokens`]: operators' tokens
 //! - [`clock`]: wall and monotonic time in milliseconds
@@ -19,6 +20,7 @@
 pub mod clock;
 pub mod command_line;
 pub mod logging;
+pub mod metrics;
 pub mod settings;
 pub mod supervisor;
 pub mod tokens;
--- a/crates/jasminefall-state/src/configuration.rs
+++ b/crates/jasminefall-state/src/configuration.rs
@@ -72,6 +72,8 @@
     answers: Answers,
     /// The entries that are declared no longer, with the time of their removal.
     retired_entries: BTreeMap<EntryId, u64>,
+    /// When the first version was published, in milliseconds since 1970; zero before.
+    first_published_at_ms: u64,
     #[serde(skip)]
     desired: Arc<DesiredState>,
 }
@@ -109,8 +111,13 @@
         self.history.get(version)
     }
 
-    /// Returns the entries that were declared in the last hour and are declared no longer.
+    /// Returns when the first version was published, in milliseconds since 1970; zero before.
     #[must_use]
+    pub const fn first_published_at_ms(&self) -> u64 {
+        self.first_published_at_ms
+    }
+
+    /// Returns the entries that were declared in the last hour and are declared no longer.
     pub fn retired_entries(&self) -> impl Iterator<Item = &EntryId> {
         self.retired_entries.keys()
     }
@@ -157,6 +164,9 @@
 
     fn publish(&mut self, now_ms: u64, request: ApplyRequest) -> Version {
         let version = self.version().next();
+        if version == Version::default().next() {
+            self.first_published_at_ms = now_ms;
+        }
         let before = self.desired.clone();
         self.history.push(Published {
             version,
--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -21,6 +21,7 @@
     "9db7e4623d1f25613cd401e84b1a6262929112129b0daf6b33af600f84e2f6f8";
 const READ_TOKEN: &str = "read-token-for-tests";
 const READ_TOKEN_SHA256: &str = "034a18b02f9980ffc4c7b91fe20d9958638c3f488e9413f54510f19374b0784f";
+const METRICS_PORT: u16 = 27_000;
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 const WAIT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -81,6 +82,17 @@
         self
     }
 
+    /// Returns the process ids of the control replicas and then of the entries that run.
+    #[must_use]
+    pub fn processes(&self) -> Vec<u32> {
+        self.controls
+            .iter()
+            .chain(&self.entries)
+            .flatten()
+            .map(Child::id)
+            .collect()
+    }
+
     /// Returns the folder of the site.
     #[must_use]
     pub fn folder(&self) -> &Path {
@@ -183,6 +195,18 @@
         self.address(BACKENDS_PORT, position)
     }
 
+    /// Returns where a metrics collector reads an entry.
+    #[must_use]
+    pub fn metrics(&self, position: usize) -> SocketAddr {
+        self.address(METRICS_PORT, position)
+    }
+
+    /// Returns the path of a program of the workspace.
+    #[must_use]
+    pub fn program(name: &str) -> PathBuf {
+        program(name)
+    }
+
     /// Returns an address on the site's own IP with any free port.
     #[must_use]
     pub const fn any_port(&self) -> SocketAddr {
@@ -365,9 +389,11 @@
         let entries = join(ENTRY_PEER_PORT, self.entries.len(), Some(position));
         let (callers, backends) = (self.callers(position), self.backends(position));
         let peer = self.address(ENTRY_PEER_PORT, position);
+        let metrics = self.metrics(position);
         format!(
             "[entry]\nname = e{}\ncallers = {callers}\nbackends = {backends}\npeer = {peer}\n\
-             site_key_file = {folder}/key\ncontrol = {control}\nentries = {entries}\n",
+             site_key_file = {folder}/key\ncontrol = {control}\nentries = {entries}\n\
+             metrics = {metrics}\nobservation_interval = 500ms\n",
             position + 1
         )
     }
@@ -389,14 +415,16 @@
     }
 }
 
-/// Returns the path of a program of the workspace, beside the running test.
+/// Returns the path of a program of the workspace, beside the running program or test.
 fn program(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the path of the test");
-    let folder = test
-        .parent()
-        .and_then(Path::parent)
-        .expect("the target folder");
-    folder.join(name)
+    let running = std::env::current_exe().expect("the path of the running program");
+    let folders = running.ancestors().skip(1).take(2);
+    let mut found = folders
+        .map(|folder| folder.join(name))
+        .filter(|path| path.exists());
+    found
+        .next()
+        .expect("the program is built; run `cargo build --workspace --bins` first")
 }
 
 /// Reserves a loopback address that no other site on the machine uses.
