--- a/crates/jasminefall-control/src/settings.rs
+++ b/crates/jasminefall-control/src/settings.rs
@@ -76,7 +76,7 @@
         let (Some(replica), Some(own), Some(data_folder), Some(secret)) =
             (replica, own, data_folder, secret)
         else {
-            return Err(file.problems);
+            return file.finish(None);
         };
         let settings = Self {
             replica,
@@ -89,7 +89,7 @@
             tokens,
             replicas,
         };
-        file.problems.into_result(settings)
+        file.finish(Some(settings))
     }
 }
 
--- a/crates/jasminefall-core/src/document.rs
+++ b/crates/jasminefall-core/src/document.rs
@@ -110,10 +110,12 @@
 }
 
 impl Section {
-    fn new(file: &str, name: SmolStr, line: u32) -> Self {
+    /// Creates a section without any key.
+    #[must_use]
+    pub fn new(file: &str, name: impl Into<SmolStr>, line: u32) -> Self {
         Self {
             file: file.into(),
-            name,
+            name: name.into(),
             line,
             values: BTreeMap::new(),
         }
@@ -186,14 +188,14 @@
         T: FromStr,
         T::Err: Display,
     {
-        if self.text(key).is_none() {
-            problems.add(
-                self.place(key),
-                "the key is missing",
-                format!("add `{key} = {example}`"),
-            );
-        }
-        self.read_optional(key, problems)
+        let remedy = format!("write it like `{key} = {example}`");
+        let Some(text) = self.text(key) else {
+            problems.add(self.place(key), "the key is missing", remedy);
+            return None;
+        };
+        text.parse()
+            .map_err(|error| problems.add(self.place(key), format!("{error}"), remedy))
+            .ok()
     }
 
     /// Reads a key of any type that may be absent.
--- a/crates/jasminefall-entry/src/settings.rs
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -76,7 +76,7 @@
         let (Some(name), Some(callers), Some(backends), Some(peer), Some(secret)) =
             (name, callers, backends, peer, secret)
         else {
-            return Err(file.problems);
+            return file.finish(None);
         };
         let site_key = SiteKey::new(&secret);
         let settings = Self {
@@ -90,6 +90,6 @@
             observation_interval_ms,
             entries,
         };
-        file.problems.into_result(settings)
+        file.finish(Some(settings))
     }
 }
--- a/crates/jasminefall-runtime/src/lib.rs
+++ b/crates/jasminefall-runtime/src/lib.rs
@@ -3,7 +3,7 @@
 //! ```
 //! use jasminefall_runtime::settings::SettingsFile;
 //!
-//! let file = SettingsFile::parse("entry.ini", "[entry]\nname = e1\n").unwrap();
+//! let file = SettingsFile::parse("entry.ini", "[entry]\nname = e1\n");
 //! assert_eq!(file.document.section("entry").unwrap().text("name"), Some("e1"));
 //! ```
 //!
--- a/crates/jasminefall-runtime/src/settings.rs
+++ b/crates/jasminefall-runtime/src/settings.rs
@@ -18,29 +18,26 @@
 }
 
 impl SettingsFile {
-    /// Reads a settings text.
-    ///
-    /// # Errors
-    ///
-    /// Returns every fault of form.
-    pub fn parse(name: &str, text: &str) -> Result<Self, Problems> {
-        let document = Document::parse(name, text)?;
-        Ok(Self {
+    /// Reads what can be read of a settings text; faults of form are among its problems.
+    #[must_use]
+    pub fn parse(name: &str, text: &str) -> Self {
+        let (document, problems) = Document::read(name, text);
+        Self {
             document,
-            problems: Problems::new(),
+            problems,
             name: name.to_owned(),
-        })
+        }
     }
 
     /// Loads a settings file.
     ///
     /// # Errors
     ///
-    /// Returns every fault of form, or the one that the file cannot be read.
+    /// Returns the fault that the file cannot be read.
     pub fn load(path: &Path) -> Result<Self, Problems> {
         let name = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|error| unreadable(&name, &error))?;
-        Self::parse(&name, &text)
+        Ok(Self::parse(&name, &text))
     }
 
     /// Returns the name of the file.
@@ -61,7 +58,20 @@
         };
         self.problems
             .add(place, "the section is missing", format!("add [{name}]"));
-        Section::default()
+        Section::new(&self.name, name, 0)
+    }
+
+    /// Returns what was read where no fault was found.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault in the order of the text.
+    pub fn finish<T>(mut self, read: Option<T>) -> Result<T, Problems> {
+        self.problems.sort();
+        match read {
+            Some(read) => self.problems.into_result(read),
+            None => Err(self.problems),
+        }
     }
 
     /// Adds a fault for every section that is not among `known`.
