--- a/crates/jasminefall-entry/src/dispatch/state.rs
+++ b/crates/jasminefall-entry/src/dispatch/state.rs
@@ -15,6 +15,7 @@
 
 use super::lending::Peer;
 use super::{Answer, Wanted};
+use crate::forward::OVERRUN_MS;
 
 /// The most requests that wait at an entry, over all services.
 const MAX_WAITING_REQUESTS: usize = 20_000;
@@ -127,7 +128,7 @@
         // Before the first version nothing ran, so an earlier process has left nothing behind.
         let is_fresh_site = version == Version::new(1) && published_at_ms >= self.start.get();
         let timeouts = desired.services.values().map(|service| service.timeout_ms);
-        let longest_ms = timeouts.max().unwrap_or_default().get();
+        let longest_ms = timeouts.max().unwrap_or_default().get() + OVERRUN_MS;
         self.division = Division::of(desired, name);
         self.version = version;
         self.book
