--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -111,48 +111,21 @@
         READ_TOKEN
     }
 
-    /// Returns where other processes reach a control replica.
-    #[must_use]
-    pub fn control_peer(&self, position: usize) -> SocketAddr {
-        self.address(PEER_PORT, position)
-    }
-
     /// Lets an entry reach the control replicas at these addresses, from its next start on.
     ///
     /// # Panics
     ///
     /// Panics where the settings cannot be written.
     pub fn set_control_of_entry(&self, position: usize, control: &[SocketAddr]) {
-        let path = self.entry_settings(position);
         let addresses: Vec<String> = control.iter().map(ToString::to_string).collect();
-        let replaced = self
-            .entry_text(position)
-            .lines()
-            .fold(String::new(), |text, line| {
-                if line.starts_with("control = ") {
-                    text + "control = " + &addresses.join(", ") + "\n"
-                } else {
-                    text + line + "\n"
-                }
+        let control = format!("control = {}", addresses.join(", "));
+        self.edit_entry(position, |text| {
+            let lines = text.lines().map(|line| {
+                let is_replaced = line.starts_with("control = ");
+                if is_replaced { control.as_str() } else { line }
             });
-        std::fs::write(path, replaced).expect("settings");
-    }
-
-    /// Sends a signal such as `STOP` or `CONT` to an entry.
-    ///
-    /// # Panics
-    ///
-    /// Panics where the entry does not run.
-    pub fn signal_entry(&self, position: usize, signal: &str) {
-        let child = self.entries[position].as_ref().expect("the entry runs");
-        let mut command = Command::new("kill");
-        let sent = command
-            .args(["-s", signal, &child.id().to_string()])
-            .status();
-        assert!(
-            sent.is_ok_and(|status| status.success()),
-            "the signal is sent"
-        );
+            lines.fold(String::new(), |text, line| text + line + "\n")
+        });
     }
 
     /// Returns what an entry has logged.
