--- a/crates/jasminefall-control/src/disk.rs
+++ b/crates/jasminefall-control/src/disk.rs
@@ -12,8 +12,8 @@
 pub(crate) struct DiskJob {
     /// The term and vote to store first.
     pub(crate) hard_state: Option<HardState>,
-    /// The snapshot to store, with the entries that follow it.
-    pub(crate) snapshot: Option<(Snapshot, Vec<Entry>)>,
+    /// The snapshot to store; `append` then holds all entries that follow it.
+    pub(crate) snapshot: Option<Snapshot>,
     /// The entries to store.
     pub(crate) append: Vec<Entry>,
     /// The messages that may leave afterwards.
@@ -25,6 +25,8 @@
 pub(crate) struct DiskDone {
     /// The last entry stored.
     pub(crate) last: Option<(LogIndex, Term)>,
+    /// How many jobs are done.
+    pub(crate) jobs: usize,
     /// The messages that may leave now.
     pub(crate) messages: Vec<Message>,
 }
@@ -57,24 +59,29 @@
 
 /// Stores a batch with as few syncs as its snapshots allow.
 fn store(storage: &mut Storage, batch: Vec<DiskJob>) -> Result<DiskDone, StorageError> {
-    let mut done = DiskDone::default();
+    let mut done = DiskDone {
+        jobs: batch.len(),
+        ..DiskDone::default()
+    };
     let mut hard_state = None;
     let mut append = Vec::new();
     for job in batch {
         hard_state = job.hard_state.or(hard_state);
-        if let Some((snapshot, following)) = job.snapshot {
-            storage.store(hard_state.take(), &append)?;
-            append.clear();
-            storage.store_snapshot(&snapshot, &following)?;
-            done.last = Some((snapshot.index, snapshot.term)).max(done.last);
-        }
-        done.last = job
-            .append
-            .last()
-            .map(|entry| (entry.index, entry.term))
-            .or(done.last);
-        append.extend(job.append);
         done.messages.extend(job.messages);
+        let snapshot_end = job
+            .snapshot
+            .as_ref()
+            .map(|snapshot| (snapshot.index, snapshot.term));
+        let last = job.append.last().map(|entry| (entry.index, entry.term));
+        done.last = last.or(snapshot_end).or(done.last);
+        let Some(snapshot) = job.snapshot else {
+            append.extend(job.append);
+            continue;
+        };
+        // What precedes the snapshot is covered by it or stored again after it.
+        append.clear();
+        storage.store(hard_state.take(), &append)?;
+        storage.store_snapshot(&snapshot, &job.append)?;
     }
     if hard_state.is_some() || !append.is_empty() {
         storage.store(hard_state, &append)?;
--- a/crates/jasminefall-control/src/edge.rs
+++ b/crates/jasminefall-control/src/edge.rs
@@ -3,6 +3,7 @@
 //! The modules below translate and decide nothing.
 
 pub(crate) mod operators;
+mod operators_members;
 pub(crate) mod service_levels;
 pub(crate) mod workers;
 
--- a/crates/jasminefall-control/src/edge/operators.rs
+++ b/crates/jasminefall-control/src/edge/operators.rs
@@ -22,6 +22,7 @@
             .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .route("/v1/status", web::get().to(status))
+            .configure(super::operators_members::routes)
             .route(
                 "/v1/service-levels",
                 web::get().to(super::service_levels::get),
--- /dev/null
+++ b/crates/jasminefall-control/src/edge/operators_members.rs
@@ -0,0 +1,33 @@
+//! What operators ask about the control replicas.
+
+use actix_web::{HttpResponse, web};
+use jasminefall_replica::prelude::{Change, ReplicaId};
+
+use super::{ErrorBody, refuse};
+use crate::node::NodeHandle;
+
+/// Adds the calls on the members.
+pub(super) fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/members", web::get().to(members))
+        .route("/v1/members/{replica}/remove", web::post().to(remove));
+}
+
+async fn members(handle: web::Data<NodeHandle>) -> HttpResponse {
+    match handle.members().await {
+        Ok(body) => HttpResponse::Ok().json(body),
+        Err(error) => refuse(&error),
+    }
+}
+
+async fn remove(handle: web::Data<NodeHandle>, replica: web::Path<u64>) -> HttpResponse {
+    let change = Change::Remove(ReplicaId(*replica));
+    match handle.change_members(change).await {
+        Ok(Ok(())) => HttpResponse::Accepted().finish(),
+        Ok(Err(error)) => HttpResponse::Conflict().json(ErrorBody {
+            error,
+            leader_peer: None,
+        }),
+        Err(error) => refuse(&error),
+    }
+}
--- a/crates/jasminefall-control/src/node.rs
+++ b/crates/jasminefall-control/src/node.rs
@@ -1,9 +1,19 @@
 //! The replica with its state, and the handle by which others reach it.
+//!
+//! - [`handle`]: calls from other threads
+//! - [`members`]: the membership and its repair
+//! - [`messages`]: what the actor is asked
 
+mod handle;
+mod members;
+mod messages;
+
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::rc::Rc;
+use std::sync::PoisonError;
 use std::sync::mpsc::SyncSender;
-use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use actix::prelude::*;
@@ -14,6 +24,8 @@
 use jasminefall_wire::message::{ControlError, ProposeAnswer};
 use tokio::sync::oneshot;
 
+pub(crate) use self::handle::NodeHandle;
+use self::messages::Synced;
 use crate::disk::{self, DiskDone, DiskJob};
 use crate::entry_leases::EntryLeases;
 use crate::peers::Peers;
@@ -22,9 +34,15 @@
 
 const TICK: Duration = Duration::from_millis(20);
 const LIVENESS_CHECK: Duration = Duration::from_millis(50);
+const REPAIR_INTERVAL: Duration = Duration::from_millis(200);
 /// A snapshot is made once this many entries have been applied since the last one.
-const COMPACT_AFTER_ENTRIES: usize = 10_000;
+const COMPACT_AFTER_ENTRIES: u64 = 10_000;
+/// A snapshot is made once the log holds this much, or as much as the last snapshot.
+const COMPACT_AFTER_BYTES: usize = 16 << 20;
 const MAX_WAITING: usize = 10_000;
+const MAX_WAITING_BYTES: usize = 64 << 20;
+/// With this many jobs waiting for the disk, proposals are refused and messages dropped.
+const MAX_DISK_JOBS: usize = 1_024;
 const MAILBOX_LENGTH: usize = 16_384;
 
 /// Holds what may be looked at, on the leader or on any replica.
@@ -50,6 +68,13 @@
     pub(crate) commit: LogIndex,
 }
 
+/// Waits for the outcome of a proposal.
+struct Waiter {
+    term: Term,
+    size_bytes: usize,
+    answer: oneshot::Sender<ProposeAnswer>,
+}
+
 /// Runs the replica as an actor.
 struct Node {
     replica: Replica,
@@ -57,16 +82,19 @@
     applied: LogIndex,
     was_leader: bool,
     disk: SyncSender<DiskJob>,
+    disk_jobs: usize,
     peers: Peers,
     addresses: BTreeMap<ReplicaId, ReplicaAddresses>,
-    waiting: BTreeMap<LogIndex, (Term, oneshot::Sender<ProposeAnswer>)>,
+    plan: RepairPlan,
+    waiting: BTreeMap<LogIndex, Waiter>,
+    waiting_bytes: usize,
+    pump_due: bool,
+    outdated: Rc<Cell<bool>>,
 }
 
 /// Opens the storage, runs the node and returns when it has stopped.
 pub(crate) async fn run(settings: Rc<Settings>, handle: NodeHandle) -> anyhow::Result<()> {
-    let (storage, recovered) = Storage::open(&settings.data_folder)?;
-    let voters = settings.replicas.keys().copied();
-    let recovered = with_first_membership(recovered, Recovered::with_voters(voters));
+    let (storage, recovered) = Storage::open(&settings.data_folder, Incarnation(wall_ms()))?;
     let state = match recovered.snapshot.index {
         LogIndex(0) => ClusterState::default(),
         _ => ClusterState::from_bytes(&recovered.snapshot.state)
@@ -87,6 +115,7 @@
     let call_done = move |stored| done.lock().unwrap_or_else(PoisonError::into_inner)(stored);
     let (disk, thread) = disk::start(storage, call_done)?;
     let node = Node::new(&settings, recovered, state, disk);
+    let outdated = node.outdated.clone();
     let address = Node::create(move |context| {
         context.set_mailbox_capacity(MAILBOX_LENGTH);
         node
@@ -100,17 +129,22 @@
     while !thread.is_finished() {
         tokio::time::sleep(LIVENESS_CHECK).await;
     }
+    if outdated.get() {
+        set_aside(&settings.data_folder)?;
+    }
     anyhow::bail!("the replica stopped")
 }
 
-fn with_first_membership(recovered: Option<Recovered>, first: Recovered) -> Recovered {
-    let Some(mut recovered) = recovered else {
-        return first;
-    };
-    if recovered.snapshot.index == LogIndex(0) {
-        recovered.snapshot = first.snapshot;
-    }
-    recovered
+/// Sets a folder aside that holds less than the replica was seen to have stored.
+fn set_aside(folder: &Path) -> anyhow::Result<()> {
+    let mut name = folder.as_os_str().to_owned();
+    name.push(format!("-outdated-{}", wall_ms()));
+    std::fs::rename(folder, &name).context("the outdated data folder cannot be set aside")?;
+    let kept = Path::new(&name).display();
+    log::error!(
+        "event=data_folder_outdated kept=\"{kept}\" remedy=\"none needed: the replica rejoins empty\""
+    );
+    Ok(())
 }
 
 impl Node {
@@ -124,21 +158,35 @@
         let addresses = settings.replicas.clone();
         let others = addresses.iter().filter(|(id, _)| **id != settings.replica);
         let others = others.map(|(id, replica)| (*id, replica.peer)).collect();
+        let first_voters = addresses.iter().filter(|(_, replica)| replica.first_voter);
+        let first_voters: Vec<_> = first_voters.map(|(id, _)| *id).collect();
+        let places = addresses.iter();
+        let places = places.map(|(id, replica)| (*id, replica.data_centre.clone()));
+        let plan = RepairPlan::new(first_voters.len(), settings.replace_after_ms)
+            .with_data_centres(places.collect());
         let timing = jasminefall_replica::prelude::Settings::default();
+        let replica = Replica::new(settings.replica, timing, recovered, rand::random())
+            .with_first_voters(first_voters)
+            .with_others(addresses.keys().copied());
         let view = View {
             state,
             entry_leases: EntryLeases::default(),
             workers: WorkerBook::default(),
         };
         Self {
-            replica: Replica::new(settings.replica, timing, recovered, rand::random()),
+            replica,
             view,
             applied,
             was_leader: false,
             disk,
+            disk_jobs: 0,
             peers: Peers::start(others, &settings.site_key),
             addresses,
+            plan,
             waiting: BTreeMap::new(),
+            waiting_bytes: 0,
+            pump_due: false,
+            outdated: Rc::default(),
         }
     }
 
@@ -148,17 +196,14 @@
         if let Some(snapshot) = &ready.snapshot {
             self.load(snapshot);
         }
-        ready
-            .messages
-            .into_iter()
-            .for_each(|message| self.peers.send(message));
-        let stores =
-            ready.hard_state.is_some() || ready.snapshot.is_some() || !ready.append.is_empty();
-        if stores || !ready.messages_after_sync.is_empty() {
-            let following = Vec::new();
+        let stores = ready.must_store() || !ready.messages_after_sync.is_empty();
+        for message in ready.messages {
+            self.peers.send(message);
+        }
+        if stores {
             self.store(DiskJob {
                 hard_state: ready.hard_state,
-                snapshot: ready.snapshot.map(|snapshot| (snapshot, following)),
+                snapshot: ready.snapshot,
                 append: ready.append,
                 messages: ready.messages_after_sync,
             });
@@ -170,13 +215,19 @@
         self.compact_if_long();
     }
 
-    fn store(&self, job: DiskJob) {
+    fn store(&mut self, job: DiskJob) {
+        self.disk_jobs += 1;
         if self.disk.send(job).is_err() {
             log::error!("event=disk_thread_gone");
             std::process::exit(3);
         }
     }
 
+    /// Returns whether the disk lags so far that no more work may be taken.
+    const fn is_disk_behind(&self) -> bool {
+        self.disk_jobs >= MAX_DISK_JOBS
+    }
+
     fn load(&mut self, snapshot: &Snapshot) {
         match ClusterState::from_bytes(&snapshot.state) {
             Ok(state) => self.view.state = state,
@@ -193,7 +244,7 @@
     fn apply(&mut self, entry: Entry) {
         self.applied = entry.index;
         let outcome = match &entry.payload {
-            Payload::Command(bytes) => match postcard_stamped(bytes) {
+            Payload::Command(bytes) => match jasminefall_wire::codec::decode::<Stamped>(bytes) {
                 Ok(stamped) => self.view.state.apply(stamped),
                 Err(error) => {
                     log::error!(
@@ -202,15 +253,24 @@
                     std::process::exit(3);
                 }
             },
-            Payload::Noop | Payload::Membership(_) => Outcome::Done,
+            Payload::Noop => Outcome::Done,
+            Payload::Membership(membership) => {
+                log::info!(
+                    "event=members voters={:?} learners={:?}",
+                    membership.voters,
+                    membership.learners
+                );
+                Outcome::Done
+            }
         };
-        if let Some((term, waiter)) = self.waiting.remove(&entry.index) {
-            let answer = if term == entry.term {
+        if let Some(waiter) = self.waiting.remove(&entry.index) {
+            self.waiting_bytes -= waiter.size_bytes;
+            let answer = if waiter.term == entry.term {
                 Ok(outcome)
             } else {
                 Err(ControlError::Unknown)
             };
-            let _ = waiter.send(answer);
+            let _ = waiter.answer.send(answer);
         }
     }
 
@@ -223,34 +283,29 @@
         }
         if !leads && self.was_leader {
             log::info!("event=follows term={}", self.replica.term());
-            for (_, (_, waiter)) in std::mem::take(&mut self.waiting) {
-                let _ = waiter.send(Err(ControlError::Unknown));
+            self.waiting_bytes = 0;
+            for (_, waiter) in std::mem::take(&mut self.waiting) {
+                let _ = waiter.answer.send(Err(ControlError::Unknown));
             }
         }
         self.was_leader = leads;
     }
 
     fn compact_if_long(&mut self) {
-        let held = self
-            .applied
-            .0
-            .saturating_sub(self.replica.log().snapshot().index.0);
-        if held < COMPACT_AFTER_ENTRIES as u64 {
+        let log = self.replica.log();
+        let held = self.applied.0.saturating_sub(log.snapshot().index.0);
+        let limit_bytes = COMPACT_AFTER_BYTES.max(log.snapshot().state.len());
+        if held == 0 || (held < COMPACT_AFTER_ENTRIES && log.size_bytes() < limit_bytes) {
             return;
         }
-        if let Some(snapshot) = self
-            .replica
-            .compact(self.applied, self.view.state.to_bytes())
-        {
-            let following = self
-                .replica
-                .log()
-                .after(snapshot.index, usize::MAX)
-                .to_vec();
+        let state = self.view.state.to_bytes();
+        if let Some(snapshot) = self.replica.compact(self.applied, state) {
+            let log = self.replica.log();
+            let append = log.after(snapshot.index, usize::MAX).to_vec();
             self.store(DiskJob {
                 hard_state: None,
-                snapshot: Some((snapshot, following)),
-                append: Vec::new(),
+                snapshot: Some(snapshot),
+                append,
                 messages: Vec::new(),
             });
         }
@@ -270,171 +325,25 @@
             Err(ReadError::NotLeader(known)) => Err(self.not_leader(known)),
         }
     }
-}
 
-fn postcard_stamped(bytes: &[u8]) -> Result<Stamped, capnp::Error> {
-    jasminefall_wire::codec::decode(bytes)
+    /// Stops the actor where its files proved to be an older copy; they are then set aside.
+    fn stop_if_outdated(&self, context: &mut Context<Self>) {
+        if self.replica.is_outdated() {
+            self.outdated.set(true);
+            context.stop();
+        }
+    }
 }
 
 impl Actor for Node {
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Self::Context) {
-        context.run_interval(TICK, |node, _| {
+        context.run_interval(TICK, |node, context| {
             node.replica.tick(monotonic_ms());
             node.pump();
+            node.stop_if_outdated(context);
         });
-    }
-}
-
-/// Reports what the disk thread has done.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct Synced(DiskDone);
-
-impl Handler<Synced> for Node {
-    type Result = ();
-
-    fn handle(&mut self, Synced(done): Synced, _: &mut Self::Context) {
-        if let Some((index, term)) = done.last {
-            self.replica.synced(index, term);
-        }
-        for message in done.messages {
-            if message.to == self.replica.id() {
-                self.replica.step(monotonic_ms(), message);
-            } else {
-                self.peers.send(message);
-            }
-        }
-        self.pump();
-    }
-}
-
-/// Brings messages of other replicas.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct Step(Vec<jasminefall_replica::prelude::Message>);
-
-impl Handler<Step> for Node {
-    type Result = ();
-
-    fn handle(&mut self, Step(messages): Step, _: &mut Self::Context) {
-        for message in messages {
-            self.replica.step(monotonic_ms(), message);
-        }
-        self.pump();
-    }
-}
-
-/// Proposes a command.
-#[derive(Message)]
-#[rtype(result = "ProposeAnswer")]
-struct Propose(Command);
-
-impl Handler<Propose> for Node {
-    type Result = ResponseFuture<ProposeAnswer>;
-
-    fn handle(&mut self, Propose(command): Propose, _: &mut Self::Context) -> Self::Result {
-        if self.waiting.len() >= MAX_WAITING {
-            return Box::pin(async { Err(ControlError::Busy) });
-        }
-        let stamped = Stamped {
-            at_ms: wall_ms(),
-            command,
-        };
-        let payload = Payload::Command(jasminefall_wire::codec::encode(&stamped));
-        let index = match self.replica.propose(monotonic_ms(), payload) {
-            Ok(index) => index,
-            Err(known) => {
-                let error = self.not_leader(known);
-                return Box::pin(async { Err(error) });
-            }
-        };
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.insert(index, (self.replica.term(), sender));
-        self.pump();
-        Box::pin(async { receiver.await.unwrap_or(Err(ControlError::Unknown)) })
-    }
-}
-
-type Look = Box<dyn FnOnce(&mut View, &ReplicaStatus, Result<(), ControlError>) + Send>;
-
-/// Looks at what the node holds.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct LookAt(Look);
-
-impl Handler<LookAt> for Node {
-    type Result = ();
-
-    fn handle(&mut self, LookAt(look): LookAt, _: &mut Self::Context) {
-        let status = ReplicaStatus {
-            replica: self.replica.id(),
-            leader: self.replica.leader(),
-            term: self.replica.term(),
-            commit: self.replica.commit_index(),
-        };
-        let fresh = self.require_fresh();
-        look(&mut self.view, &status, fresh);
-    }
-}
-
-/// Reaches the node from any thread, also after the node has been restarted.
-#[derive(Clone, Default)]
-pub(crate) struct NodeHandle(Arc<RwLock<Option<Addr<Node>>>>);
-
-impl NodeHandle {
-    fn set(&self, address: Addr<Node>) {
-        *self.0.write().unwrap_or_else(PoisonError::into_inner) = Some(address);
-    }
-
-    fn get(&self) -> Option<Addr<Node>> {
-        self.0
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
-    }
-
-    /// Hands over messages of other replicas; a full mailbox drops them, as a network would.
-    pub(crate) fn step(&self, messages: Vec<jasminefall_replica::prelude::Message>) {
-        if let Some(address) = self.get() {
-            let _ = address.try_send(Step(messages));
-        }
-    }
-
-    /// Proposes a command and waits for its outcome.
-    pub(crate) async fn propose(&self, command: Command) -> ProposeAnswer {
-        let address = self.get().ok_or(ControlError::NotLeader(None))?;
-        address
-            .send(Propose(command))
-            .await
-            .unwrap_or(Err(ControlError::Unknown))
-    }
-
-    /// Looks at the state where it is fresh, which only the leader can promise.
-    pub(crate) async fn look_fresh<T: Send + 'static>(
-        &self,
-        look: impl FnOnce(&mut View) -> T + Send + 'static,
-    ) -> Result<T, ControlError> {
-        self.look(move |view, _, fresh| fresh.map(|()| look(view)))
-            .await
-            .and_then(|result| result)
-    }
-
-    /// Looks at the state as it is here, fresh or not.
-    pub(crate) async fn look<T: Send + 'static>(
-        &self,
-        look: impl FnOnce(&mut View, &ReplicaStatus, Result<(), ControlError>) -> T + Send + 'static,
-    ) -> Result<T, ControlError> {
-        let address = self.get().ok_or(ControlError::NotLeader(None))?;
-        let (sender, receiver) = oneshot::channel();
-        let boxed: Look = Box::new(move |view, status, fresh| {
-            let _ = sender.send(look(view, status, fresh));
-        });
-        address
-            .send(LookAt(boxed))
-            .await
-            .map_err(|_| ControlError::NotLeader(None))?;
-        receiver.await.map_err(|_| ControlError::NotLeader(None))
+        context.run_interval(REPAIR_INTERVAL, |node, _| node.repair());
     }
 }
--- /dev/null
+++ b/crates/jasminefall-control/src/node/members.rs
@@ -0,0 +1,70 @@
+//! The membership and its repair.
+
+use jasminefall_replica::prelude::*;
+use jasminefall_runtime::clock::monotonic_ms;
+
+use super::Node;
+
+/// Describes the members as the leader knows them.
+#[derive(Debug, Clone, serde::Serialize)]
+pub(crate) struct MembersBody {
+    leader: ReplicaId,
+    members: Vec<MemberBody>,
+    asking: Vec<ReplicaId>,
+}
+
+#[derive(Debug, Clone, serde::Serialize)]
+struct MemberBody {
+    replica: ReplicaId,
+    incarnation: Incarnation,
+    voter: bool,
+    data_centre: String,
+    silent_ms: u64,
+    lag_entries: u64,
+    files_lost: bool,
+}
+
+impl Node {
+    /// Returns the members as this leader knows them.
+    pub(super) fn members(&self) -> MembersBody {
+        let members = self.replica.members();
+        let asking = self.replica.asking().map(|(id, _)| id).collect();
+        MembersBody {
+            leader: self.replica.id(),
+            members: members.iter().map(|member| self.member(member)).collect(),
+            asking,
+        }
+    }
+
+    fn member(&self, member: &MemberStatus) -> MemberBody {
+        let known = self.addresses.get(&member.id);
+        MemberBody {
+            replica: member.id,
+            incarnation: member.incarnation,
+            voter: member.is_voter,
+            data_centre: known.map_or_else(String::new, |known| known.data_centre.0.clone()),
+            silent_ms: member.silent_ms,
+            lag_entries: member.lag_entries,
+            files_lost: member.asks_as.is_some(),
+        }
+    }
+
+    /// Begins the change that the membership needs next, where this replica leads.
+    pub(super) fn repair(&mut self) {
+        if !self.replica.is_leader() {
+            return;
+        }
+        let members = self.replica.members();
+        let asking: Vec<_> = self.replica.asking().collect();
+        let Some(change) = self.plan.next_change(self.replica.id(), &members, &asking) else {
+            return;
+        };
+        match self.replica.change_membership(monotonic_ms(), change) {
+            Ok(index) => log::info!("event=membership_change change=\"{change:?}\" index={index}"),
+            Err(error) => {
+                log::debug!("event=membership_waits change=\"{change:?}\" cause=\"{error}\"")
+            }
+        }
+        self.pump();
+    }
+}
--- a/crates/jasminefall-control/src/peers.rs
+++ b/crates/jasminefall-control/src/peers.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use jasminefall_replica::prelude::*;
 use jasminefall_wire::client::ControlLink;
 use jasminefall_wire::handshake::SiteKey;
@@ -11,6 +13,7 @@
 
 const QUEUE_LENGTH: usize = 1_024;
 const BATCH_LENGTH: usize = 64;
+const MAX_UNDER_WAY: usize = 8;
 const STEP_TIMEOUT: Duration = Duration::from_millis(800);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -40,13 +43,26 @@
     }
 }
 
+/// Sends batches without waiting for the answer to the one before, up to a limit.
 async fn send_all(link: ControlLink, mut messages: Receiver<Message>) {
-    let mut batch = Vec::new();
-    while messages.recv_many(&mut batch, BATCH_LENGTH).await > 0 {
-        if let Err(error) = link.step(STEP_TIMEOUT, &batch).await {
-            log::debug!("event=step_failed error=\"{error}\"");
-            tokio::time::sleep(RECONNECT_PAUSE).await;
+    let mut under_way = FuturesUnordered::new();
+    loop {
+        let mut batch = Vec::new();
+        let may_send = under_way.len() < MAX_UNDER_WAY;
+        tokio::select! {
+            count = messages.recv_many(&mut batch, BATCH_LENGTH), if may_send => {
+                if count == 0 {
+                    return;
+                }
+                let link = &link;
+                under_way.push(async move { link.step(STEP_TIMEOUT, &batch).await });
+            }
+            Some(sent) = under_way.next() => {
+                if let Err(error) = sent {
+                    log::debug!("event=step_failed error=\"{error}\"");
+                    tokio::time::sleep(RECONNECT_PAUSE).await;
+                }
+            }
         }
-        batch.clear();
     }
 }
--- a/crates/jasminefall-control/src/settings.rs
+++ b/crates/jasminefall-control/src/settings.rs
@@ -5,14 +5,16 @@
 use std::path::{Path, PathBuf};
 
 use jasminefall_core::prelude::*;
-use jasminefall_replica::prelude::ReplicaId;
+use jasminefall_replica::prelude::{DataCentre, ReplicaId};
 use jasminefall_runtime::settings::SettingsFile;
 use jasminefall_wire::handshake::SiteKey;
 
+/// Long enough for an instance that is only started anew.
+const REPLACE_AFTER_MS: u64 = 30_000;
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7101";
 
 /// Holds the addresses of a control replica.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct ReplicaAddresses {
     /// Where other processes of the system reach it.
     pub(crate) peer: SocketAddr,
@@ -20,6 +22,10 @@
     pub(crate) operators: SocketAddr,
     /// Where workers reach it.
     pub(crate) workers: SocketAddr,
+    /// Whether it votes in a site that is formed anew.
+    pub(crate) first_voter: bool,
+    /// Where it is.
+    pub(crate) data_centre: DataCentre,
 }
 
 /// Holds the settings of a control instance.
@@ -37,6 +43,8 @@
     pub(crate) data_folder: PathBuf,
     /// The secret of the site.
     pub(crate) site_key: SiteKey,
+    /// The silence after which a voter is replaced by a learner, in milliseconds.
+    pub(crate) replace_after_ms: u64,
     /// The replicas that a new site starts with.
     pub(crate) replicas: BTreeMap<ReplicaId, ReplicaAddresses>,
 }
@@ -46,7 +54,12 @@
     pub(crate) fn load(path: &Path) -> Result<Self, Problems> {
         let mut file = SettingsFile::load(path)?;
         let section = file.section("control");
-        let known = ["replica", "data_folder", "site_key_file"];
+        let known = [
+            "replica",
+            "data_folder",
+            "site_key_file",
+            "replace_after_ms",
+        ];
         section.refuse_unknown(&known, &mut file.problems);
         let replicas = read_replicas(&mut file);
         let problems = &mut file.problems;
@@ -64,8 +77,9 @@
                 })
                 .ok()
         });
-        let own = replica.and_then(|replica| replicas.get(&replica).copied());
-        if let (Some(replica), None) = (replica, own) {
+        let replace_after_ms = section.read_or("replace_after_ms", REPLACE_AFTER_MS, problems);
+        let own = replica.and_then(|replica| replicas.get(&replica).cloned());
+        if let (Some(replica), None) = (replica, &own) {
             let remedy = format!("add [replica.{replica}] with its addresses");
             problems.add(
                 section.place("replica"),
@@ -85,6 +99,7 @@
             workers: own.workers,
             data_folder: PathBuf::from(data_folder.as_str()),
             site_key: SiteKey::new(&secret),
+            replace_after_ms,
             replicas,
         };
         file.problems.into_result(settings)
@@ -111,10 +126,13 @@
             );
             continue;
         };
-        section.refuse_unknown(&["peer", "operators", "workers"], problems);
+        let known = ["peer", "operators", "workers", "first_voter", "data_centre"];
+        section.refuse_unknown(&known, problems);
         let peer = section.read_required("peer", EXAMPLE_ADDRESS, problems);
         let operators = section.read_required("operators", EXAMPLE_ADDRESS, problems);
         let workers = section.read_required("workers", EXAMPLE_ADDRESS, problems);
+        let first_voter = section.read_or("first_voter", true, problems);
+        let data_centre = section.text("data_centre").unwrap_or_default().to_owned();
         if let (Some(peer), Some(operators), Some(workers)) = (peer, operators, workers) {
             replicas.insert(
                 id,
@@ -122,6 +140,8 @@
                     peer,
                     operators,
                     workers,
+                    first_voter,
+                    data_centre: DataCentre(data_centre),
                 },
             );
         }
--- a/crates/jasminefall-replica/src/entry.rs
+++ b/crates/jasminefall-replica/src/entry.rs
@@ -1,10 +1,10 @@
 //! Log entries and memberships.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::{LogIndex, ReplicaId, Term};
+use crate::types::{Incarnation, LogIndex, ReplicaId, Term};
 
 /// Holds one position of the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +28,17 @@
     Membership(Membership),
 }
 
+impl Payload {
+    /// Returns the size of the command, in bytes.
+    #[must_use]
+    pub const fn size_bytes(&self) -> usize {
+        match self {
+            Self::Command(bytes) => bytes.len(),
+            Self::Noop | Self::Membership(_) => 0,
+        }
+    }
+}
+
 /// Says which replicas take part.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Membership {
@@ -35,6 +46,8 @@
     pub voters: BTreeSet<ReplicaId>,
     /// The replicas that receive the log without counting.
     pub learners: BTreeSet<ReplicaId>,
+    /// The incarnation in which each takes part; zero where none is given.
+    pub incarnations: BTreeMap<ReplicaId, Incarnation>,
 }
 
 impl Membership {
@@ -42,10 +55,29 @@
     pub fn with_voters(voters: impl IntoIterator<Item = ReplicaId>) -> Self {
         Self {
             voters: voters.into_iter().collect(),
-            learners: BTreeSet::new(),
+            ..Self::default()
         }
     }
 
+    /// Returns whether a replica takes part in this incarnation, as a voter or as a learner.
+    #[must_use]
+    pub fn knows(&self, id: ReplicaId, incarnation: Incarnation) -> bool {
+        let takes_part = self.voters.contains(&id) || self.learners.contains(&id);
+        takes_part && self.incarnation(id) == incarnation
+    }
+
+    /// Returns whether a replica votes in this incarnation.
+    #[must_use]
+    pub fn has_voter(&self, id: ReplicaId, incarnation: Incarnation) -> bool {
+        self.voters.contains(&id) && self.incarnation(id) == incarnation
+    }
+
+    /// Returns the incarnation in which a replica takes part.
+    #[must_use]
+    pub fn incarnation(&self, id: ReplicaId) -> Incarnation {
+        self.incarnations.get(&id).copied().unwrap_or_default()
+    }
+
     /// Returns how many voters make a majority.
     #[must_use]
     pub fn quorum(&self) -> usize {
--- a/crates/jasminefall-replica/src/error.rs
+++ b/crates/jasminefall-replica/src/error.rs
@@ -14,6 +14,11 @@
         /// What the system said.
         source: io::Error,
     },
+    /// An earlier operation failed: what is on the disk is not known.
+    Failed {
+        /// The folder.
+        path: PathBuf,
+    },
     /// A record in the middle of a file is damaged.
     Corrupt {
         /// The file.
@@ -39,9 +44,14 @@
                 "{}: {source}; check the disk's space and rights, then start again",
                 path.display()
             ),
+            Self::Failed { path } => write!(
+                formatter,
+                "{}: an earlier operation failed; start again so that the files are read anew",
+                path.display()
+            ),
             Self::Corrupt { path, offset_bytes } => write!(
                 formatter,
-                "{}: damaged at byte {offset_bytes}; move the data folder away and rejoin this replica as a learner",
+                "{}: damaged at byte {offset_bytes}; move the data folder away and start again: the replica rejoins as a learner",
                 path.display()
             ),
         }
@@ -52,7 +62,7 @@
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
             Self::Io { source, .. } => Some(source),
-            Self::Corrupt { .. } => None,
+            Self::Corrupt { .. } | Self::Failed { .. } => None,
         }
     }
 }
--- a/crates/jasminefall-replica/src/lib.rs
+++ b/crates/jasminefall-replica/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`message`]: what replicas send each other
 //! - [`log`]: the entries held in memory
 //! - [`replica`]: the algorithm
+//! - [`repair`]: which change of the membership a group needs next
 //! - [`storage`]: the files
 //! - [`error`]: what can go wrong with the files
 
@@ -29,6 +30,7 @@
 pub mod log;
 pub mod message;
 pub mod prelude;
+pub mod repair;
 pub mod replica;
 pub mod storage;
 pub mod types;
--- a/crates/jasminefall-replica/src/log.rs
+++ b/crates/jasminefall-replica/src/log.rs
@@ -1,5 +1,7 @@
 //! The entries held in memory: those after the last snapshot.
 
+use std::collections::BTreeMap;
+
 use crate::entry::{Entry, Membership, Payload, Snapshot};
 use crate::types::{LogIndex, Term};
 
@@ -8,13 +10,20 @@
 pub struct Log {
     snapshot: Snapshot,
     entries: Vec<Entry>,
+    memberships: BTreeMap<LogIndex, Membership>,
+    size_bytes: usize,
 }
 
 impl Log {
     /// Creates a log from a snapshot and the entries that follow it.
     #[must_use]
-    pub const fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
-        Self { snapshot, entries }
+    pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
+        let mut log = Self {
+            snapshot,
+            ..Self::default()
+        };
+        entries.into_iter().for_each(|entry| log.push(entry));
+        log
     }
 
     /// Returns the latest snapshot.
@@ -70,6 +79,34 @@
         &self.entries[start..end]
     }
 
+    /// Returns the entries that follow `index`, up to a number and a size of commands in bytes.
+    ///
+    /// At least one entry is returned where one follows.
+    #[must_use]
+    pub fn batch_after(&self, index: LogIndex, limit: usize, limit_bytes: usize) -> &[Entry] {
+        let entries = self.after(index, limit);
+        let mut total_bytes = 0;
+        let fitting = entries.iter().position(|entry| {
+            total_bytes += entry.payload.size_bytes();
+            total_bytes > limit_bytes
+        });
+        &entries[..fitting.map_or(entries.len(), |count| count.max(1))]
+    }
+
+    /// Returns the size of the commands held, in bytes.
+    #[must_use]
+    pub const fn size_bytes(&self) -> usize {
+        self.size_bytes
+    }
+
+    /// Returns the index of the newest membership that the log holds.
+    #[must_use]
+    pub fn membership_index(&self) -> LogIndex {
+        self.memberships
+            .last_key_value()
+            .map_or(self.snapshot.index, |(index, _)| *index)
+    }
+
     /// Returns the entries in `(from, to]`.
     #[must_use]
     pub fn between(&self, from: LogIndex, to: LogIndex) -> &[Entry] {
@@ -80,6 +117,10 @@
     /// Appends an entry that follows the last one.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index().next());
+        self.size_bytes += entry.payload.size_bytes();
+        if let Payload::Membership(membership) = &entry.payload {
+            self.memberships.insert(entry.index, membership.clone());
+        }
         self.entries.push(entry);
     }
 
@@ -87,6 +128,8 @@
     pub fn truncate_from(&mut self, index: LogIndex) {
         if let Some(position) = self.position(index) {
             self.entries.truncate(position);
+            self.memberships.split_off(&index);
+            self.count_bytes();
         }
     }
 
@@ -98,11 +141,15 @@
             return;
         }
         if self.term_at(snapshot.index) == Some(snapshot.term) {
-            self.entries.retain(|entry| entry.index > snapshot.index);
+            let covered = self.position(snapshot.index).map_or(0, |last| last + 1);
+            self.entries.drain(..covered);
+            self.memberships = self.memberships.split_off(&snapshot.index.next());
         } else {
             self.entries.clear();
+            self.memberships.clear();
         }
         self.snapshot = snapshot;
+        self.count_bytes();
     }
 
     /// Returns the newest membership that the log holds.
@@ -114,16 +161,13 @@
     /// Returns the newest membership at or before `index`.
     #[must_use]
     pub fn membership_at(&self, index: LogIndex) -> &Membership {
-        let newest = self
-            .entries
-            .iter()
-            .rev()
-            .filter(|entry| entry.index <= index)
-            .find_map(|entry| match &entry.payload {
-                Payload::Membership(membership) => Some(membership),
-                Payload::Noop | Payload::Command(_) => None,
-            });
-        newest.unwrap_or(&self.snapshot.membership)
+        let newest = self.memberships.range(..=index).next_back();
+        newest.map_or(&self.snapshot.membership, |(_, membership)| membership)
+    }
+
+    fn count_bytes(&mut self) {
+        let sizes = self.entries.iter().map(|entry| entry.payload.size_bytes());
+        self.size_bytes = sizes.sum();
     }
 
     fn position(&self, index: LogIndex) -> Option<usize> {
--- a/crates/jasminefall-replica/src/message.rs
+++ b/crates/jasminefall-replica/src/message.rs
@@ -2,14 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::entry::{Entry, Snapshot};
-use crate::types::{LogIndex, ReplicaId, Term};
+use crate::entry::{Entry, Membership};
+use crate::types::{Incarnation, LogIndex, ReplicaId, Term};
 
 /// Carries one message between two replicas.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
     /// The sender.
     pub from: ReplicaId,
+    /// The sender's incarnation; votes and acknowledgements of another one do not count.
+    pub incarnation: Incarnation,
     /// The receiver.
     pub to: ReplicaId,
     /// The sender's term, or the term asked for in a pre-vote.
@@ -59,11 +61,48 @@
         /// The leader's clock as given in the request.
         sent_at_ms: u64,
     },
-    /// Carries a whole snapshot.
-    InstallSnapshot {
-        /// The snapshot.
-        snapshot: Snapshot,
+    /// Carries a part of a snapshot.
+    SnapshotChunk {
+        /// The last index that the snapshot covers.
+        index: LogIndex,
+        /// The term of that index.
+        term: Term,
+        /// The membership at that index.
+        membership: Membership,
+        /// Where the part begins, in bytes.
+        offset_bytes: u64,
+        /// The size of the whole, in bytes.
+        total_bytes: u64,
+        /// The part.
+        data: Vec<u8>,
         /// The leader's clock when it sent this.
         sent_at_ms: u64,
     },
+    /// Answers a part of a snapshot that is not whole yet.
+    SnapshotReply {
+        /// The last index that the snapshot covers.
+        index: LogIndex,
+        /// How much of it has arrived, in bytes.
+        received_bytes: u64,
+        /// The leader's clock as given in the request.
+        sent_at_ms: u64,
+    },
+    /// Says that the sender takes part in no group yet, or no longer.
+    Join {
+        /// Whether the sender has never taken part in a group.
+        unformed: bool,
+        /// The incarnation under which the receiver was heard last; zero where it was not.
+        heard: Incarnation,
+    },
+    /// Asks, after a start, what the receiver has seen of the sender.
+    Hello,
+    /// Tells a replica what it was seen to have stored; less in its files means that they are old.
+    Witnessed {
+        /// The incarnation that was heard; an answer to an earlier one may arrive late.
+        incarnation: Incarnation,
+        /// The latest term in which it was heard.
+        term: Term,
+        /// The latest index that it acknowledged, and in which term.
+        acknowledged: (Term, LogIndex),
+    },
 }
--- a/crates/jasminefall-replica/src/prelude.rs
+++ b/crates/jasminefall-replica/src/prelude.rs
@@ -3,8 +3,10 @@
 pub use crate::entry::{Entry, Membership, Payload, Snapshot};
 pub use crate::error::StorageError;
 pub use crate::message::{Body, Message};
+pub use crate::repair::{DataCentre, RepairPlan};
 pub use crate::replica::{
-    HardState, NotLeader, ReadError, Ready, Recovered, Replica, Role, Settings,
+    Change, ChangeError, HardState, MemberStatus, NotLeader, ReadError, Ready, Recovered, Replica,
+    Role, Settings,
 };
-pub use crate::storage::Storage;
-pub use crate::types::{LogIndex, ReplicaId, Term};
+pub use crate::storage::{FileOperations, Storage};
+pub use crate::types::{Incarnation, LogIndex, ReplicaId, Term};
--- a/crates/jasminefall-replica/src/replica.rs
+++ b/crates/jasminefall-replica/src/replica.rs
@@ -6,165 +6,36 @@
 //! the order given, then reports with [`Replica::synced`].
 
 mod election;
+mod joining;
 mod lease;
+mod membership;
+mod parts;
 mod replication;
+mod snapshots;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use serde::{Deserialize, Serialize};
 
-use crate::entry::{Entry, Membership, Payload, Snapshot};
+pub use self::membership::{Change, ChangeError, MemberStatus};
+pub use self::parts::{
+    HardState, NotLeader, Progress, ReadError, Ready, Recovered, Role, Settings,
+};
+use self::snapshots::Incoming;
+use crate::entry::{Membership, Payload, Snapshot};
 use crate::log::Log;
 use crate::message::{Body, Message};
-use crate::types::{LogIndex, ReplicaId, Term};
-
-/// Sets the times and sizes of a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Settings {
-    /// The shortest silence of a leader after which others stand for election, in milliseconds.
-    pub election_timeout_ms: u64,
-    /// The time between heartbeats of a leader, in milliseconds.
-    pub heartbeat_ms: u64,
-    /// The part of a lease given up against clocks that run at different rates, in per cent.
-    pub clock_drift_percent: u64,
-    /// The most entries in one message.
-    pub max_batch_entries: usize,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            election_timeout_ms: 1_000,
-            heartbeat_ms: 150,
-            clock_drift_percent: 10,
-            max_batch_entries: 512,
-        }
-    }
-}
-
-/// Holds what must be durable before a vote or an acknowledgement leaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct HardState {
-    /// The current term.
-    pub term: Term,
-    /// The replica that got this replica's vote in the term.
-    pub voted_for: Option<ReplicaId>,
-}
-
-/// Holds what a replica starts from.
-#[derive(Debug, Clone, Default)]
-pub struct Recovered {
-    /// The stored term and vote.
-    pub hard_state: HardState,
-    /// The latest snapshot.
-    pub snapshot: Snapshot,
-    /// The entries after the snapshot.
-    pub entries: Vec<Entry>,
-}
-
-impl Recovered {
-    /// Creates the start of a new group of voters.
-    pub fn with_voters(voters: impl IntoIterator<Item = ReplicaId>) -> Self {
-        let membership = Membership::with_voters(voters);
-        let snapshot = Snapshot {
-            membership,
-            ..Snapshot::default()
-        };
-        Self {
-            snapshot,
-            ..Self::default()
-        }
-    }
-}
-
-/// Says what a replica does at present.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Role {
-    /// Follows a leader, if one is known.
-    Follower,
-    /// Asks whether it could win an election.
-    PreCandidate(BTreeSet<ReplicaId>),
-    /// Stands for election.
-    Candidate(BTreeSet<ReplicaId>),
-    /// Leads, knowing how far each of the others is.
-    Leader(BTreeMap<ReplicaId, Progress>),
-}
-
-/// Says how far another replica is, as its leader knows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Progress {
-    /// The last index known to be equal and durable there.
-    pub match_index: LogIndex,
-    /// The last index sent there.
-    pub sent_index: LogIndex,
-    /// The leader's clock at the sending of the latest answered message.
-    pub answered_at_ms: u64,
-    /// The leader's clock at the latest sending.
-    pub sent_at_ms: u64,
-}
-
-/// Holds what the caller has to carry out.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Ready {
-    /// The term and vote to store first, if changed.
-    pub hard_state: Option<HardState>,
-    /// The snapshot to store and to load into the embedding program, if one came.
-    pub snapshot: Option<Snapshot>,
-    /// The entries to store; the first one replaces whatever stands at its index or later.
-    pub append: Vec<Entry>,
-    /// The messages that may leave at once.
-    pub messages: Vec<Message>,
-    /// The messages that may leave once all of the above is synced.
-    pub messages_after_sync: Vec<Message>,
-    /// The entries to apply, in order.
-    pub committed: Vec<Entry>,
-}
-
-impl Ready {
-    /// Returns whether anything has to be stored.
-    #[must_use]
-    pub const fn must_store(&self) -> bool {
-        self.hard_state.is_some() || self.snapshot.is_some() || !self.append.is_empty()
-    }
-}
-
-/// Says that this replica does not lead, and who may.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NotLeader {
-    /// The leader that this replica follows, if it knows one.
-    pub leader: Option<ReplicaId>,
-}
-
-impl std::fmt::Display for NotLeader {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self.leader {
-            Some(leader) => write!(
-                formatter,
-                "this replica does not lead; ask replica {leader}"
-            ),
-            None => formatter.write_str("no leader is known; try again shortly"),
-        }
-    }
-}
-
-impl std::error::Error for NotLeader {}
-
-/// Says why a read cannot be served as fresh.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReadError {
-    /// Another replica leads.
-    NotLeader(NotLeader),
-    /// The lease has run out, or nothing of this term is committed yet; try again shortly.
-    NoLease,
-}
+use crate::types::{Incarnation, LogIndex, ReplicaId, Term};
 
 /// Runs the algorithm for one replica.
 #[derive(Debug, Clone)]
 pub struct Replica {
     id: ReplicaId,
+    incarnation: Incarnation,
     settings: Settings,
+    first_voters: BTreeSet<ReplicaId>,
+    others: BTreeSet<ReplicaId>,
     random: SmallRng,
     hard_state: HardState,
     log: Log,
@@ -174,11 +45,34 @@
     handed_over: LogIndex,
     synced: LogIndex,
     now_ms: u64,
-    heard_at_ms: u64,
+    started: bool,
+    promised_until_ms: u64,
     election_at_ms: u64,
+    joins: BTreeMap<ReplicaId, Asking>,
+    unformed: BTreeMap<ReplicaId, Incarnation>,
+    join_at_ms: u64,
+    witnessed: BTreeMap<ReplicaId, Witness>,
+    check_until_ms: u64,
+    outdated: bool,
+    incoming: Option<Incoming>,
     ready: Ready,
 }
 
+/// Holds what was seen of another replica, and in which incarnation.
+#[derive(Debug, Clone, Copy, Default)]
+struct Witness {
+    incarnation: Incarnation,
+    term: Term,
+    acknowledged: (Term, LogIndex),
+}
+
+/// Holds under which incarnation a replica asks for a place, and when it was last heard.
+#[derive(Debug, Clone, Copy)]
+struct Asking {
+    incarnation: Incarnation,
+    heard_at_ms: u64,
+}
+
 impl Replica {
     /// Creates a replica from what its storage holds; `seed` spreads its election timeouts.
     #[must_use]
@@ -186,9 +80,12 @@
         let start = recovered.snapshot.index;
         let log = Log::new(recovered.snapshot, recovered.entries);
         let synced = log.last_index();
-        let mut replica = Self {
+        Self {
             id,
+            incarnation: recovered.incarnation,
             settings,
+            first_voters: BTreeSet::new(),
+            others: BTreeSet::new(),
             random: SmallRng::seed_from_u64(seed),
             hard_state: recovered.hard_state,
             log,
@@ -198,12 +95,34 @@
             handed_over: start,
             synced,
             now_ms: 0,
-            heard_at_ms: 0,
+            started: false,
+            promised_until_ms: 0,
             election_at_ms: 0,
+            joins: BTreeMap::new(),
+            unformed: BTreeMap::new(),
+            join_at_ms: 0,
+            witnessed: BTreeMap::new(),
+            check_until_ms: 0,
+            outdated: false,
+            incoming: None,
             ready: Ready::default(),
-        };
-        replica.reset_election_timer();
-        replica
+        }
+    }
+
+    /// Names the replicas that form the group when none of them has ever taken part in one.
+    ///
+    /// A replica without a membership asks them for a place in the group instead of voting.
+    #[must_use]
+    pub fn with_first_voters(mut self, voters: impl IntoIterator<Item = ReplicaId>) -> Self {
+        self.first_voters = voters.into_iter().collect();
+        self
+    }
+
+    /// Names further replicas that are asked for a place in the group.
+    #[must_use]
+    pub fn with_others(mut self, others: impl IntoIterator<Item = ReplicaId>) -> Self {
+        self.others = others.into_iter().collect();
+        self
     }
 
     /// Returns the replica's own identifier.
@@ -212,6 +131,21 @@
         self.id
     }
 
+    /// Returns the incarnation that the replica's files belong to.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns whether others have seen more of this replica than its files hold.
+    ///
+    /// The files are then an older copy: the replica takes no part any more. The caller sets the
+    /// folder aside and starts again with an empty one.
+    #[must_use]
+    pub const fn is_outdated(&self) -> bool {
+        self.outdated
+    }
+
     /// Returns the current term.
     #[must_use]
     pub const fn term(&self) -> Term {
@@ -256,7 +190,11 @@
 
     /// Moves the clock on: starts elections, sends heartbeats, gives up a lost leadership.
     pub fn tick(&mut self, now_ms: u64) {
-        self.now_ms = self.now_ms.max(now_ms);
+        self.advance_clock(now_ms);
+        if self.outdated {
+            return;
+        }
+        self.ask_to_join();
         if self.is_leader() {
             self.give_up_without_quorum();
             self.send_heartbeats();
@@ -267,31 +205,45 @@
 
     /// Takes a message from another replica.
     pub fn step(&mut self, now_ms: u64, message: Message) {
-        self.now_ms = self.now_ms.max(now_ms);
-        if self.ignores(&message) {
+        self.advance_clock(now_ms);
+        if self.outdated {
             return;
         }
-        if message.term > self.hard_state.term && !message.body.is_pre_vote() {
+        self.note_sender(&message);
+        if self.ignores(&message) {
+            return self.tell_later_term(&message);
+        }
+        if message.term > self.hard_state.term && message.body.raises_term() {
             self.follow(message.term, None);
         }
         self.handle(message);
     }
 
-    /// Proposes a payload and returns the index that it will have if it is committed.
+    /// Proposes a command and returns the index that it will have if it is committed.
+    ///
+    /// The commands proposed between two calls of [`Replica::take_ready`] travel together.
     ///
     /// # Errors
     ///
     /// Returns [`NotLeader`] where this replica does not lead.
-    pub fn propose(&mut self, now_ms: u64, payload: Payload) -> Result<LogIndex, NotLeader> {
-        self.now_ms = self.now_ms.max(now_ms);
+    pub fn propose(&mut self, now_ms: u64, command: Vec<u8>) -> Result<LogIndex, NotLeader> {
+        self.advance_clock(now_ms);
         if !self.is_leader() {
             return Err(NotLeader {
                 leader: self.leader,
             });
         }
-        let index = self.append_own(payload);
-        self.replicate();
-        Ok(index)
+        Ok(self.append_own(Payload::Command(command)))
+    }
+
+    /// Moves the clock on; the first call is the start, from which an old promise is waited out.
+    fn advance_clock(&mut self, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        if self.started {
+            return;
+        }
+        self.started = true;
+        self.wait_out_old_promise();
     }
 
     /// Takes the report that every entry up to `index`, whose term is `term`, is synced.
@@ -321,7 +273,11 @@
 
     /// Hands over what has to be stored, sent and applied.
     pub fn take_ready(&mut self) -> Ready {
+        self.replicate();
         let mut ready = std::mem::take(&mut self.ready);
+        if let Some(snapshot) = &ready.snapshot {
+            ready.append = self.log.after(snapshot.index, usize::MAX).to_vec();
+        }
         ready.committed = self.log.between(self.handed_over, self.commit).to_vec();
         self.handed_over = self.commit;
         ready
@@ -329,6 +285,7 @@
 
     fn handle(&mut self, message: Message) {
         let (from, term) = (message.from, message.term);
+        let counts = self.membership().knows(from, message.incarnation);
         match message.body {
             Body::VoteRequest {
                 pre,
@@ -337,7 +294,10 @@
             } => {
                 self.answer_vote_request(from, term, pre, (last_term, last_index));
             }
-            Body::VoteReply { pre, granted } => self.count_vote(from, pre, granted),
+            Body::VoteReply { pre, granted } => {
+                let voter = (from, message.incarnation);
+                self.count_vote(voter, term, pre, granted);
+            }
             Body::Append {
                 previous_index,
                 previous_term,
@@ -360,19 +320,57 @@
                 match_index,
                 sent_at_ms,
             } => {
-                if term == self.hard_state.term {
+                if counts && term == self.hard_state.term {
                     self.note_progress(from, accepted, match_index, sent_at_ms);
                 }
             }
-            Body::InstallSnapshot {
-                snapshot,
+            Body::SnapshotChunk {
+                index,
+                term: last_term,
+                membership,
+                offset_bytes,
+                total_bytes,
+                data,
                 sent_at_ms,
             } => {
                 if term == self.hard_state.term {
                     self.follow_leader(from);
-                    self.accept_snapshot(snapshot, sent_at_ms);
+                    let state = Vec::new();
+                    let snapshot = Snapshot {
+                        index,
+                        term: last_term,
+                        membership,
+                        state,
+                    };
+                    self.accept_chunk(snapshot, offset_bytes, total_bytes, &data, sent_at_ms);
+                }
+            }
+            Body::SnapshotReply {
+                index,
+                received_bytes,
+                sent_at_ms,
+            } => {
+                if counts && term == self.hard_state.term {
+                    self.note_received(from, index, received_bytes, sent_at_ms);
+                }
+            }
+            Body::Join { unformed, heard } => {
+                self.note_asking(from, message.incarnation);
+                // Only what was sent after this incarnation was heard counts: an older message may
+                // arrive after its sender has been taken into a group.
+                if unformed && heard == self.incarnation {
+                    self.note_unformed(from, message.incarnation);
                 }
             }
+            Body::Hello => self.answer_hello(from, message.incarnation),
+            Body::Witnessed {
+                incarnation,
+                term,
+                acknowledged,
+            } if incarnation == self.incarnation => {
+                self.compare_with_witness(term, acknowledged);
+            }
+            Body::Witnessed { .. } => {}
         }
     }
 
@@ -397,6 +395,7 @@
     fn message(&self, to: ReplicaId, body: Body) -> Message {
         Message {
             from: self.id,
+            incarnation: self.incarnation,
             to,
             term: self.hard_state.term,
             body,
--- a/crates/jasminefall-replica/src/replica/election.rs
+++ b/crates/jasminefall-replica/src/replica/election.rs
@@ -7,32 +7,80 @@
 use super::{HardState, Progress, Replica, Role};
 use crate::entry::Payload;
 use crate::message::{Body, Message};
-use crate::types::{LogIndex, ReplicaId, Term};
+use crate::types::{Incarnation, LogIndex, ReplicaId, Term};
 
 impl Body {
-    /// Returns whether the message must not raise the receiver's term.
-    pub(super) const fn is_pre_vote(&self) -> bool {
-        matches!(
-            self,
-            Self::VoteRequest { pre: true, .. } | Self::VoteReply { pre: true, .. }
-        )
+    /// Returns whether the message raises the receiver's term to its own.
+    ///
+    /// A pre-vote does not, nor does the promise of a vote: their term is only asked for.
+    pub(super) const fn raises_term(&self) -> bool {
+        match self {
+            Self::VoteRequest { pre, .. } => !*pre,
+            Self::VoteReply { pre, granted } => !(*pre && *granted),
+            Self::Join { .. } | Self::Hello | Self::Witnessed { .. } => false,
+            Self::Append { .. }
+            | Self::AppendReply { .. }
+            | Self::SnapshotChunk { .. }
+            | Self::SnapshotReply { .. } => true,
+        }
     }
 }
 
 impl Replica {
     /// Returns whether a message is from an older term, or would disturb a live leader.
     pub(super) fn ignores(&self, message: &Message) -> bool {
-        if matches!(message.body, Body::VoteRequest { .. }) {
-            return message.term < self.hard_state.term || self.hears_a_leader();
+        let is_old = message.term < self.hard_state.term;
+        match message.body {
+            Body::VoteRequest { .. } => is_old || self.keeps_promise(),
+            Body::VoteReply { pre: true, .. } | Body::Join { .. } | Body::Hello => false,
+            Body::Witnessed { .. } => false,
+            _ => is_old,
         }
-        message.term < self.hard_state.term && !message.body.is_pre_vote()
     }
 
-    /// Returns whether a leader was heard so lately that its lease may still run.
-    fn hears_a_leader(&self) -> bool {
-        let silence_ms = self.now_ms.saturating_sub(self.heard_at_ms);
-        self.leader.is_some()
-            && (self.is_leader() || silence_ms < self.settings.election_timeout_ms)
+    /// Tells a candidate or leader of an older term, which would otherwise never end it, the term.
+    pub(super) fn tell_later_term(&mut self, message: &Message) {
+        if message.term >= self.hard_state.term {
+            return;
+        }
+        let body = match message.body {
+            Body::VoteRequest { pre, .. } => Body::VoteReply {
+                pre,
+                granted: false,
+            },
+            Body::Append { sent_at_ms, .. } | Body::SnapshotChunk { sent_at_ms, .. } => {
+                Body::AppendReply {
+                    accepted: false,
+                    match_index: LogIndex(0),
+                    sent_at_ms,
+                }
+            }
+            _ => return,
+        };
+        self.send_after_sync(message.from, body);
+    }
+
+    /// Returns whether the lease of a leader that was heard, perhaps before a restart, may still run.
+    fn keeps_promise(&self) -> bool {
+        self.is_leader() || self.now_ms < self.promised_until_ms
+    }
+
+    /// Waits as if a leader had been heard at the start: the promise given to it was not stored.
+    pub(super) fn wait_out_old_promise(&mut self) {
+        self.reset_election_timer();
+        let is_alone = self.membership().voters.len() == 1 && self.is_voter();
+        if is_alone {
+            self.election_at_ms = self.now_ms;
+        } else if !self.is_unformed() {
+            self.promised_until_ms = self.now_ms + self.settings.election_timeout_ms;
+            self.check_until_ms = self.promised_until_ms;
+        }
+    }
+
+    /// Returns whether this replica, in its incarnation, is a voter.
+    #[must_use]
+    pub fn is_voter(&self) -> bool {
+        self.membership().has_voter(self.id, self.incarnation)
     }
 
     pub(super) fn reset_election_timer(&mut self) {
@@ -44,7 +92,8 @@
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election_timer();
         self.leader = None;
-        if !self.membership().voters.contains(&self.id) {
+        self.role = Role::Follower;
+        if !self.is_voter() {
             return;
         }
         self.role = Role::PreCandidate(BTreeSet::from([self.id]));
@@ -87,6 +136,7 @@
             };
             self.ready.messages_after_sync.push(Message {
                 from: self.id,
+                incarnation: self.incarnation,
                 to,
                 term,
                 body,
@@ -115,6 +165,7 @@
         let body = Body::VoteReply { pre, granted };
         let reply = Message {
             from: self.id,
+            incarnation: self.incarnation,
             to: from,
             term: reply_term,
             body,
@@ -122,7 +173,22 @@
         self.ready.messages_after_sync.push(reply);
     }
 
-    pub(super) fn count_vote(&mut self, from: ReplicaId, pre: bool, granted: bool) {
+    pub(super) fn count_vote(
+        &mut self,
+        voter: (ReplicaId, Incarnation),
+        term: Term,
+        pre: bool,
+        granted: bool,
+    ) {
+        let (from, incarnation) = voter;
+        let asked_term = if pre {
+            self.hard_state.term.next()
+        } else {
+            self.hard_state.term
+        };
+        if term != asked_term || !self.membership().has_voter(from, incarnation) {
+            return;
+        }
         let votes = match (&mut self.role, pre) {
             (Role::PreCandidate(votes), true) | (Role::Candidate(votes), false) => votes,
             _ => return,
@@ -172,7 +238,6 @@
         self.role = Role::Leader(others);
         self.leader = Some(self.id);
         self.append_own(Payload::Noop);
-        self.replicate();
     }
 
     /// Steps down where no majority has answered for a whole election timeout.
--- a/crates/jasminefall-replica/src/replica/replication.rs
+++ b/crates/jasminefall-replica/src/replica/replication.rs
@@ -1,7 +1,7 @@
 //! Entries, acknowledgements and snapshots.
 
 use super::{Progress, Replica, Role};
-use crate::entry::{Entry, Payload, Snapshot};
+use crate::entry::{Entry, Payload};
 use crate::message::Body;
 use crate::types::{LogIndex, ReplicaId, Term};
 
@@ -25,12 +25,19 @@
     pub(super) fn replicate(&mut self) {
         let last = self.log.last_index();
         for (to, known) in self.known_progress() {
-            if known.sent_index < last {
-                self.send_entries(to, known);
+            let mut known = known;
+            while known.sent_index < last && known.installing.is_none() && self.has_room(&known) {
+                known = self.send_entries(to, known);
             }
         }
     }
 
+    /// Returns whether more entries may be on their way to a replica.
+    fn has_room(&self, known: &Progress) -> bool {
+        let unacknowledged = known.sent_index.0.saturating_sub(known.match_index.0);
+        unacknowledged < self.settings.max_unacknowledged_entries
+    }
+
     pub(super) fn send_heartbeats(&mut self) {
         for (to, known) in self.known_progress() {
             if self.now_ms >= known.sent_at_ms + self.settings.heartbeat_ms {
@@ -47,58 +54,39 @@
         self.membership().others(self.id).map(known).collect()
     }
 
-    fn send_entries(&mut self, to: ReplicaId, known: Progress) {
+    /// Sends the next entries, none where too many are on their way, or a part of the snapshot.
+    fn send_entries(&mut self, to: ReplicaId, known: Progress) -> Progress {
         let previous_index = known.sent_index.min(self.log.last_index());
         let Some(previous_term) = self.log.term_at(previous_index) else {
-            return self.send_snapshot(to, known);
+            return self.send_chunk(to, known);
         };
-        let entries = self
-            .log
-            .after(previous_index, self.settings.max_batch_entries)
-            .to_vec();
-        let sent_index = entries.last().map_or(previous_index, |entry| entry.index);
-        let (commit, sent_at_ms) = (self.commit, self.now_ms);
-        self.send(
-            to,
-            Body::Append {
-                previous_index,
-                previous_term,
-                entries,
-                commit,
-                sent_at_ms,
-            },
-        );
-        self.update_progress(
-            to,
-            Progress {
-                sent_index,
-                sent_at_ms,
-                ..known
-            },
-        );
-    }
-
-    fn send_snapshot(&mut self, to: ReplicaId, known: Progress) {
-        let snapshot = self.log.snapshot().clone();
-        let (sent_index, sent_at_ms) = (snapshot.index, self.now_ms);
-        self.send(
-            to,
-            Body::InstallSnapshot {
-                snapshot,
-                sent_at_ms,
-            },
-        );
-        self.update_progress(
-            to,
-            Progress {
-                sent_index,
-                sent_at_ms,
-                ..known
-            },
-        );
+        let (limit, limit_bytes) = if self.has_room(&known) {
+            let settings = &self.settings;
+            (settings.max_batch_entries, settings.max_batch_bytes)
+        } else {
+            (0, 0)
+        };
+        let entries = self.log.batch_after(previous_index, limit, limit_bytes);
+        let entries = entries.to_vec();
+        let known = Progress {
+            sent_index: entries.last().map_or(previous_index, |entry| entry.index),
+            sent_at_ms: self.now_ms,
+            installing: None,
+            ..known
+        };
+        let body = Body::Append {
+            previous_index,
+            previous_term,
+            entries,
+            commit: self.commit,
+            sent_at_ms: self.now_ms,
+        };
+        self.send(to, body);
+        self.update_progress(to, known);
+        known
     }
 
-    fn update_progress(&mut self, of: ReplicaId, progress: Progress) {
+    pub(super) fn update_progress(&mut self, of: ReplicaId, progress: Progress) {
         if let Role::Leader(known) = &mut self.role {
             known.insert(of, progress);
         }
@@ -107,7 +95,7 @@
     pub(super) fn follow_leader(&mut self, leader: ReplicaId) {
         self.role = Role::Follower;
         self.leader = Some(leader);
-        self.heard_at_ms = self.now_ms;
+        self.promised_until_ms = self.now_ms + self.settings.election_timeout_ms;
         self.reset_election_timer();
     }
 
@@ -122,18 +110,12 @@
         let (previous_index, previous_term) = previous;
         let covered = previous_index < self.log.snapshot().index;
         if !covered && self.log.term_at(previous_index) != Some(previous_term) {
-            let match_index = self
-                .commit
-                .max(previous_index.previous().min(self.log.last_index()));
-            let match_index = match_index.min(previous_index.previous());
-            return self.send(
-                leader,
-                Body::AppendReply {
-                    accepted: false,
-                    match_index,
-                    sent_at_ms,
-                },
-            );
+            let body = Body::AppendReply {
+                accepted: false,
+                match_index: self.last_possible_match(previous_index),
+                sent_at_ms,
+            };
+            return self.send_after_sync(leader, body);
         }
         let last_new = entries.last().map_or(previous_index, |entry| entry.index);
         for entry in entries {
@@ -148,6 +130,19 @@
         self.send_after_sync(leader, body);
     }
 
+    /// Returns the last index before `missing` that may agree with the leader.
+    ///
+    /// A whole term of entries that the leader lacks is passed over at once.
+    fn last_possible_match(&self, missing: LogIndex) -> LogIndex {
+        let mut index = missing.previous().min(self.log.last_index());
+        let conflicting = self.log.term_at(missing);
+        while conflicting.is_some() && index > self.commit && self.log.term_at(index) == conflicting
+        {
+            index = index.previous();
+        }
+        index
+    }
+
     fn accept_entry(&mut self, entry: Entry) {
         if entry.index <= self.log.snapshot().index {
             return;
@@ -155,6 +150,10 @@
         match self.log.term_at(entry.index) {
             Some(term) if term == entry.term => {}
             Some(_) => {
+                assert!(
+                    entry.index > self.commit,
+                    "a committed entry is never replaced"
+                );
                 self.log.truncate_from(entry.index);
                 self.ready
                     .append
@@ -166,29 +165,6 @@
         }
     }
 
-    pub(super) fn accept_snapshot(&mut self, snapshot: Snapshot, sent_at_ms: u64) {
-        let match_index = snapshot.index;
-        if snapshot.index > self.commit {
-            self.commit = snapshot.index;
-            self.handed_over = snapshot.index;
-            self.log.install(snapshot.clone());
-            self.ready
-                .append
-                .retain(|pending| pending.index > snapshot.index);
-            self.synced = self.synced.max(snapshot.index);
-            self.ready.snapshot = Some(snapshot);
-        }
-        let leader = self.leader.unwrap_or(self.id);
-        self.send_after_sync(
-            leader,
-            Body::AppendReply {
-                accepted: true,
-                match_index,
-                sent_at_ms,
-            },
-        );
-    }
-
     pub(super) fn note_progress(
         &mut self,
         from: ReplicaId,
@@ -204,13 +180,15 @@
         };
         known.answered_at_ms = known.answered_at_ms.max(sent_at_ms);
         if accepted {
+            known.installing = None;
             known.match_index = known.match_index.max(match_index);
             known.sent_index = known.sent_index.max(match_index);
             self.advance_commit();
         } else {
             known.sent_index = known.match_index.max(match_index);
+            let known = *known;
+            self.send_entries(from, known);
         }
-        self.replicate();
     }
 
     /// Commits what a majority of voters has stored, if it is of the own term.
--- /dev/null
+++ b/crates/jasminefall-replica/src/storage/files.rs
@@ -0,0 +1,61 @@
+//! The operations on files, in one place so that a test can let each of them fail.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::Path;
+
+/// Changes a file or folder named by its path.
+pub type PathOperation = Box<dyn FnMut(&Path) -> io::Result<()> + Send>;
+
+/// Holds the operations that change what is on the disk.
+pub struct FileOperations {
+    /// Appends bytes to an open file.
+    pub write: Box<dyn FnMut(&mut File, &[u8]) -> io::Result<()> + Send>,
+    /// Syncs an open file.
+    pub sync: Box<dyn FnMut(&File) -> io::Result<()> + Send>,
+    /// Gives a file another name.
+    pub rename: Box<dyn FnMut(&Path, &Path) -> io::Result<()> + Send>,
+    /// Syncs the names in a folder.
+    pub sync_folder: PathOperation,
+    /// Removes a file.
+    pub remove: PathOperation,
+}
+
+impl FileOperations {
+    /// Creates the operations of the operating system.
+    #[must_use]
+    pub fn system() -> Self {
+        Self {
+            write: Box::new(|file, bytes| file.write_all(bytes)),
+            sync: Box::new(File::sync_data),
+            rename: Box::new(|from, to| fs::rename(from, to)),
+            sync_folder: Box::new(|folder| File::open(folder)?.sync_all()),
+            remove: Box::new(|path| fs::remove_file(path)),
+        }
+    }
+}
+
+impl std::fmt::Debug for FileOperations {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("FileOperations")
+    }
+}
+
+/// Opens a file for appending, creating it where absent.
+pub(super) fn open_append(path: &Path) -> io::Result<File> {
+    OpenOptions::new().create(true).append(true).open(path)
+}
+
+/// Returns the numbers of the files named with a prefix, in order.
+pub(super) fn numbered(folder: &Path, prefix: &str) -> io::Result<Vec<u64>> {
+    let mut numbers = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let name = entry?.file_name();
+        let number: Option<u64> = name
+            .to_str()
+            .and_then(|name| name.strip_prefix(prefix)?.parse().ok());
+        numbers.extend(number);
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
--- a/crates/jasminefall-replica/src/types.rs
+++ b/crates/jasminefall-replica/src/types.rs
@@ -54,6 +54,12 @@
     /// Counts elections; a term has at most one leader.
     Term
 }
+number! {
+    /// Tells a replica with its files from the same replica after its files were lost.
+    ///
+    /// A later incarnation of a replica has a larger number.
+    Incarnation
+}
 number! {
     /// Counts log entries from one; zero stands before the first.
     LogIndex
