test(replica): kill, cut and lose control replicas as real processes

Cause: repair, rejoining and the return after a silent cut were shown by schedules alone. Change: three tests with real processes, three of them behind one proxy for each direction: a spare replaces a killed voter and a second loss stops nothing; a replica with an older folder sets it aside and one with an empty folder rejoins; a leader cut off silently serves nothing as fresh and returns without an election. `jasminefallctl members` shows the members and removes one.

--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -1,5 +1,6 @@
 //! The real processes of a small site on one loopback address.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -16,6 +17,8 @@
 const ENTRY_PEER_PORT: u16 = 24_000;
 const CALLERS_PORT: u16 = 25_000;
 const BACKENDS_PORT: u16 = 26_000;
+/// The silence after which the control replicas of a test replace one of them.
+const REPLACE_AFTER_MS: u64 = 3_000;
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 const WAIT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -25,6 +28,8 @@
     ip: IpAddr,
     controls: Vec<Option<Child>>,
     entries: Vec<Option<Child>>,
+    spares: usize,
+    proxied: BTreeMap<(usize, usize), SocketAddr>,
     _lock: TcpListener,
 }
 
@@ -53,12 +58,11 @@
             ip,
             controls: (0..controls).map(|_| None).collect(),
             entries: (0..entries).map(|_| None).collect(),
+            spares: 0,
+            proxied: BTreeMap::new(),
             _lock: lock,
         };
-        for position in 0..controls {
-            std::fs::write(site.control_settings(position), site.control_text(position))
-                .expect("settings");
-        }
+        site.write_control_settings();
         for position in 0..entries {
             std::fs::write(site.entry_settings(position), site.entry_text(position))
                 .expect("settings");
@@ -66,6 +70,33 @@
         site
     }
 
+    /// Makes the last control replicas spares: they do not vote in a new site.
+    #[must_use]
+    pub fn with_spares(mut self, spares: usize) -> Self {
+        self.spares = spares;
+        self.write_control_settings();
+        self
+    }
+
+    /// Returns where the control replicas and entries reach a control replica.
+    #[must_use]
+    pub fn control_peer(&self, position: usize) -> SocketAddr {
+        self.address(PEER_PORT, position)
+    }
+
+    /// Lets one control replica reach another through an address, such as a proxy's.
+    pub fn reach_through(&mut self, from: usize, to: usize, address: SocketAddr) {
+        self.proxied.insert((from, to), address);
+        self.write_control_settings();
+    }
+
+    fn write_control_settings(&self) {
+        for position in 0..self.controls.len() {
+            std::fs::write(self.control_settings(position), self.control_text(position))
+                .expect("settings");
+        }
+    }
+
     /// Starts every process.
     #[must_use]
     pub fn started(mut self) -> Self {
@@ -230,23 +261,31 @@
         let folder = self.folder().display();
         let number = position + 1;
         let mut text = format!(
-            "[control]\nreplica = {number}\ndata_folder = {folder}/data-{position}\nsite_key_file = {folder}/key\n"
+            "[control]\nreplica = {number}\ndata_folder = {folder}/data-{position}\n\
+             site_key_file = {folder}/key\nreplace_after_ms = {REPLACE_AFTER_MS}\n"
         );
         for other in 0..self.controls.len() {
             let (peer, operators, workers) = (
-                self.address(PEER_PORT, other),
+                self.peer_from(position, other),
                 self.operators(other),
                 self.address(WORKERS_PORT, other),
             );
             let number = other + 1;
             let _ = writeln!(
                 text,
-                "[replica.{number}]\npeer = {peer}\noperators = {operators}\nworkers = {workers}"
+                "[replica.{number}]\npeer = {peer}\noperators = {operators}\nworkers = {workers}\n\
+                 first_voter = {}",
+                other + self.spares < self.controls.len()
             );
         }
         text
     }
 
+    fn peer_from(&self, from: usize, to: usize) -> SocketAddr {
+        let direct = self.address(PEER_PORT, to);
+        self.proxied.get(&(from, to)).copied().unwrap_or(direct)
+    }
+
     fn entry_text(&self, position: usize) -> String {
         let folder = self.folder().display();
         let join = |port, count: usize, without: Option<usize>| {
--- a/crates/jasminefallctl/src/arguments.rs
+++ b/crates/jasminefallctl/src/arguments.rs
@@ -10,7 +10,9 @@
 Commands:
     check FILE            judge a desired state
     apply FILE --base N   publish a desired state written against version N
-    status                show the site";
+    status                show the site
+    members               show the control replicas as their leader knows them
+    members remove N      take control replica N out";
 
 /// Holds what the command line asks for.
 #[derive(Debug)]
--- a/crates/jasminefallctl/src/command.rs
+++ b/crates/jasminefallctl/src/command.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod members;
 mod status;
 
 use crate::arguments::{Arguments, usage};
@@ -14,6 +15,8 @@
         ["check", file] => check::run(file),
         ["apply", file] => apply::run(arguments, file).await,
         ["status"] => status::run(arguments).await,
+        ["members"] => members::show(arguments).await,
+        ["members", "remove", replica] => members::remove(arguments, replica).await,
         [] => Err(usage("no command is given")),
         [unknown, ..] => Err(usage(&format!(
             "`{unknown}` with these words is no command"
