--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -1,10 +1,14 @@
 //! What the threads of an entry share.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::Notify;
 
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
+use crate::metrics::Metrics;
 use crate::recorder::Recorder;
 use crate::settings::Settings;
 
@@ -15,10 +19,16 @@
 pub(crate) struct Shared {
     /// The settings.
     pub(crate) settings: Settings,
+    /// What a metrics collector sees.
+    pub(crate) metrics: Metrics,
     configuration: Mutex<Configuration>,
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
+    stopping: AtomicBool,
+    unfinished: AtomicU64,
     recorder: Mutex<Recorder>,
+    /// Wakes the exchange with other entries when requests wait that they could help with.
+    pub(crate) help_wanted: Notify,
 }
 
 impl Shared {
@@ -26,10 +36,14 @@
     pub(crate) fn new(settings: Settings) -> Self {
         Self {
             settings,
+            metrics: Metrics::default(),
             configuration: Mutex::default(),
             backends: Mutex::default(),
             dispatch: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            unfinished: AtomicU64::new(0),
             recorder: Mutex::default(),
+            help_wanted: Notify::new(),
         }
     }
 
@@ -54,4 +68,36 @@
     pub(crate) fn recorder(&self) -> MutexGuard<'_, Recorder> {
         self.recorder.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns whether a stop has been asked for.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes that a stop has been asked for.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns how many pieces of work a stop must still wait for.
+    pub(crate) fn unfinished(&self) -> u64 {
+        self.unfinished.load(Ordering::Relaxed)
+    }
+}
+
+/// Stands for a piece of work that a stop waits for, until dropped.
+pub(crate) struct Unfinished(Arc<Shared>);
+
+impl Unfinished {
+    /// Notes a piece of work.
+    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
+        shared.unfinished.fetch_add(1, Ordering::Relaxed);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for Unfinished {
+    fn drop(&mut self) {
+        self.0.unfinished.fetch_sub(1, Ordering::Relaxed);
+    }
 }
