--- a/crates/jasminefall-control/src/node/members.rs
+++ b/crates/jasminefall-control/src/node/members.rs
@@ -62,7 +62,7 @@
         match self.replica.change_membership(monotonic_ms(), change) {
             Ok(index) => log::info!("event=membership_change change=\"{change:?}\" index={index}"),
             Err(error) => {
-                log::debug!("event=membership_waits change=\"{change:?}\" cause=\"{error}\"")
+                log::debug!("event=membership_waits change=\"{change:?}\" cause=\"{error}\"");
             }
         }
         self.pump();
--- a/crates/jasminefall-replica/src/storage.rs
+++ b/crates/jasminefall-replica/src/storage.rs
@@ -11,7 +11,9 @@
 use std::fs::{self, File, OpenOptions};
 use std::path::{Path, PathBuf};
 
-pub use self::files::{FileOperations, PathOperation};
+pub use self::files::{
+    FileOperations, PathOperation, RenameOperation, SyncOperation, WriteOperation,
+};
 use self::files::{numbered, open_append};
 use self::record::{Record, Tail};
 use crate::entry::{Entry, Snapshot};
--- a/crates/jasminefall-replica/src/storage/files.rs
+++ b/crates/jasminefall-replica/src/storage/files.rs
@@ -7,14 +7,23 @@
 /// Changes a file or folder named by its path.
 pub type PathOperation = Box<dyn FnMut(&Path) -> io::Result<()> + Send>;
 
+/// Appends bytes to an open file.
+pub type WriteOperation = Box<dyn FnMut(&mut File, &[u8]) -> io::Result<()> + Send>;
+
+/// Does something to an open file.
+pub type SyncOperation = Box<dyn FnMut(&File) -> io::Result<()> + Send>;
+
+/// Gives a file another name.
+pub type RenameOperation = Box<dyn FnMut(&Path, &Path) -> io::Result<()> + Send>;
+
 /// Holds the operations that change what is on the disk.
 pub struct FileOperations {
     /// Appends bytes to an open file.
-    pub write: Box<dyn FnMut(&mut File, &[u8]) -> io::Result<()> + Send>,
+    pub write: WriteOperation,
     /// Syncs an open file.
-    pub sync: Box<dyn FnMut(&File) -> io::Result<()> + Send>,
+    pub sync: SyncOperation,
     /// Gives a file another name.
-    pub rename: Box<dyn FnMut(&Path, &Path) -> io::Result<()> + Send>,
+    pub rename: RenameOperation,
     /// Syncs the names in a folder.
     pub sync_folder: PathOperation,
     /// Removes a file.
@@ -26,7 +35,7 @@
     #[must_use]
     pub fn system() -> Self {
         Self {
-            write: Box::new(|file, bytes| file.write_all(bytes)),
+            write: Box::new(File::write_all),
             sync: Box::new(File::sync_data),
             rename: Box::new(|from, to| fs::rename(from, to)),
             sync_folder: Box::new(|folder| File::open(folder)?.sync_all()),
