--- /dev/null
+++ b/crates/jasminefall-replica/examples/measure_commits.rs
@@ -0,0 +1,228 @@
+//! Measures commits a second between three replicas with real files and a delay on every message,
+//! and the time to start from files.
+//!
+//! `cargo run --release -p jasminefall-replica --example measure_commits`; it takes about a minute.
+
+use std::collections::BinaryHeap;
+use std::path::Path;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use jasminefall_replica::prelude::*;
+
+const DELAY: Duration = Duration::from_millis(1);
+const RUN: Duration = Duration::from_secs(2);
+const ROUNDS: usize = 3;
+const COMMAND_BYTES: usize = 200;
+const OUTSTANDING: [usize; 5] = [1, 8, 64, 512, 4_096];
+const COMPACT_AFTER: u64 = 10_000;
+
+/// A message and when it arrives; the earliest is the greatest.
+struct Arrival(Instant, Message);
+
+impl PartialEq for Arrival {
+    fn eq(&self, other: &Self) -> bool {
+        self.0 == other.0
+    }
+}
+impl Eq for Arrival {}
+impl PartialOrd for Arrival {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Arrival {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        other.0.cmp(&self.0)
+    }
+}
+
+/// A replica with its files on a thread of its own.
+struct Member {
+    replica: Replica,
+    storage: Storage,
+    start: Instant,
+    outstanding: usize,
+    under_way: Vec<(LogIndex, Instant)>,
+    latencies_us: Vec<u64>,
+    network: Vec<Sender<Arrival>>,
+}
+
+impl Member {
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn run(mut self, receiver: &Receiver<Arrival>, end: Instant) -> Vec<u64> {
+        let mut arriving = BinaryHeap::new();
+        while Instant::now() < end {
+            let next = arriving.peek().map(|Arrival(at, _)| *at);
+            let wait = next.map_or(Duration::from_millis(10), |at| {
+                at.saturating_duration_since(Instant::now())
+            });
+            if let Ok(arrival) = receiver.recv_timeout(wait) {
+                arriving.push(arrival);
+            }
+            arriving.extend(receiver.try_iter());
+            while arriving
+                .peek()
+                .is_some_and(|Arrival(at, _)| *at <= Instant::now())
+            {
+                let Some(Arrival(_, message)) = arriving.pop() else {
+                    break;
+                };
+                self.replica.step(self.now_ms(), message);
+            }
+            self.replica.tick(self.now_ms());
+            self.propose();
+            self.carry_out();
+        }
+        self.latencies_us
+    }
+
+    fn propose(&mut self) {
+        while self.replica.is_leader() && self.under_way.len() < self.outstanding {
+            let command = vec![7; COMMAND_BYTES];
+            match self.replica.propose(self.now_ms(), command) {
+                Ok(index) => self.under_way.push((index, Instant::now())),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let ready = self.replica.take_ready();
+        self.send(ready.messages);
+        if ready.hard_state.is_some() || !ready.append.is_empty() {
+            self.storage
+                .store(ready.hard_state, &ready.append)
+                .expect("the disk works");
+        }
+        if let Some(last) = ready.append.last() {
+            self.replica.synced(last.index, last.term);
+        }
+        let id = self.replica.id();
+        let (own, others): (Vec<_>, Vec<_>) = ready
+            .messages_after_sync
+            .into_iter()
+            .partition(|message| message.to == id);
+        self.send(others);
+        let now_ms = self.now_ms();
+        own.into_iter()
+            .for_each(|message| self.replica.step(now_ms, message));
+        let commit = self.replica.commit_index();
+        let done = self
+            .under_way
+            .partition_point(|(index, _)| *index <= commit);
+        for (_, proposed) in self.under_way.drain(..done) {
+            let taken_us = u64::try_from(proposed.elapsed().as_micros()).unwrap_or(u64::MAX);
+            self.latencies_us.push(taken_us);
+        }
+    }
+
+    fn send(&self, messages: Vec<Message>) {
+        for message in messages {
+            let to = message.to.0 as usize - 1;
+            let _ = self.network[to].send(Arrival(Instant::now() + DELAY, message));
+        }
+    }
+}
+
+/// Runs three replicas and returns how long each commit took, in microseconds.
+fn run_group(folder: &Path, outstanding: usize) -> Vec<u64> {
+    let ids = [1, 2, 3].map(ReplicaId);
+    let (senders, receivers): (Vec<_>, Vec<_>) = ids.iter().map(|_| channel()).unzip();
+    let start = Instant::now();
+    let end = start + Duration::from_secs(1) + RUN;
+    let threads: Vec<_> = ids
+        .into_iter()
+        .zip(receivers)
+        .map(|(id, receiver)| {
+            let (storage, recovered) =
+                Storage::open(&folder.join(id.to_string()), Incarnation(id.0)).expect("a folder");
+            let replica = Replica::new(id, Settings::default(), recovered, id.0);
+            let member = Member {
+                replica: replica.with_first_voters(ids),
+                storage,
+                start,
+                outstanding,
+                under_way: Vec::new(),
+                latencies_us: Vec::new(),
+                network: senders.clone(),
+            };
+            std::thread::spawn(move || member.run(&receiver, end))
+        })
+        .collect();
+    threads
+        .into_iter()
+        .flat_map(|thread| thread.join().expect("no panic"))
+        .collect()
+}
+
+fn percentile(sorted: &[u64], per_mille: usize) -> f64 {
+    let position = (sorted.len() * per_mille / 1_000).min(sorted.len().saturating_sub(1));
+    sorted.get(position).copied().unwrap_or_default() as f64 / 1_000.0
+}
+
+fn measure_commits() {
+    println!("outstanding  commits/s (each round)  p50 ms  p99 ms");
+    let mut results = OUTSTANDING.map(|_| (Vec::new(), Vec::new()));
+    for _ in 0..ROUNDS {
+        for (outstanding, (rates, latencies)) in OUTSTANDING.into_iter().zip(&mut results) {
+            let folder = tempfile::tempdir().expect("a folder");
+            let taken = run_group(folder.path(), outstanding);
+            rates.push(taken.len() as u64 / RUN.as_secs());
+            latencies.extend(taken);
+        }
+    }
+    for (outstanding, (rates, mut latencies)) in OUTSTANDING.into_iter().zip(results) {
+        latencies.sort_unstable();
+        let (median_ms, tail_ms) = (percentile(&latencies, 500), percentile(&latencies, 990));
+        println!("{outstanding:11}  {rates:?}  {median_ms:.2}  {tail_ms:.2}");
+    }
+}
+
+/// Fills a folder with changes, with or without snapshots, and returns how long a start takes.
+fn measure_start(changes: u64, compacts: bool) -> Duration {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut storage, _) = Storage::open(folder.path(), Incarnation(1)).expect("a folder");
+    let entry = |index| Entry {
+        index: LogIndex(index),
+        term: Term(1),
+        payload: Payload::Command(vec![7; COMMAND_BYTES]),
+    };
+    for first in (1..=changes).step_by(100) {
+        let entries: Vec<_> = (first..first + 100).map(entry).collect();
+        storage.store(None, &entries).expect("the disk works");
+        let last = first + 99;
+        if compacts && last % COMPACT_AFTER == 0 {
+            let snapshot = Snapshot {
+                index: LogIndex(last),
+                term: Term(1),
+                membership: Membership::with_voters([ReplicaId(1)]),
+                state: vec![7; 1 << 20],
+            };
+            storage
+                .store_snapshot(&snapshot, &[])
+                .expect("the disk works");
+        }
+    }
+    drop(storage);
+    let start = Instant::now();
+    let (_, recovered) = Storage::open(folder.path(), Incarnation(2)).expect("the folder");
+    let mut replica = Replica::new(ReplicaId(1), Settings::default(), recovered, 1);
+    replica.tick(0);
+    start.elapsed()
+}
+
+fn main() {
+    println!("start: changes, with snapshots, the whole history (naive)");
+    for changes in [1_000, 10_000, 100_000] {
+        let mut runs: Vec<_> = (0..5)
+            .map(|_| (measure_start(changes, true), measure_start(changes, false)))
+            .collect();
+        runs.sort_unstable();
+        println!("{changes:7} {:?} {:?}", runs[2].0, runs[2].1);
+    }
+    measure_commits();
+}
