--- a/crates/jasminefall-control/src/settings.rs
+++ b/crates/jasminefall-control/src/settings.rs
@@ -5,15 +5,17 @@
 use std::path::{Path, PathBuf};
 
 use jasminefall_core::prelude::*;
-use jasminefall_replica::prelude::ReplicaId;
+use jasminefall_replica::prelude::{DataCentre, ReplicaId};
 use jasminefall_runtime::settings::{self, SettingsFile};
 use jasminefall_runtime::tokens::Tokens;
 use jasminefall_wire::handshake::SiteKey;
 
+/// Long enough for an instance that is only started anew.
+const REPLACE_AFTER_MS: DurationMs = DurationMs::new(30_000);
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7101";
 
 /// Holds the addresses of a control replica.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct ReplicaAddresses {
     /// Where other processes of the system reach it.
     pub(crate) peer: SocketAddr,
@@ -21,6 +23,10 @@
     pub(crate) operators: SocketAddr,
     /// Where workers reach it.
     pub(crate) workers: SocketAddr,
+    /// Whether it votes in a site that is formed anew.
+    pub(crate) first_voter: bool,
+    /// Where it is.
+    pub(crate) data_centre: DataCentre,
 }
 
 /// Holds the settings of a control instance.
@@ -42,6 +48,8 @@
     pub(crate) site_key: SiteKey,
     /// Who may make operators' calls.
     pub(crate) tokens: Tokens,
+    /// The silence after which a voter is replaced by a learner.
+    pub(crate) replace_after_ms: DurationMs,
     /// The replicas that a new site starts with.
     pub(crate) replicas: BTreeMap<ReplicaId, ReplicaAddresses>,
 }
@@ -51,7 +59,13 @@
     pub(crate) fn load(path: &Path) -> Result<Self, Problems> {
         let mut file = SettingsFile::load(path)?;
         let section = file.section("control");
-        let known = ["replica", "data_folder", "site_key_file", "metrics"];
+        let known = [
+            "replica",
+            "data_folder",
+            "site_key_file",
+            "replace_after",
+            "metrics",
+        ];
         section.refuse_unknown(&known, &mut file.problems);
         let replicas = read_replicas(&mut file);
         let tokens = Tokens::read(
@@ -64,8 +78,9 @@
         let metrics = section.read_optional("metrics", problems);
         let data_folder: Option<SmolStr> = section.read_required("data_folder", "data", problems);
         let secret = settings::read_site_key(&section, problems);
-        let own = replica.and_then(|replica| replicas.get(&replica).copied());
-        if let (Some(replica), None) = (replica, own) {
+        let replace_after_ms = section.read_or("replace_after", REPLACE_AFTER_MS, problems);
+        let own = replica.and_then(|replica| replicas.get(&replica).cloned());
+        if let (Some(replica), None) = (replica, &own) {
             let remedy = format!("add [replica.{replica}] with its addresses");
             problems.add(
                 section.place("replica"),
@@ -87,6 +102,7 @@
             metrics,
             site_key: SiteKey::new(&secret),
             tokens,
+            replace_after_ms,
             replicas,
         };
         file.finish(Some(settings))
@@ -113,10 +129,13 @@
             );
             continue;
         };
-        section.refuse_unknown(&["peer", "operators", "workers"], problems);
+        let known = ["peer", "operators", "workers", "first_voter", "data_centre"];
+        section.refuse_unknown(&known, problems);
         let peer = section.read_required("peer", EXAMPLE_ADDRESS, problems);
         let operators = section.read_required("operators", EXAMPLE_ADDRESS, problems);
         let workers = section.read_required("workers", EXAMPLE_ADDRESS, problems);
+        let first_voter = section.read_or("first_voter", true, problems);
+        let data_centre = section.text("data_centre").unwrap_or_default().to_owned();
         if let (Some(peer), Some(operators), Some(workers)) = (peer, operators, workers) {
             replicas.insert(
                 id,
@@ -124,6 +143,8 @@
                     peer,
                     operators,
                     workers,
+                    first_voter,
+                    data_centre: DataCentre(data_centre),
                 },
             );
         }
--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -1,5 +1,6 @@
 //! The real processes of a small site on one loopback address.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -22,6 +23,8 @@
 const READ_TOKEN: &str = "read-token-for-tests";
 const READ_TOKEN_SHA256: &str = "034a18b02f9980ffc4c7b91fe20d9958638c3f488e9413f54510f19374b0784f";
 const METRICS_PORT: u16 = 27_000;
+/// The silence after which the control replicas of a test replace one of them.
+const REPLACE_AFTER_MS: u64 = 3_000;
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 const WAIT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -31,6 +34,8 @@
     ip: IpAddr,
     controls: Vec<Option<Child>>,
     entries: Vec<Option<Child>>,
+    spares: usize,
+    proxied: BTreeMap<(usize, usize), SocketAddr>,
     _lock: TcpListener,
 }
 
@@ -61,12 +66,11 @@
             ip,
             controls: (0..controls).map(|_| None).collect(),
             entries: (0..entries).map(|_| None).collect(),
+            spares: 0,
+            proxied: BTreeMap::new(),
             _lock: lock,
         };
-        for position in 0..controls {
-            std::fs::write(site.control_settings(position), site.control_text(position))
-                .expect("settings");
-        }
+        site.write_control_settings();
         for position in 0..entries {
             std::fs::write(site.entry_settings(position), site.entry_text(position))
                 .expect("settings");
@@ -74,6 +78,27 @@
         site
     }
 
+    /// Makes the last control replicas spares: they do not vote in a new site.
+    #[must_use]
+    pub fn with_spares(mut self, spares: usize) -> Self {
+        self.spares = spares;
+        self.write_control_settings();
+        self
+    }
+
+    /// Lets one control replica reach another through an address, such as a proxy's.
+    pub fn reach_through(&mut self, from: usize, to: usize, address: SocketAddr) {
+        self.proxied.insert((from, to), address);
+        self.write_control_settings();
+    }
+
+    fn write_control_settings(&self) {
+        for position in 0..self.controls.len() {
+            std::fs::write(self.control_settings(position), self.control_text(position))
+                .expect("settings");
+        }
+    }
+
     /// Starts every process.
     #[must_use]
     pub fn started(mut self) -> Self {
@@ -374,25 +399,32 @@
         let number = position + 1;
         let mut text = format!(
             "[control]\nreplica = {number}\ndata_folder = {folder}/data-{position}\n\
-             site_key_file = {folder}/key\n\
+             site_key_file = {folder}/key\nreplace_after = {REPLACE_AFTER_MS}ms\n\
              [token.tests]\nsha256 = {OPERATE_TOKEN_SHA256}\nrole = operate\n\
              [token.reader]\nsha256 = {READ_TOKEN_SHA256}\nrole = read\n"
         );
         for other in 0..self.controls.len() {
             let (peer, operators, workers) = (
-                self.address(PEER_PORT, other),
+                self.peer_from(position, other),
                 self.operators(other),
                 self.address(WORKERS_PORT, other),
             );
             let number = other + 1;
             let _ = writeln!(
                 text,
-                "[replica.{number}]\npeer = {peer}\noperators = {operators}\nworkers = {workers}"
+                "[replica.{number}]\npeer = {peer}\noperators = {operators}\nworkers = {workers}\n\
+                 first_voter = {}",
+                other + self.spares < self.controls.len()
             );
         }
         text
     }
 
+    fn peer_from(&self, from: usize, to: usize) -> SocketAddr {
+        let direct = self.address(PEER_PORT, to);
+        self.proxied.get(&(from, to)).copied().unwrap_or(direct)
+    }
+
     fn entry_text(&self, position: usize) -> String {
         let folder = self.folder().display();
         let join = |port, count: usize, without: Option<usize>| {
--- a/crates/jasminefallctl/src/arguments.rs
+++ b/crates/jasminefallctl/src/arguments.rs
@@ -18,6 +18,8 @@
     rollback VERSION --base N
                             publish an older version again as a new one
     status                  show the site and which replicas answer
+    members                 show the control replicas as their leader knows them
+    members remove N        take control replica N out
 
 Exit codes:
     0 done   2 usage   3 faulty desired state   4 somebody else published first
--- a/crates/jasminefallctl/src/command.rs
+++ b/crates/jasminefallctl/src/command.rs
@@ -5,6 +5,7 @@
 mod diff;
 mod export;
 mod history;
+mod members;
 mod status;
 
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,8 @@
         ["export", version] => export::run(arguments, version).await,
         ["history"] => history::run(arguments).await,
         ["status"] => status::run(arguments).await,
+        ["members"] => members::show(arguments).await,
+        ["members", "remove", replica] => members::remove(arguments, replica).await,
         [] => Err(usage("no command is given")),
         [unknown, ..] => Err(usage(&format!(
             "`{unknown}` with these words is no command"
