--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -166,6 +166,17 @@
         assert!(sent.is_ok_and(|status| status.success()), "{signal}");
     }
 
+    /// Returns the process of an entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the entry does not run.
+    #[must_use]
+    pub fn entry_process(&self, position: usize) -> u32 {
+        let child = self.entries[position].as_ref().expect("the entry runs");
+        child.id()
+    }
+
     /// Returns how an entry has ended, or none while it runs.
     ///
     /// # Panics
@@ -184,6 +195,12 @@
         self.address(PEER_PORT, position)
     }
 
+    /// Returns where other processes reach an entry.
+    #[must_use]
+    pub fn entry_peer(&self, position: usize) -> SocketAddr {
+        self.address(ENTRY_PEER_PORT, position)
+    }
+
     /// Returns the data folder of a control replica.
     #[must_use]
     pub fn data_folder(&self, position: usize) -> PathBuf {
@@ -315,14 +332,15 @@
     }
 }
 
-/// Returns the path of a program of the workspace, beside the running test.
+/// Returns the path of a program of the workspace, beside the running program or test.
 fn program(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the path of the test");
-    let folder = test
-        .parent()
-        .and_then(Path::parent)
-        .expect("the target folder");
-    folder.join(name)
+    let running = std::env::current_exe().expect("the path of the running program");
+    let folder = running.parent().expect("the folder of the running program");
+    let beside = folder.join(name);
+    if beside.exists() {
+        return beside;
+    }
+    folder.parent().expect("the target folder").join(name)
 }
 
 /// Reserves a loopback address that no other site on the machine uses.
--- a/crates/jasminefall-testing/tests/requests_at_most_once.rs
+++ b/crates/jasminefall-testing/tests/requests_at_most_once.rs
@@ -4,6 +4,7 @@
 
 use jasminefall_testing::backend::FakeBackend;
 use jasminefall_testing::caller::{Call, Told};
+use jasminefall_testing::proxy::Proxy;
 use jasminefall_testing::site::{Site, wait_for};
 use tokio::time::timeout;
 
@@ -148,8 +149,8 @@
     let backend = backend(&site, 1);
     wait_until_answered(&site, 0).await;
     wait_until_answered(&site, 1).await;
-    let crashed = || publish(&site, 0, "crashed", "delay_ms=600").with_timeout_ms(700);
-    let lost = actix_rt::spawn(crashed().send());
+    let crashed = |site: &Site| publish(site, 0, "crashed", "delay_ms=600");
+    let lost = actix_rt::spawn(crashed(&site).with_timeout_ms(700).send());
     wait_for("the request runs", || async {
         backend.runs.count("crashed") == 1
     })
@@ -158,6 +159,12 @@
     assert!(lost.await.unwrap().is_err());
     site.start_entry(0);
     wait_until_answered(&site, 0).await;
+    // None of the attempts of the restarted entry may count as the one that held the claim.
+    let resends = (0..200).map(|_| told(crashed(&site).with_timeout_ms(50)));
+    for resent in futures::future::join_all(resends).await {
+        assert_ne!(resent.outcome, "not-run", "{resent:?}");
+    }
+    assert_eq!(backend.runs.count("crashed"), 1);
 
     // Every slot is taken, so that the claimed request waits while its entry is paused.
     let busy = (0..16).map(|number| {
@@ -243,3 +250,55 @@
     assert_eq!(resent.outcome, "answered");
     assert_eq!(backend.runs.count("before"), 1);
 }
+
+#[actix_rt::test]
+async fn connections_to_control_and_between_entries_that_go_silent_for_good_are_replaced() {
+    let mut site = Site::new(1, 2);
+    let control = Proxy::start(site.any_port(), site.control_peer(0))
+        .await
+        .unwrap();
+    let peer = Proxy::start(site.any_port(), site.entry_peer(1))
+        .await
+        .unwrap();
+    site.edit_entry(0, |text| {
+        let text = text.replace(
+            &site.control_peer(0).to_string(),
+            &control.address.to_string(),
+        );
+        text.replace(&site.entry_peer(1).to_string(), &peer.address.to_string())
+    });
+    // The other entry calls nobody, so that all news passes the proxy.
+    site.edit_entry(1, |text| {
+        text.replace(
+            &format!("entries = {}\n", site.entry_peer(0)),
+            "entries = \n",
+        )
+    });
+    site = site.started();
+    site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
+    let first = backend(&site, 0);
+    wait_until_answered(&site, 0).await;
+    wait_until_answered(&site, 1).await;
+    assert_eq!(
+        told(publish(&site, 0, "before", "")).await.outcome,
+        "answered"
+    );
+    control.faults.silence_existing();
+    peer.faults.silence_existing();
+    wait_for("a claim is made", || async {
+        let told = publish(&site, 0, "after", "").send().await;
+        told.is_ok_and(|told| told.outcome == "answered")
+    })
+    .await;
+    assert_eq!(first.runs.count("after"), 1);
+    first.stop().await;
+    let second = backend(&site, 0);
+    wait_for("the other entry hears of a new backend server", || async {
+        let told = Call::get(site.callers(1), "/call/render/page")
+            .with_timeout_ms(500)
+            .send();
+        told.await.is_ok_and(|told| told.outcome == "answered")
+    })
+    .await;
+    assert!(!second.runs.all().is_empty());
+}
