--- a/crates/jasminefall-entry/src/edge/callers.rs
+++ b/crates/jasminefall-entry/src/edge/callers.rs
@@ -18,6 +18,7 @@
 use crate::claiming::Claims;
 use crate::forward::Pool;
 use crate::outcome::{NotRun, Outcome};
+use crate::recorder;
 use crate::requests::Path;
 use crate::shared::{Shared, Unfinished};
 
@@ -108,10 +109,10 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let (service, operation) = path.into_inner();
-    let team = preparing::declared_team(&thread.shared, &request);
+    let (team, arrived) = (preparing::team(&request), Instant::now());
     let asked = outcome(&thread, &request, service.clone(), &operation, payload).await;
     let outcome = asked.unwrap_or_else(Outcome::NotRun);
-    thread.shared.recorder().note(service, team, &outcome);
+    recorder::note(&thread.shared, service, team, &outcome, arrived.elapsed());
     let mut response = outcome.into_response();
     if thread.shared.is_stopping() {
         response
--- a/crates/jasminefall-entry/src/edge/preparing.rs
+++ b/crates/jasminefall-entry/src/edge/preparing.rs
@@ -15,6 +15,7 @@
 use smol_str::format_smolstr;
 
 use crate::claiming;
+use crate::dispatch::Wanted;
 use crate::forward::Outgoing;
 use crate::headers;
 use crate::outcome::NotRun;
@@ -24,12 +25,12 @@
 const KEY_HEADER: &str = "Idempotency-Key";
 const TEAM_HEADER: &str = "Jasminefall-Team";
 const TIMEOUT_HEADER: &str = "Jasminefall-Timeout-Ms";
+const URGENCY_HEADER: &str = "Jasminefall-Urgency";
 const KEY_TIME_HEADER: &str = "Jasminefall-Key-Time-Ms";
 /// The header by which one request can be followed through all processes.
 const REQUEST_HEADER: &str = "jasminefall-request";
 /// The header by which a backend server learns how long the answer is waited for.
 const REMAINING_HEADER: &str = "jasminefall-timeout-ms";
-const MAX_TIMEOUT_MS: u64 = 3_600_000;
 const MAX_KEY_BYTES: usize = 255;
 const UUID_LENGTH: usize = 36;
 const UUID_VERSION_POSITION: usize = 14;
@@ -42,12 +43,9 @@
     declared.cloned().ok_or(NotRun::UnknownService)
 }
 
-/// Returns the team that a request names, or the empty one where it is not declared.
-pub(super) fn declared_team(shared: &Shared, request: &HttpRequest) -> TeamId {
-    let team = TeamId::new(header(request, TEAM_HEADER).unwrap_or_default());
-    let desired = shared.configuration().in_force(monotonic_ms());
-    let declared = desired.is_some_and(|desired| desired.teams.contains_key(&team));
-    if declared { team } else { TeamId::default() }
+/// Returns the team that a request names, declared or not.
+pub(super) fn team(request: &HttpRequest) -> TeamId {
+    TeamId::new(header(request, TEAM_HEADER).unwrap_or_default())
 }
 
 /// Returns when the answer is no longer of use.
@@ -57,7 +55,9 @@
     arrived: Instant,
 ) -> Result<Instant, NotRun> {
     let timeout_ms = number(request, TIMEOUT_HEADER)?.unwrap_or(declared.timeout_ms.get());
-    Ok(arrived + Duration::from_millis(timeout_ms.min(MAX_TIMEOUT_MS)))
+    // No request may outlast the loan of a slot, which lasts as long as the service's own timeout.
+    let timeout_ms = timeout_ms.min(declared.timeout_ms.get());
+    Ok(arrived + Duration::from_millis(timeout_ms))
 }
 
 /// Prepares a request that was read whole.
@@ -97,7 +97,13 @@
         remaining_ms.into(),
     ));
     Ok(Prepared {
-        service,
+        wanted: Wanted {
+            service,
+            team: team(request),
+            urgency: urgency(request)?,
+            body_bytes: body.len(),
+            deadline,
+        },
         outgoing: Rc::new(Outgoing {
             method: request.method().clone(),
             uri: path,
@@ -109,6 +115,14 @@
     })
 }
 
+fn urgency(request: &HttpRequest) -> Result<Urgency, NotRun> {
+    let Some(text) = header(request, URGENCY_HEADER) else {
+        return Ok(Urgency::default());
+    };
+    text.parse()
+        .map_err(|error| NotRun::Bad(format_smolstr!("{URGENCY_HEADER}: {error}")))
+}
+
 /// Numbers the attempts of this entry, from another start after each restart.
 fn next_attempt() -> u64 {
     static FIRST: OnceLock<u64> = OnceLock::new();
--- a/crates/jasminefall-entry/src/forward.rs
+++ b/crates/jasminefall-entry/src/forward.rs
@@ -13,6 +13,7 @@
 use actix_web::http::{Method, Uri};
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
+use jasminefall_policy::ejection::SlotOutcome;
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -102,17 +103,23 @@
         let ended = tokio::time::timeout_at(self.deadline.into(), &mut self.exchange).await;
         match ended {
             Ok(outcome) => {
-                self.slot = None;
+                self.free_slot(outcome_at_slot(&outcome));
                 outcome
             }
             Err(_) if self.sent.get() => Outcome::MayHaveRun,
             Err(_) => {
-                self.slot = None;
+                self.free_slot(SlotOutcome::Failed);
                 Outcome::NotRun(NotRun::Unreachable)
             }
         }
     }
 
+    fn free_slot(&mut self, outcome: SlotOutcome) {
+        if let Some(slot) = self.slot.take() {
+            slot.finish(outcome);
+        }
+    }
+
     /// Leaves an exchange that has not ended; its slot stays taken until the backend server is done.
     ///
     /// An answer that comes late is handed to `late` and goes nowhere else.
@@ -126,17 +133,39 @@
         self.pool.distrust(&self.address);
         actix_rt::spawn(async move {
             match timeout(LATE_LIMIT, &mut self.exchange).await {
-                Ok(outcome) => late(outcome),
+                Ok(outcome) => {
+                    slot.finish(in_time_or_failed(&outcome, self.deadline));
+                    late(outcome);
+                }
                 Err(_) => {
                     drop(self.exchange);
                     tokio::time::sleep(CLOSED_PAUSE).await;
+                    slot.finish(SlotOutcome::Failed);
                 }
             }
-            drop(slot);
         });
     }
 }
 
+/// Returns what an outcome says of the backend server.
+fn outcome_at_slot(outcome: &Outcome) -> SlotOutcome {
+    match outcome {
+        Outcome::Answered(answer) if answer.status.is_server_error() => SlotOutcome::Failed,
+        Outcome::Answered(_) => SlotOutcome::Succeeded,
+        Outcome::NotRun(NotRun::NoSlotInTime) => SlotOutcome::Unknown,
+        _ => SlotOutcome::Failed,
+    }
+}
+
+/// Returns what an outcome says of the backend server that nobody waited for any more.
+fn in_time_or_failed(outcome: &Outcome, deadline: Instant) -> SlotOutcome {
+    if Instant::now() < deadline {
+        outcome_at_slot(outcome)
+    } else {
+        SlotOutcome::Failed
+    }
+}
+
 async fn exchange(
     pool: Rc<Pool>,
     address: SmolStr,
--- a/crates/jasminefall-entry/src/main.rs
+++ b/crates/jasminefall-entry/src/main.rs
@@ -16,6 +16,7 @@
 //! - [`headers`]: which headers are passed on
 //! - [`retry_budget`]: how many retries are allowed
 //! - [`outcome`]: the outcomes of a request
+//! - [`metrics`]: what a metrics collector sees
 //! - [`recorder`]: counts for the report on service-level burn
 //! - [`stop`]: the graceful stop
 //! - [`edge`]: what callers and backend servers speak
@@ -29,6 +30,7 @@
 mod exchange;
 mod forward;
 mod headers;
+mod metrics;
 mod outcome;
 mod recorder;
 mod renewal;
@@ -38,13 +40,16 @@
 mod shared;
 mod stop;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use actix::Actor;
+use actix_web::dev::Server;
 use anyhow::Context;
 use jasminefall_runtime::command_line::{self, Invocation};
 use jasminefall_runtime::logging;
+use jasminefall_runtime::metrics::serve as serve_registry;
 use jasminefall_runtime::supervisor::{Child, Supervisor};
 
 use crate::settings::Settings;
@@ -97,10 +102,13 @@
         child("recorder", &shared, recorder::run),
     ])
     .start();
-    let servers = [
+    let mut servers = vec![
         edge::callers::start(&shared).context("the callers' listener")?,
         edge::backends::start(&shared).context("the backend servers' listener")?,
     ];
+    if let Some(address) = shared.settings.metrics {
+        servers.push(serve_metrics(address, &shared).context("the metrics' listener")?);
+    }
     log::info!("event=started callers={}", shared.settings.callers);
     let handles = servers.iter().map(actix_web::dev::Server::handle).collect();
     actix_rt::spawn(stop::run(shared.clone(), handles));
@@ -111,6 +119,15 @@
     Ok(())
 }
 
+fn serve_metrics(address: SocketAddr, shared: &Arc<Shared>) -> std::io::Result<Server> {
+    let registry = shared.metrics.registry();
+    let shared = shared.clone();
+    serve_registry(address, registry, move || {
+        shared.metrics.refresh(&shared);
+        std::future::ready(())
+    })
+}
+
 fn child<F>(name: &'static str, shared: &Arc<Shared>, run: fn(Arc<Shared>) -> F) -> Child
 where
     F: Future<Output = anyhow::Result<()>> + 'static,
--- a/crates/jasminefall-entry/src/outcome.rs
+++ b/crates/jasminefall-entry/src/outcome.rs
@@ -26,10 +26,13 @@
     UnknownService,
     /// The entry holds no configuration in force.
     NoConfiguration,
-    /// The queue is full.
-    QueueFull,
     /// No slot became free in time.
     NoSlotInTime,
+    /// No slot can become free in time: what is ahead takes too long.
+    Overloaded {
+        /// When it is worth trying again.
+        retry_after_s: u64,
+    },
     /// No backend server could be reached.
     Unreachable,
     /// Control could not make the claim.
@@ -51,8 +54,8 @@
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::NoConfiguration
-            | Self::QueueFull
             | Self::NoSlotInTime
+            | Self::Overloaded { .. }
             | Self::Unreachable
             | Self::ClaimsFull
             | Self::NoClaim => StatusCode::SERVICE_UNAVAILABLE,
@@ -72,6 +75,13 @@
         )
     }
 
+    const fn retry_after_s(&self) -> u64 {
+        match self {
+            Self::Overloaded { retry_after_s } => *retry_after_s,
+            _ => RETRY_AFTER_S,
+        }
+    }
+
     fn message(&self) -> &str {
         match self {
             Self::Bad(message) => message,
@@ -79,8 +89,10 @@
             Self::SlowBody => "the body did not come in time; send it faster or allow more time",
             Self::UnknownService => "the service is not declared; check the name in the path",
             Self::NoConfiguration => "this entry holds no configuration in force; try again",
-            Self::QueueFull => "the queue is full; try again later",
             Self::NoSlotInTime => "no backend server was free in time; try again later",
+            Self::Overloaded { .. } => {
+                "the service cannot answer in time; try again after the time in Retry-After"
+            }
             Self::Unreachable => "no backend server could be reached; try again later",
             Self::NoClaim => "the request could not be claimed; try again with the same key",
             Self::ClaimsFull => "no more keys can be remembered; use keys that carry their time",
@@ -121,6 +133,17 @@
 }
 
 impl Outcome {
+    /// Returns the word that stands for the outcome.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not-run",
+            Self::MayHaveRun | Self::UnderWay => "may-have-run",
+            Self::AnsweredNotKept(_) => "answered-not-kept",
+            Self::NoLongerKnown => "no-longer-known",
+        }
+    }
+
     /// Returns the outcome as the caller sees it.
     pub(crate) fn into_response(self) -> HttpResponse {
         match self {
@@ -135,7 +158,7 @@
             Self::NotRun(reason) => {
                 let mut response = told(reason.status(), "not-run", reason.message());
                 if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
-                    add_retry_after(&mut response);
+                    add_retry_after(&mut response, reason.retry_after_s());
                 }
                 response
             }
@@ -150,7 +173,7 @@
                     "may-have-run",
                     "the same request is under way; ask again with the same key",
                 );
-                add_retry_after(&mut response);
+                add_retry_after(&mut response, RETRY_AFTER_S);
                 response
             }
             Self::NoLongerKnown => told(
@@ -186,10 +209,8 @@
         .body(format!("{message}\n"))
 }
 
-fn add_retry_after(response: &mut HttpResponse) {
-    response
-        .headers_mut()
-        .insert(RETRY_AFTER, RETRY_AFTER_S.into());
+fn add_retry_after(response: &mut HttpResponse, after_s: u64) {
+    response.headers_mut().insert(RETRY_AFTER, after_s.into());
 }
 
 /// Stands for a body whose length is announced and whose bytes are never sent.
--- a/crates/jasminefall-entry/src/requests.rs
+++ b/crates/jasminefall-entry/src/requests.rs
@@ -5,11 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jasminefall_core::prelude::*;
 use jasminefall_state::prelude::ClaimRequest;
 
 use crate::claiming::Claims;
-use crate::dispatch::{self, Slot};
+use crate::dispatch::{self, Slot, Wanted};
 use crate::forward::{Attempt, Freshness, Outgoing, Pool};
 use crate::outcome::{NotRun, Outcome};
 use crate::retry_budget::RetryBudget;
@@ -28,8 +27,8 @@
 
 /// Holds a request that may run.
 pub(crate) struct Prepared {
-    /// The service that it is for.
-    pub(crate) service: ServiceId,
+    /// What it needs a slot for.
+    pub(crate) wanted: Wanted,
     /// What is sent.
     pub(crate) outgoing: Rc<Outgoing>,
     /// The claim that it needs, unless it is idempotent.
@@ -120,7 +119,7 @@
         };
         is_worth_it
             && Instant::now() < prepared.outgoing.deadline
-            && self.budget.borrow_mut().spend(&prepared.service)
+            && self.budget.borrow_mut().spend(&prepared.wanted.service)
     }
 
     async fn run_idempotent(
@@ -145,7 +144,10 @@
         let suspicion = tokio::time::timeout(SUSPECT_AFTER, first.outcome()).await;
         let outcome = match suspicion {
             Ok(outcome) => outcome,
-            Err(_) if first.has_reused() && self.budget.borrow_mut().spend(&prepared.service) => {
+            Err(_)
+                if first.has_reused()
+                    && self.budget.borrow_mut().spend(&prepared.wanted.service) =>
+            {
                 return self.race(prepared, first).await;
             }
             Err(_) => first.outcome().await,
@@ -160,7 +162,7 @@
 
     fn earn(&self, prepared: &Prepared, outcome: &Outcome) {
         if let Outcome::Answered(_) = outcome {
-            self.budget.borrow_mut().earn(&prepared.service);
+            self.budget.borrow_mut().earn(&prepared.wanted.service);
         }
     }
 
@@ -194,7 +196,7 @@
     }
 
     async fn slot(&self, prepared: &Prepared) -> Result<Slot, NotRun> {
-        dispatch::acquire(&self.shared, &prepared.service, prepared.outgoing.deadline).await
+        dispatch::acquire(&self.shared, prepared.wanted.clone()).await
     }
 
     fn attempt(&self, prepared: &Prepared, slot: Slot, freshness: Freshness) -> Attempt {
--- a/crates/jasminefall-entry/src/settings.rs
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -7,7 +7,9 @@
 use jasminefall_runtime::settings::SettingsFile;
 use jasminefall_wire::handshake::SiteKey;
 
-const KNOWN: [&str; 10] = [
+const KNOWN: [&str; 12] = [
+    "metrics",
+    "observation_interval",
     "name",
     "callers",
     "backends",
@@ -22,6 +24,7 @@
 const STOP_DELAY_MS: DurationMs = DurationMs::new(5_000);
 const STOP_LIMIT_MS: DurationMs = DurationMs::new(60_000);
 const CLAIM_BATCH: usize = 256;
+const DEFAULT_OBSERVATION_INTERVAL_MS: DurationMs = DurationMs::new(10_000);
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7001";
 
 /// Holds the settings of an entry instance.
@@ -39,6 +42,10 @@
     pub(crate) site_key: SiteKey,
     /// The peer addresses of the control replicas.
     pub(crate) control: Vec<SocketAddr>,
+    /// Where a metrics collector reads, if anywhere.
+    pub(crate) metrics: Option<SocketAddr>,
+    /// How often counts of requests are reported to control.
+    pub(crate) observation_interval_ms: DurationMs,
     /// The peer addresses of the other entries.
     pub(crate) entries: Vec<SocketAddr>,
     /// How long the listeners stay after a stop was asked for, so that the balancer can move.
@@ -86,6 +93,12 @@
         let stop_delay_ms = section.read_or("stop_delay", STOP_DELAY_MS, problems);
         let stop_limit_ms = section.read_or("stop_limit", STOP_LIMIT_MS, problems);
         let claim_batch = section.read_or("claim_batch", CLAIM_BATCH, problems).max(1);
+        let observation_interval_ms = section.read_or(
+            "observation_interval",
+            DEFAULT_OBSERVATION_INTERVAL_MS,
+            problems,
+        );
+        let metrics = section.read_optional("metrics", problems);
         let (Some(name), Some(callers), Some(backends), Some(peer), Some(secret)) =
             (name, callers, backends, peer, secret)
         else {
@@ -99,6 +112,8 @@
             peer,
             site_key,
             control,
+            metrics,
+            observation_interval_ms,
             entries,
             stop_delay_ms,
             stop_limit_ms,
--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -3,9 +3,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use tokio::sync::Notify;
+
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
+use crate::metrics::Metrics;
 use crate::recorder::Recorder;
 use crate::settings::Settings;
 
@@ -16,12 +19,16 @@
 pub(crate) struct Shared {
     /// The settings.
     pub(crate) settings: Settings,
+    /// What a metrics collector sees.
+    pub(crate) metrics: Metrics,
     configuration: Mutex<Configuration>,
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
     stopping: AtomicBool,
     unfinished: AtomicU64,
     recorder: Mutex<Recorder>,
+    /// Wakes the exchange with other entries when requests wait that they could help with.
+    pub(crate) help_wanted: Notify,
 }
 
 impl Shared {
@@ -29,12 +36,14 @@
     pub(crate) fn new(settings: Settings) -> Self {
         Self {
             settings,
+            metrics: Metrics::default(),
             configuration: Mutex::default(),
             backends: Mutex::default(),
             dispatch: Mutex::default(),
             stopping: AtomicBool::new(false),
             unfinished: AtomicU64::new(0),
             recorder: Mutex::default(),
+            help_wanted: Notify::new(),
         }
     }
 
