--- a/crates/jasminefall-entry/src/edge/preparing.rs
+++ b/crates/jasminefall-entry/src/edge/preparing.rs
@@ -24,8 +24,8 @@
 
 const KEY_HEADER: &str = "Idempotency-Key";
 const TEAM_HEADER: &str = "Jasminefall-Team";
-const TIMEOUT_HEADER: &str = "Jasminefall-Timeout-Ms";
 const URGENCY_HEADER: &str = "Jasminefall-Urgency";
+const TIMEOUT_HEADER: &str = "Jasminefall-Timeout-Ms";
 const KEY_TIME_HEADER: &str = "Jasminefall-Key-Time-Ms";
 /// The header by which one request can be followed through all processes.
 const REQUEST_HEADER: &str = "jasminefall-request";
@@ -48,6 +48,12 @@
     TeamId::new(header(request, TEAM_HEADER).unwrap_or_default())
 }
 
+fn urgency(request: &HttpRequest) -> Result<Urgency, NotRun> {
+    let text = header(request, URGENCY_HEADER);
+    let read = text.map_or_else(|| Ok(Urgency::default()), str::parse);
+    read.map_err(|error| NotRun::Bad(format_smolstr!("{URGENCY_HEADER}: {error}")))
+}
+
 /// Returns when the answer is no longer of use.
 pub(super) fn deadline(
     request: &HttpRequest,
@@ -56,8 +62,7 @@
 ) -> Result<Instant, NotRun> {
     let timeout_ms = number(request, TIMEOUT_HEADER)?.unwrap_or(declared.timeout_ms.get());
     // No request may outlast the loan of a slot, which lasts as long as the service's own timeout.
-    let timeout_ms = timeout_ms.min(declared.timeout_ms.get());
-    Ok(arrived + Duration::from_millis(timeout_ms))
+    Ok(arrived + Duration::from_millis(timeout_ms.min(declared.timeout_ms.get())))
 }
 
 /// Prepares a request that was read whole.
@@ -96,14 +101,15 @@
         HeaderName::from_static(REMAINING_HEADER),
         remaining_ms.into(),
     ));
+    let wanted = Wanted {
+        service,
+        team: team(request),
+        urgency: urgency(request)?,
+        body_bytes: body.len(),
+        deadline,
+    };
     Ok(Prepared {
-        wanted: Wanted {
-            service,
-            team: team(request),
-            urgency: urgency(request)?,
-            body_bytes: body.len(),
-            deadline,
-        },
+        wanted,
         outgoing: Rc::new(Outgoing {
             method: request.method().clone(),
             uri: path,
@@ -115,14 +121,6 @@
     })
 }
 
-fn urgency(request: &HttpRequest) -> Result<Urgency, NotRun> {
-    let Some(text) = header(request, URGENCY_HEADER) else {
-        return Ok(Urgency::default());
-    };
-    text.parse()
-        .map_err(|error| NotRun::Bad(format_smolstr!("{URGENCY_HEADER}: {error}")))
-}
-
 /// Numbers the attempts of this entry, from another start after each restart.
 fn next_attempt() -> u64 {
     static FIRST: OnceLock<u64> = OnceLock::new();
--- a/crates/jasminefall-entry/src/forward.rs
+++ b/crates/jasminefall-entry/src/forward.rs
@@ -25,10 +25,13 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an exchange that came too late is still listened to, to know when its slot is free.
-const LATE_LIMIT: Duration = Duration::from_secs(10);
+const LATE_LIMIT: Duration = Duration::from_secs(3);
 /// How long a slot stays taken after the connection of its exchange was closed.
 const CLOSED_PAUSE: Duration = Duration::from_secs(1);
 
+/// How long after its deadline a request may still hold its slot.
+pub(crate) const OVERRUN_MS: u64 = (LATE_LIMIT.as_millis() + CLOSED_PAUSE.as_millis()) as u64;
+
 /// Holds what is sent to a backend server.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
@@ -103,20 +106,22 @@
         let ended = tokio::time::timeout_at(self.deadline.into(), &mut self.exchange).await;
         match ended {
             Ok(outcome) => {
-                self.free_slot(outcome_at_slot(&outcome));
+                self.finish(&outcome);
                 outcome
             }
             Err(_) if self.sent.get() => Outcome::MayHaveRun,
             Err(_) => {
-                self.free_slot(SlotOutcome::Failed);
-                Outcome::NotRun(NotRun::Unreachable)
+                let outcome = Outcome::NotRun(NotRun::Unreachable);
+                self.finish(&outcome);
+                outcome
             }
         }
     }
 
-    fn free_slot(&mut self, outcome: SlotOutcome) {
+    /// Frees the slot of an exchange that has ended.
+    fn finish(&mut self, outcome: &Outcome) {
         if let Some(slot) = self.slot.take() {
-            slot.finish(outcome);
+            slot.finish(at_backend(outcome));
         }
     }
 
@@ -134,7 +139,7 @@
         actix_rt::spawn(async move {
             match timeout(LATE_LIMIT, &mut self.exchange).await {
                 Ok(outcome) => {
-                    slot.finish(in_time_or_failed(&outcome, self.deadline));
+                    slot.finish(at_backend(&outcome));
                     late(outcome);
                 }
                 Err(_) => {
@@ -148,21 +153,12 @@
 }
 
 /// Returns what an outcome says of the backend server.
-fn outcome_at_slot(outcome: &Outcome) -> SlotOutcome {
+fn at_backend(outcome: &Outcome) -> SlotOutcome {
     match outcome {
         Outcome::Answered(answer) if answer.status.is_server_error() => SlotOutcome::Failed,
-        Outcome::Answered(_) => SlotOutcome::Succeeded,
-        Outcome::NotRun(NotRun::NoSlotInTime) => SlotOutcome::Unknown,
-        _ => SlotOutcome::Failed,
-    }
-}
-
-/// Returns what an outcome says of the backend server that nobody waited for any more.
-fn in_time_or_failed(outcome: &Outcome, deadline: Instant) -> SlotOutcome {
-    if Instant::now() < deadline {
-        outcome_at_slot(outcome)
-    } else {
-        SlotOutcome::Failed
+        Outcome::Answered(_) | Outcome::AnsweredNotKept(_) => SlotOutcome::Succeeded,
+        Outcome::NotRun(NotRun::Unreachable) | Outcome::MayHaveRun => SlotOutcome::Failed,
+        Outcome::NotRun(_) | Outcome::UnderWay | Outcome::NoLongerKnown => SlotOutcome::Unknown,
     }
 }
 
--- a/crates/jasminefall-entry/src/outcome.rs
+++ b/crates/jasminefall-entry/src/outcome.rs
@@ -137,9 +137,9 @@
     pub(crate) const fn name(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
+            Self::AnsweredNotKept(_) => "answered-not-kept",
             Self::NotRun(_) => "not-run",
             Self::MayHaveRun | Self::UnderWay => "may-have-run",
-            Self::AnsweredNotKept(_) => "answered-not-kept",
             Self::NoLongerKnown => "no-longer-known",
         }
     }
@@ -209,8 +209,10 @@
         .body(format!("{message}\n"))
 }
 
-fn add_retry_after(response: &mut HttpResponse, after_s: u64) {
-    response.headers_mut().insert(RETRY_AFTER, after_s.into());
+fn add_retry_after(response: &mut HttpResponse, retry_after_s: u64) {
+    response
+        .headers_mut()
+        .insert(RETRY_AFTER, retry_after_s.into());
 }
 
 /// Stands for a body whose length is announced and whose bytes are never sent.
--- a/crates/jasminefall-entry/src/requests.rs
+++ b/crates/jasminefall-entry/src/requests.rs
@@ -27,7 +27,7 @@
 
 /// Holds a request that may run.
 pub(crate) struct Prepared {
-    /// What it needs a slot for.
+    /// The slot that it wants.
     pub(crate) wanted: Wanted,
     /// What is sent.
     pub(crate) outgoing: Rc<Outgoing>,
--- a/crates/jasminefall-entry/src/settings.rs
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -21,10 +21,10 @@
     "stop_limit",
     "claim_batch",
 ];
+const DEFAULT_OBSERVATION_INTERVAL_MS: DurationMs = DurationMs::new(10_000);
 const STOP_DELAY_MS: DurationMs = DurationMs::new(5_000);
 const STOP_LIMIT_MS: DurationMs = DurationMs::new(60_000);
 const CLAIM_BATCH: usize = 256;
-const DEFAULT_OBSERVATION_INTERVAL_MS: DurationMs = DurationMs::new(10_000);
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7001";
 
 /// Holds the settings of an entry instance.
@@ -90,15 +90,15 @@
                 .ok()
         });
         let entries = section.read_list("entries", problems);
-        let stop_delay_ms = section.read_or("stop_delay", STOP_DELAY_MS, problems);
-        let stop_limit_ms = section.read_or("stop_limit", STOP_LIMIT_MS, problems);
-        let claim_batch = section.read_or("claim_batch", CLAIM_BATCH, problems).max(1);
         let observation_interval_ms = section.read_or(
             "observation_interval",
             DEFAULT_OBSERVATION_INTERVAL_MS,
             problems,
         );
         let metrics = section.read_optional("metrics", problems);
+        let stop_delay_ms = section.read_or("stop_delay", STOP_DELAY_MS, problems);
+        let stop_limit_ms = section.read_or("stop_limit", STOP_LIMIT_MS, problems);
+        let claim_batch = section.read_or("claim_batch", CLAIM_BATCH, problems).max(1);
         let (Some(name), Some(callers), Some(backends), Some(peer), Some(secret)) =
             (name, callers, backends, peer, secret)
         else {
