--- a/crates/jasminefall-entry/src/forward.rs
+++ b/crates/jasminefall-entry/src/forward.rs
@@ -25,7 +25,7 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an exchange that came too late is still listened to, to know when its slot is free.
-const LATE_LIMIT: Duration = Duration::from_secs(10);
+const LATE_LIMIT: Duration = Duration::from_secs(3);
 /// How long a slot stays taken after the connection of its exchange was closed.
 const CLOSED_PAUSE: Duration = Duration::from_secs(1);
 
--- a/crates/jasminefall-entry/src/main.rs
+++ b/crates/jasminefall-entry/src/main.rs
@@ -13,10 +13,10 @@
 //! - [`claiming`]: claims for requests that run at most once
 //! - [`batch`]: many items in one commit
 //! - [`forward`]: sending a request to a backend server
-//! - [`metrics`]: what a metrics collector sees
 //! - [`headers`]: which headers are passed on
 //! - [`retry_budget`]: how many retries are allowed
 //! - [`outcome`]: the outcomes of a request
+//! - [`metrics`]: what a metrics collector sees
 //! - [`recorder`]: counts for the report on service-level burn
 //! - [`stop`]: the graceful stop
 //! - [`edge`]: what callers and backend servers speak
--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -265,6 +265,17 @@
         assert!(sent.is_ok_and(|status| status.success()), "{signal}");
     }
 
+    /// Returns the process of an entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the entry does not run.
+    #[must_use]
+    pub fn entry_process(&self, position: usize) -> u32 {
+        let child = self.entries[position].as_ref().expect("the entry runs");
+        child.id()
+    }
+
     /// Returns how an entry has ended, or none while it runs.
     ///
     /// # Panics
@@ -283,6 +294,12 @@
         self.address(PEER_PORT, position)
     }
 
+    /// Returns where other processes reach an entry.
+    #[must_use]
+    pub fn entry_peer(&self, position: usize) -> SocketAddr {
+        self.address(ENTRY_PEER_PORT, position)
+    }
+
     /// Returns the data folder of a control replica.
     #[must_use]
     pub fn data_folder(&self, position: usize) -> PathBuf {
--- a/crates/jasminefall-testing/tests/requests_at_most_once.rs
+++ b/crates/jasminefall-testing/tests/requests_at_most_once.rs
@@ -4,6 +4,7 @@
 
 use jasminefall_testing::backend::FakeBackend;
 use jasminefall_testing::caller::{Call, Told};
+use jasminefall_testing::proxy::Proxy;
 use jasminefall_testing::site::{Site, wait_for};
 use tokio::time::timeout;
 
@@ -14,7 +15,7 @@
 [pool.general]
 budget = standard
 [service.render]
-timeout = 20s
+timeout = 2s
 ";
 
 fn site(controls: usize, entries: usize) -> Site {
@@ -148,8 +149,8 @@
     let backend = backend(&site, 1);
     wait_until_answered(&site, 0).await;
     wait_until_answered(&site, 1).await;
-    let crashed = || publish(&site, 0, "crashed", "delay_ms=600").with_timeout_ms(700);
-    let lost = actix_rt::spawn(crashed().send());
+    let crashed = |site: &Site| publish(site, 0, "crashed", "delay_ms=600");
+    let lost = actix_rt::spawn(crashed(&site).with_timeout_ms(700).send());
     wait_for("the request runs", || async {
         backend.runs.count("crashed") == 1
     })
@@ -157,11 +158,22 @@
     site.kill_entry(0);
     assert!(lost.await.unwrap().is_err());
     site.start_entry(0);
-    wait_until_answered(&site, 0).await;
+    wait_for("the restarted entry is ready", || async {
+        let told = Call::get(site.callers(0), "/ready").send().await;
+        told.is_ok_and(|told| told.status == 200)
+    })
+    .await;
+    // None of the attempts of the restarted entry may count as the one that held the claim.
+    let resends = (0..200).map(|_| told(crashed(&site).with_timeout_ms(50)));
+    for resent in futures::future::join_all(resends).await {
+        assert_ne!(resent.outcome, "not-run", "{resent:?}");
+    }
+    assert_eq!(backend.runs.count("crashed"), 1);
 
+    wait_until_answered(&site, 0).await;
     // Every slot is taken, so that the claimed request waits while its entry is paused.
     let busy = (0..16).map(|number| {
-        let path = format!("/call/render/busy?delay_ms=2500&n={number}");
+        let path = format!("/call/render/busy?delay_ms=1500&n={number}");
         actix_rt::spawn(Call::get(site.callers(number % 2), &path).send())
     });
     let _busy: Vec<_> = busy.collect();
@@ -172,8 +184,12 @@
     site.signal_entry(0, "STOP");
     for key in ["crashed", "paused"] {
         let query = if key == "crashed" { "delay_ms=600" } else { "" };
-        let given_up = told(publish(&site, 1, key, query).with_timeout_ms(15_000)).await;
-        assert_eq!(given_up.outcome, "may-have-run", "{key}");
+        wait_for("the claim is given up", || async {
+            let told = told(publish(&site, 1, key, query)).await;
+            assert_eq!(told.outcome, "may-have-run", "{key}");
+            told.status == 504
+        })
+        .await;
     }
     site.signal_entry(0, "CONT");
     let late = waiting.await.unwrap().unwrap();
@@ -211,7 +227,7 @@
     site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
     let backend = backend(&site, 0);
     wait_until_answered(&site, 0).await;
-    let before = actix_rt::spawn(publish(&site, 0, "before", "delay_ms=2500").send());
+    let before = actix_rt::spawn(publish(&site, 0, "before", "delay_ms=1500").send());
     wait_for("the request runs", || async {
         backend.runs.count("before") == 1
     })
@@ -239,7 +255,58 @@
     assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
     site.start_entry(0);
     wait_until_answered(&site, 0).await;
-    let resent = told(publish(&site, 0, "before", "delay_ms=2500")).await;
+    let resent = told(publish(&site, 0, "before", "delay_ms=1500")).await;
     assert_eq!(resent.outcome, "answered");
     assert_eq!(backend.runs.count("before"), 1);
 }
+
+#[actix_rt::test]
+async fn connections_to_control_and_between_entries_that_go_silent_for_good_are_replaced() {
+    let mut site = Site::new(1, 2);
+    let control = Proxy::start(site.any_port(), site.control_peer(0))
+        .await
+        .unwrap();
+    let peers = [
+        Proxy::start(site.any_port(), site.entry_peer(0))
+            .await
+            .unwrap(),
+        Proxy::start(site.any_port(), site.entry_peer(1))
+            .await
+            .unwrap(),
+    ];
+    for (entry, other) in [(0, 1), (1, 0)] {
+        site.edit_entry(entry, |text| {
+            let control_peer = site.control_peer(0).to_string();
+            let entries = format!("entries = {}", site.entry_peer(other));
+            text.replace(&control_peer, &control.address.to_string())
+                .replace(&entries, &format!("entries = {}", peers[other].address))
+        });
+    }
+    site = site.started();
+    site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
+    let first = backend(&site, 0);
+    wait_until_answered(&site, 0).await;
+    wait_until_answered(&site, 1).await;
+    assert_eq!(
+        told(publish(&site, 0, "before", "")).await.outcome,
+        "answered"
+    );
+    control.faults.silence_existing();
+    peers.iter().for_each(|peer| peer.faults.silence_existing());
+    wait_for("a claim is made", || async {
+        let told = publish(&site, 0, "after", "").send().await;
+        told.is_ok_and(|told| told.outcome == "answered")
+    })
+    .await;
+    assert_eq!(first.runs.count("after"), 1);
+    first.stop().await;
+    let second = backend(&site, 0);
+    wait_for("the other entry hears of a new backend server", || async {
+        let told = Call::get(site.callers(1), "/call/render/page")
+            .with_timeout_ms(500)
+            .send();
+        told.await.is_ok_and(|told| told.outcome == "answered")
+    })
+    .await;
+    assert!(!second.runs.all().is_empty());
+}
