--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
+use crate::recorder::Recorder;
 use crate::settings::Settings;
 
 /// Holds what the threads of an entry share.
@@ -21,6 +22,7 @@
     dispatch: Mutex<Dispatch>,
     /// Wakes the exchange with other entries when requests wait that they could help with.
     pub(crate) help_wanted: Notify,
+    recorder: Mutex<Recorder>,
 }
 
 impl Shared {
@@ -32,6 +34,7 @@
             backends: Mutex::default(),
             dispatch: Mutex::default(),
             help_wanted: Notify::new(),
+            recorder: Mutex::default(),
         }
     }
 
@@ -51,4 +54,9 @@
     pub(crate) fn dispatch(&self) -> MutexGuard<'_, Dispatch> {
         self.dispatch.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns the counts of what became of requests.
+    pub(crate) fn recorder(&self) -> MutexGuard<'_, Recorder> {
+        self.recorder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
