test: show slots, floods, ejection and departure with real processes

Cause: the promises on slots and floods were shown for the decisions only, and nothing compared routing and admission with naive versions.

Seen failing: the differential test of admission found that a team whose queue became empty with a grant lost its record before the grant was charged (minimal case: urgent push, pop, urgent push, normal push, pop gave the wrong one). The record now stays while the team has anything in progress.

--- a/crates/jasminefall-policy/src/admission.rs
+++ b/crates/jasminefall-policy/src/admission.rs
@@ -227,6 +227,7 @@
             .get_mut(&ticket.team)?
             .remove(ticket.urgency, ticket.number)?;
         self.forget(&ticket.team, ticket.urgency, waiting.bytes);
+        self.drop_if_idle(&ticket.team);
         Some(waiting.item)
     }
 
@@ -255,6 +256,7 @@
             let remaining_ms = waiting.deadline_ms.saturating_sub(now_ms);
             if remaining_ms <= self.service_time.quick_ms() {
                 too_late.push(waiting.item);
+                self.drop_if_idle(&name);
                 continue;
             }
             let grant = self.charge(name, urgency, quota);
@@ -303,9 +305,8 @@
         let after = team.virtual_time;
         if self.order.remove(&(before, grant.team.clone())) {
             self.order.insert((after, grant.team.clone()));
-        } else if team.in_progress == 0 && after <= self.virtual_time {
-            self.teams.remove(&grant.team);
         }
+        self.drop_if_idle(&grant.team);
     }
 
     /// Returns how long a request would wait, from what is ahead of it and its share of the slots.
@@ -390,9 +391,14 @@
         self.urgent -= usize::from(urgency == Urgency::Urgent);
         if let Some(team) = self.teams.get(name).filter(|team| team.is_empty()) {
             self.order.remove(&(team.virtual_time, name.clone()));
-            if team.in_progress == 0 && team.virtual_time <= self.virtual_time {
-                self.teams.remove(name);
-            }
+        }
+    }
+
+    /// Drops the record of a team that has nothing here and no debt.
+    fn drop_if_idle(&mut self, name: &TeamId) {
+        let team = self.teams.get(name);
+        if team.is_some_and(|team| !team.is_active() && team.virtual_time <= self.virtual_time) {
+            self.teams.remove(name);
         }
     }
 }
--- /dev/null
+++ b/crates/jasminefall-policy/tests/differential.rs
@@ -0,0 +1,231 @@
+//! Routing and admission decide as naive versions do that look at everything each time.
+
+use jasminefall_core::prelude::*;
+use jasminefall_policy::admission::{Ask, FairQueue, Grant, QueueLimits, Ticket, factor};
+use jasminefall_policy::slots::book::{Announced, HeldSlot, SlotBook};
+use jasminefall_policy::slots::shares::Division;
+use jasminefall_policy::slots::{home_slots, rotation_of};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const ENTRIES: u32 = 3;
+const FAR_MS: u64 = 1 << 40;
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// A backend server as the naive router sees it.
+struct Naive {
+    address: SmolStr,
+    free: u32,
+    in_progress: u32,
+    last_used: u64,
+}
+
+/// Scans all backend servers for the least loaded with a free slot; the longest unused one first.
+fn choose_naively(backends: &[Naive]) -> Option<usize> {
+    let free = (0..backends.len()).filter(|position| backends[*position].free > 0);
+    free.min_by_key(|position| {
+        let backend = &backends[*position];
+        (
+            backend.in_progress,
+            backend.last_used,
+            backend.address.clone(),
+        )
+    })
+}
+
+#[derive(Debug, Clone)]
+enum Routing {
+    Take,
+    Release(prop::sample::Index),
+    Refresh,
+}
+
+proptest! {
+    #![proptest_config(config(500))]
+
+    #[test]
+    fn routing_chooses_as_a_scan_does(
+        slots in prop::collection::vec(1_u32..12, 1..8),
+        steps in prop::collection::vec(prop_oneof![
+            4 => Just(Routing::Take),
+            3 => any::<prop::sample::Index>().prop_map(Routing::Release),
+            1 => Just(Routing::Refresh),
+        ], 1..120),
+    ) {
+        let service = ServiceId::new("render");
+        let mut book = SlotBook::default();
+        let division = Division { position: Some(1), entries: ENTRIES };
+        book.configure(0, Version::new(1), division, 1_000, true);
+        let mut naive = Vec::new();
+        for (number, slots) in slots.iter().enumerate() {
+            let address = SmolStr::from(format!("10.0.0.{number}:80"));
+            book.announce(0, Announced {
+                service: service.clone(),
+                address: address.clone(),
+                slots: *slots,
+                connections: 64,
+                ready_until_ms: FAR_MS,
+            });
+            let free = home_slots(*slots, 1, ENTRIES, rotation_of(&address));
+            naive.push(Naive { address, free, in_progress: 0, last_used: 0 });
+        }
+        let mut held: Vec<(HeldSlot, usize)> = Vec::new();
+        let mut uses = 0;
+        for step in steps {
+            match step {
+                Routing::Take => {
+                    let taken = book.take(0, &service, 1_000, |_| true);
+                    let expected = choose_naively(&naive);
+                    let expected_address = expected.map(|position| naive[position].address.clone());
+                    prop_assert_eq!(taken.as_ref().map(|held| held.address.clone()), expected_address);
+                    if let (Some(taken), Some(position)) = (taken, expected) {
+                        uses += 1;
+                        naive[position].free -= 1;
+                        naive[position].in_progress += 1;
+                        naive[position].last_used = uses;
+                        held.push((taken, position));
+                    }
+                }
+                Routing::Release(index) if !held.is_empty() => {
+                    let (slot, position) = held.swap_remove(index.index(held.len()));
+                    book.release(&slot);
+                    naive[position].free += 1;
+                    naive[position].in_progress -= 1;
+                }
+                Routing::Release(_) => {}
+                Routing::Refresh => book.refresh(0),
+            }
+        }
+    }
+}
+
+const TEAMS: [(&str, u64); 3] = [("a", 1), ("b", 2), ("c", 4)];
+const SCALE: u64 = 1 << 16;
+
+/// A queue that is one list, with the virtual times written down beside it.
+#[derive(Default)]
+struct NaiveQueue {
+    waiting: Vec<(u64, usize, Urgency)>,
+    times: [u64; 3],
+    urgency_times: [[u64; 3]; 3],
+    inner: [u64; 3],
+    virtual_time: u64,
+    in_progress: [u32; 3],
+}
+
+impl NaiveQueue {
+    fn push(&mut self, number: u64, team: usize, urgency: Urgency) {
+        if !self.waiting.iter().any(|(_, other, _)| *other == team) {
+            self.times[team] = self.times[team].max(self.virtual_time);
+        }
+        let same = |(_, other, own): &(u64, usize, Urgency)| *other == team && *own == urgency;
+        if !self.waiting.iter().any(same) {
+            let time = &mut self.urgency_times[team][urgency as usize];
+            *time = (*time).max(self.inner[team]);
+        }
+        self.waiting.push((number, team, urgency));
+    }
+
+    fn pop(&mut self, slots: u32) -> Option<(u64, usize)> {
+        let (_, team, _) = *self
+            .waiting
+            .iter()
+            .min_by_key(|(_, team, _)| (self.times[*team], TEAMS[*team].0))?;
+        let own = self.waiting.iter().filter(|(_, other, _)| *other == team);
+        let (number, _, urgency) = *own.min_by_key(|(number, _, urgency)| {
+            (
+                self.urgency_times[team][*urgency as usize],
+                *urgency,
+                *number,
+            )
+        })?;
+        let is_active = |team: &usize| {
+            let waits = self.waiting.iter().any(|(_, other, _)| other == team);
+            waits || self.in_progress[*team] > 0
+        };
+        let active = (0..3).filter(|other| *other == team || is_active(other));
+        let total: u64 = active.map(|team| TEAMS[team].1).sum();
+        self.waiting.retain(|(other, _, _)| *other != number);
+        let quota = (u64::from(slots) * TEAMS[team].1 / total).max(1);
+        let within = u64::from(self.in_progress[team]) < quota;
+        let factor_now = if urgency == Urgency::Urgent && !within {
+            factor(Urgency::Normal)
+        } else {
+            factor(urgency)
+        };
+        self.virtual_time = self.virtual_time.max(self.times[team]);
+        self.times[team] += SCALE / (TEAMS[team].1 * factor_now);
+        self.inner[team] = self.inner[team].max(self.urgency_times[team][urgency as usize]);
+        self.urgency_times[team][urgency as usize] += SCALE / factor(urgency);
+        self.in_progress[team] += 1;
+        Some((number, team))
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Admission {
+    Push(usize, usize),
+    Pop,
+    Cancel(prop::sample::Index),
+}
+
+proptest! {
+    #![proptest_config(config(500))]
+
+    #[test]
+    fn admission_serves_in_the_order_of_a_list(
+        steps in prop::collection::vec(prop_oneof![
+            5 => (0_usize..3, 0_usize..3).prop_map(|(team, urgency)| Admission::Push(team, urgency)),
+            4 => Just(Admission::Pop),
+            1 => any::<prop::sample::Index>().prop_map(Admission::Cancel),
+        ], 1..150),
+    ) {
+        const SLOTS: u32 = 12;
+        let limits = QueueLimits { requests: 1_000, bytes: 1_000_000 };
+        let mut queue = FairQueue::new(limits);
+        let mut naive = NaiveQueue::default();
+        let mut tickets: Vec<(Ticket, u64)> = Vec::new();
+        let mut grants: Vec<Grant> = Vec::new();
+        for (number, step) in (0_u64..).zip(steps) {
+            match step {
+                Admission::Push(team, urgency) => {
+                    let urgency = Urgency::ALL[urgency];
+                    let ask = Ask {
+                        team: TeamId::new(TEAMS[team].0),
+                        weight: TEAMS[team].1,
+                        urgency,
+                        bytes: 1,
+                        deadline_ms: FAR_MS,
+                    };
+                    let (ticket, _) = queue.push(0, SLOTS, ask, number).unwrap();
+                    tickets.push((ticket, number));
+                    naive.push(number, team, urgency);
+                }
+                Admission::Pop => {
+                    let popped = queue.pop(0, SLOTS, SLOTS, &mut Vec::new());
+                    let expected = naive.pop(SLOTS).map(|(number, _)| number);
+                    let got = popped.map(|(grant, _, number)| {
+                        grants.push(grant);
+                        number
+                    });
+                    prop_assert_eq!(got, expected);
+                }
+                Admission::Cancel(index) if !tickets.is_empty() => {
+                    let (ticket, number) = tickets.swap_remove(index.index(tickets.len()));
+                    queue.cancel(&ticket);
+                    naive.waiting.retain(|(other, _, _)| *other != number);
+                }
+                Admission::Cancel(_) => {}
+            }
+            prop_assert_eq!(queue.len(), naive.waiting.len());
+        }
+    }
+}
--- a/crates/jasminefall-testing/src/lib.rs
+++ b/crates/jasminefall-testing/src/lib.rs
@@ -3,11 +3,13 @@
 //! # Module map
 //!
 //! - [`backend`]: a backend server that records every run
+//! - [`counting_backend`]: a backend server that counts requests in progress and connections
 //! - [`worker`]: a worker that runs tasks by waiting
 //! - [`proxy`]: a TCP proxy that injects faults
 //! - [`site`]: the real processes of a small site on one loopback address
 
 pub mod backend;
+pub mod counting_backend;
 pub mod proxy;
 pub mod site;
 pub mod worker;
--- /dev/null
+++ b/crates/jasminefall-testing/tests/slots_shared.rs
@@ -0,0 +1,304 @@
+//! Real entries share the slots of a backend server through kills, restarts and cuts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use jasminefall_testing::backend::announce;
+use jasminefall_testing::counting_backend::CountingBackend;
+use jasminefall_testing::proxy::Proxy;
+use jasminefall_testing::site::{Site, wait_for};
+
+const ENTRIES: usize = 6;
+const SLOTS: usize = 8;
+const CONNECTIONS: usize = 64;
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
+/// An entry may be given new work by this time after a backend server said that it is leaving.
+const LEAVING_BOUND: Duration = Duration::from_millis(2_000);
+
+const SERVICE: &str = "[service.render]\ntimeout = 3s\n[team.guild]\n[team.schools]\n";
+
+fn desired(site: &Site) -> String {
+    format!("[fleet]\nname = test\n{SERVICE}{}", site.entry_sections())
+}
+
+/// Asks once; returns the status, and the value of Retry-After.
+async fn call(entry: SocketAddr, query: &str, headers: &[(&str, &str)]) -> (u16, Option<u64>) {
+    let url = format!("http://{entry}/call/render/sheet?{query}");
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(6))
+        .finish();
+    let mut request = client.get(url);
+    for (name, value) in headers {
+        request = request.insert_header((*name, *value));
+    }
+    let Ok(response) = request.send().await else {
+        return (0, None);
+    };
+    let retry_after = response.headers().get("Retry-After");
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+    (response.status().as_u16(), retry_after)
+}
+
+async fn is_served(entry: SocketAddr) -> bool {
+    call(entry, "delay_ms=1", &[]).await.0 == 200
+}
+
+/// Keeps `width` requests under way at an entry until it is told to stop.
+fn load(
+    entry: SocketAddr,
+    width: usize,
+    query: &'static str,
+    stop: &Arc<AtomicBool>,
+) -> Arc<AtomicUsize> {
+    let served = Arc::new(AtomicUsize::new(0));
+    for _ in 0..width {
+        let (stop, served) = (stop.clone(), served.clone());
+        actix_rt::spawn(async move {
+            while !stop.load(Ordering::SeqCst) {
+                if call(entry, query, &[]).await.0 == 200 {
+                    served.fetch_add(1, Ordering::SeqCst);
+                } else {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        });
+    }
+    served
+}
+
+fn assert_within_limits(backend: &CountingBackend) {
+    let most = backend.count(|counts| &counts.most_in_progress);
+    assert!(most <= SLOTS, "{most} requests were in progress at once");
+    let most = backend.count(|counts| &counts.most_connections);
+    assert!(most <= CONNECTIONS, "{most} connections were open at once");
+}
+
+#[actix_rt::test]
+async fn a_backend_server_is_never_overloaded_through_kills_and_restarts() {
+    let mut site = Site::new(3, ENTRIES).started();
+    site.apply(0, &desired(&site));
+    let backend = CountingBackend::start(site.any_port()).await.unwrap();
+    let announced = (0..ENTRIES).map(|entry| site.backends(entry)).collect();
+    let backend = backend.with_announcements(announced, "render", 1, ANNOUNCE_INTERVAL);
+    for entry in 0..ENTRIES {
+        let callers = site.callers(entry);
+        wait_for("every entry serves", || is_served(callers)).await;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let served: Vec<_> = (0..ENTRIES)
+        .map(|entry| load(site.callers(entry), 6, "delay_ms=1500", &stop))
+        .collect();
+    wait_for("the backend server is full", || async {
+        backend.count(|counts| &counts.most_in_progress) == SLOTS
+    })
+    .await;
+    for entry in 0..3 {
+        site.kill_entry(entry);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        site.start_entry(entry);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    // A restarted entry serves with borrowed slots long before its own may be used again.
+    let before: Vec<_> = served
+        .iter()
+        .map(|served| served.load(Ordering::SeqCst))
+        .collect();
+    wait_for("every entry goes on serving", || async {
+        let now = served.iter().map(|served| served.load(Ordering::SeqCst));
+        now.zip(&before).all(|(now, before)| now > *before)
+    })
+    .await;
+    stop.store(true, Ordering::SeqCst);
+    assert_within_limits(&backend);
+}
+
+#[actix_rt::test]
+async fn one_entry_may_use_slots_of_all_and_gives_them_back() {
+    let site = Site::new(1, 3).started();
+    site.apply(0, &desired(&site));
+    let backend = CountingBackend::start(site.any_port()).await.unwrap();
+    let backend =
+        backend.with_announcements(vec![site.backends(1)], "render", 1, ANNOUNCE_INTERVAL);
+    for entry in 0..3 {
+        let callers = site.callers(entry);
+        wait_for("every entry serves", || is_served(callers)).await;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let alone = load(site.callers(0), 12, "delay_ms=100", &stop);
+    wait_for("one entry uses more than its own share", || async {
+        backend.count(|counts| &counts.in_progress) >= SLOTS - 2
+    })
+    .await;
+    let others = [1, 2].map(|entry| load(site.callers(entry), 12, "delay_ms=100", &stop));
+    wait_for("the others get their slots back", || async {
+        others
+            .iter()
+            .all(|served| served.load(Ordering::SeqCst) >= 20)
+    })
+    .await;
+    stop.store(true, Ordering::SeqCst);
+    assert!(alone.load(Ordering::SeqCst) > 0);
+    assert_within_limits(&backend);
+}
+
+/// Puts a proxy in front of the peer address of every entry, for the others.
+async fn proxied(site: &Site, entries: usize) -> Vec<Proxy> {
+    let mut proxies = Vec::new();
+    for entry in 0..entries {
+        let target = SocketAddr::new(site.any_port().ip(), 24_000 + u16::try_from(entry).unwrap());
+        proxies.push(Proxy::start(site.any_port(), target).await.unwrap());
+    }
+    for entry in 0..entries {
+        let file = site.folder().join(format!("entry-{entry}.ini"));
+        let text = std::fs::read_to_string(&file).unwrap();
+        let kept = text.lines().filter(|line| !line.starts_with("entries"));
+        let others = (0..entries).filter(|other| *other != entry);
+        let others: Vec<_> = others
+            .map(|other| proxies[other].address.to_string())
+            .collect();
+        let text = kept.collect::<Vec<_>>().join("\n");
+        let text = format!("{text}\nentries = {}\n", others.join(", "));
+        std::fs::write(&file, text).unwrap();
+    }
+    proxies
+}
+
+#[actix_rt::test]
+async fn a_leaving_backend_server_gets_nothing_new_even_from_an_entry_that_is_cut_off() {
+    let site = Site::new(1, 3);
+    let proxies = proxied(&site, 3).await;
+    let site = site.started();
+    site.apply(0, &desired(&site));
+    let mut backend = CountingBackend::start(site.any_port()).await.unwrap();
+    backend = backend.with_announcements(vec![site.backends(0)], "render", 1, ANNOUNCE_INTERVAL);
+    for entry in 0..3 {
+        let callers = site.callers(entry);
+        wait_for("every entry knows the backend server", || {
+            is_served(callers)
+        })
+        .await;
+    }
+    let finishing = actix_rt::spawn({
+        let callers = site.callers(2);
+        async move { call(callers, "delay_ms=2500", &[]).await.0 }
+    });
+    wait_for("the long request runs", || async {
+        backend.count(|counts| &counts.in_progress) == 1
+    })
+    .await;
+    proxies.iter().for_each(|proxy| proxy.faults.silence(true));
+    backend.fall_silent();
+    let left = announce(site.backends(0), "render", backend.address, 1, "leaving");
+    left.await.unwrap();
+    tokio::time::sleep(LEAVING_BOUND).await;
+    let begun = backend.count(|counts| &counts.begun);
+    let until = Instant::now() + Duration::from_millis(400);
+    while Instant::now() < until {
+        for entry in 0..3 {
+            let status = call(
+                site.callers(entry),
+                "delay_ms=1",
+                &[("Jasminefall-Timeout-Ms", "50")],
+            );
+            assert_ne!(
+                status.await.0,
+                200,
+                "entry {entry} used a backend server that has left"
+            );
+        }
+    }
+    assert_eq!(backend.count(|counts| &counts.begun), begun);
+    assert_eq!(
+        finishing.await.unwrap(),
+        200,
+        "what was in progress finishes"
+    );
+
+    // The same address comes back as a new incarnation, through an entry that is still cut off.
+    let again = announce(site.backends(1), "render", backend.address, 2, "ready");
+    again.await.unwrap();
+    assert!(is_served(site.callers(1)).await);
+}
+
+#[actix_rt::test]
+async fn what_cannot_be_answered_in_time_is_refused_at_once_with_when_to_come_back() {
+    let site = Site::new(1, 1).started();
+    site.apply(0, &desired(&site));
+    let backend = CountingBackend::start(site.any_port()).await.unwrap();
+    let backend =
+        backend.with_announcements(vec![site.backends(0)], "render", 1, ANNOUNCE_INTERVAL);
+    let entry = site.callers(0);
+    wait_for("the entry serves", || is_served(entry)).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let flood = load(entry, 80, "delay_ms=500", &stop);
+    wait_for("the entry has learnt how long requests take", || async {
+        flood.load(Ordering::SeqCst) > 24
+    })
+    .await;
+    let mut refused = None;
+    wait_for(
+        "a request that cannot be answered in time is refused",
+        || async {
+            let headers = [("Jasminefall-Timeout-Ms", "1000")];
+            call(entry, "delay_ms=500", &headers).await.0 == 503
+        },
+    )
+    .await;
+    for _ in 0..20 {
+        let headers = [("Jasminefall-Timeout-Ms", "1000")];
+        if let (503, Some(retry_after)) = call(entry, "delay_ms=500", &headers).await {
+            refused = Some(retry_after);
+            break;
+        }
+    }
+    assert!(
+        refused.is_some_and(|retry_after| (1..=60).contains(&retry_after)),
+        "{refused:?}"
+    );
+    // Another team and urgent work are served while the flood goes on.
+    let headers = [
+        ("Jasminefall-Team", "schools"),
+        ("Jasminefall-Urgency", "urgent"),
+    ];
+    assert_eq!(call(entry, "delay_ms=1", &headers).await.0, 200);
+    stop.store(true, Ordering::SeqCst);
+    assert_within_limits(&backend);
+}
+
+#[actix_rt::test]
+async fn a_backend_server_that_fails_everything_does_not_draw_the_work() {
+    let site = Site::new(1, 2).started();
+    site.apply(0, &desired(&site));
+    let mut backends = Vec::new();
+    for _ in 0..3 {
+        let backend = CountingBackend::start(site.any_port()).await.unwrap();
+        let announced = vec![site.backends(0)];
+        backends.push(backend.with_announcements(announced, "render", 1, ANNOUNCE_INTERVAL));
+    }
+    backends[0].counts.fails.store(true, Ordering::SeqCst);
+    let entry = site.callers(0);
+    wait_for("all backend servers are known", || async {
+        let _ = call(entry, "delay_ms=5", &[]).await;
+        backends
+            .iter()
+            .all(|backend| backend.count(|counts| &counts.begun) > 0)
+    })
+    .await;
+    wait_for("the failing one is ejected", || async {
+        let before = backends[0].count(|counts| &counts.begun);
+        for _ in 0..20 {
+            let _ = call(entry, "delay_ms=5", &[]).await;
+        }
+        backends[0].count(|counts| &counts.begun) == before
+    })
+    .await;
+    backends[0].counts.fails.store(false, Ordering::SeqCst);
+    let before = backends[0].count(|counts| &counts.begun);
+    wait_for("it is probed and taken back", || async {
+        let _ = call(entry, "delay_ms=5", &[]).await;
+        backends[0].count(|counts| &counts.begun) > before + 10
+    })
+    .await;
+}
