--- a/crates/jasminefall-policy/src/admission.rs
+++ b/crates/jasminefall-policy/src/admission.rs
@@ -23,10 +23,11 @@
 /// The longest that urgent work within its team's quota may wait to start.
 pub const URGENT_START_LIMIT_MS: u64 = 1_700;
 const SCALE: u64 = 1 << 16;
+const WITHIN_QUOTA: u64 = 4;
 const RESERVE_DIVISOR: u32 = 16;
 const RESERVE_FROM_SLOTS: u32 = 4;
 
-/// Returns how much faster work of an urgency is served than background work, at equal weights.
+/// Returns how much faster work of an urgency is served than background work of the same team.
 #[must_use]
 pub const fn factor(urgency: Urgency) -> u64 {
     match urgency {
@@ -36,6 +37,19 @@
     }
 }
 
+/// Returns how much faster work is served than that of other teams, at equal weights.
+///
+/// Beyond its quota of slots, a team's work counts no more than other teams' background work within
+/// theirs: a flood of any urgency takes what the others leave.
+#[must_use]
+pub const fn factor_among_teams(urgency: Urgency, within_quota: bool) -> u64 {
+    match (urgency, within_quota) {
+        (urgency, true) => factor(urgency) * WITHIN_QUOTA,
+        (Urgency::Urgent | Urgency::Normal, false) => WITHIN_QUOTA,
+        (Urgency::Background, false) => 1,
+    }
+}
+
 /// Bounds what may wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueLimits {
@@ -269,7 +283,7 @@
         let mut divisor = 1;
         if let Some(team) = self.teams.get_mut(&name) {
             let within = team.in_progress < quota;
-            divisor = team.weight * team::effective_factor(urgency, within);
+            divisor = team.weight * factor_among_teams(urgency, within);
             let before = team.virtual_time;
             self.virtual_time = self.virtual_time.max(before);
             team.in_progress += 1;
@@ -322,12 +336,23 @@
         if self.requests == 0 && in_progress < slots {
             return 0;
         }
+        let active = self.teams.values().filter(|team| team.is_active());
+        let mut total: u64 = active.map(|team| team.weight).sum();
         let own = self.teams.get(&ask.team);
+        if !own.is_some_and(Team::is_active) {
+            total += ask.weight;
+        }
+        let is_within =
+            |weight: u64, in_progress: u32| u64::from(in_progress) < quota_of(slots, weight, total);
         let ahead = own.map_or(0, |team| team.ahead_of(ask.urgency));
-        let own_weight = ask.weight.max(1) * factor(ask.urgency);
+        let own_in_progress = own.map_or(0, |team| team.in_progress);
+        let own_within = is_within(ask.weight, own_in_progress);
+        let own_weight = ask.weight.max(1) * factor_among_teams(ask.urgency, own_within);
         let others = self.order.iter().filter(|(_, name)| *name != ask.team);
         let others = others.filter_map(|(_, name)| self.teams.get(name));
-        let others_weight: u64 = others.map(Team::waiting_weight).sum();
+        let others_weight: u64 = others
+            .map(|team| team.waiting_weight(is_within(team.weight, team.in_progress)))
+            .sum();
         let work = u128::from(self.service_time.mean_ms()) * (ahead as u128 + 1);
         let wait = work * u128::from(own_weight + others_weight)
             / (u128::from(own_weight) * u128::from(slots.max(1)));
@@ -351,8 +376,7 @@
         let active = self.teams.values().filter(|team| team.is_active());
         let total: u64 = active.map(|team| team.weight).sum();
         let weight = self.teams.get(name).map_or(1, |team| team.weight);
-        let quota = u64::from(slots) * weight / total.max(weight).max(1);
-        u32::try_from(quota).unwrap_or(u32::MAX).max(1)
+        u32::try_from(quota_of(slots, weight, total)).unwrap_or(u32::MAX)
     }
 
     fn urgent_within_quota(&self, slots: u32) -> Option<TeamId> {
@@ -402,3 +426,8 @@
         }
     }
 }
+
+/// Returns the part of the slots that a weight has of the weights of all active teams.
+fn quota_of(slots: u32, weight: u64, total: u64) -> u64 {
+    (u64::from(slots) * weight / total.max(weight).max(1)).max(1)
+}
--- a/crates/jasminefall-policy/src/admission/team.rs
+++ b/crates/jasminefall-policy/src/admission/team.rs
@@ -4,7 +4,7 @@
 
 use jasminefall_core::prelude::*;
 
-use super::{SCALE, Waiting, factor};
+use super::{SCALE, Waiting, factor, factor_among_teams};
 
 const URGENCIES: usize = Urgency::ALL.len();
 
@@ -34,14 +34,6 @@
     }
 }
 
-/// Returns the factor of a request: urgent work beyond the team's quota counts as normal.
-pub(super) const fn effective_factor(urgency: Urgency, within_quota: bool) -> u64 {
-    match urgency {
-        Urgency::Urgent if !within_quota => factor(Urgency::Normal),
-        urgency => factor(urgency),
-    }
-}
-
 /// Returns the virtual time that holding a slot costs.
 pub(super) const fn cost(held_ms: u64, divisor: u64) -> u64 {
     held_ms.saturating_mul(SCALE) / divisor
@@ -69,9 +61,10 @@
     }
 
     /// Returns the weight with which the team competes: that of its most urgent waiting work.
-    pub(super) fn waiting_weight(&self) -> u64 {
+    pub(super) fn waiting_weight(&self, within_quota: bool) -> u64 {
         let most_urgent = Urgency::ALL.into_iter().find(|urgency| self.has(*urgency));
-        self.weight * most_urgent.map_or(0, factor)
+        let factor = most_urgent.map_or(0, |urgency| factor_among_teams(urgency, within_quota));
+        self.weight * factor
     }
 
     /// Returns how many requests of the team are served before a new one of an urgency.
--- a/crates/jasminefall-policy/tests/admission.rs
+++ b/crates/jasminefall-policy/tests/admission.rs
@@ -32,6 +32,7 @@
         .map(|team| Demand::new(team, Urgency::Normal, 12))
         .collect();
     demands.push(Demand::new("a", Urgency::Urgent, 2));
+    demands.push(Demand::new("d", Urgency::Background, 3));
     demands.push(Demand::new("flooding", urgency, 800));
     demands
 }
@@ -55,6 +56,17 @@
     }
 }
 
+#[test]
+fn a_flood_of_background_work_leaves_a_busy_team_its_service() {
+    let demands = [
+        Demand::new("a", Urgency::Normal, 70),
+        Demand::new("flooding", Urgency::Background, 800),
+    ];
+    let results = run(LIMITS, &demands, false);
+    let kept = results[0].1.served * 100 / results[0].1.asked;
+    assert!(kept >= 95, "{kept} % of work beyond the team's own quota");
+}
+
 #[test]
 fn urgent_work_within_quota_starts_in_time() {
     for urgency in Urgency::ALL {
--- a/crates/jasminefall-policy/tests/differential.rs
+++ b/crates/jasminefall-policy/tests/differential.rs
@@ -1,7 +1,9 @@
 //! Routing and admission decide as naive versions do that look at everything each time.
 
 use jasminefall_core::prelude::*;
-use jasminefall_policy::admission::{Ask, FairQueue, Grant, QueueLimits, Ticket, factor};
+use jasminefall_policy::admission::{
+    Ask, FairQueue, Grant, QueueLimits, Ticket, factor, factor_among_teams,
+};
 use jasminefall_policy::slots::book::{Announced, HeldSlot, SlotBook};
 use jasminefall_policy::slots::shares::Division;
 use jasminefall_policy::slots::{home_slots, rotation_of};
@@ -156,11 +158,7 @@
         self.waiting.retain(|(other, _, _)| *other != number);
         let quota = (u64::from(slots) * TEAMS[team].1 / total).max(1);
         let within = u64::from(self.in_progress[team]) < quota;
-        let factor_now = if urgency == Urgency::Urgent && !within {
-            factor(Urgency::Normal)
-        } else {
-            factor(urgency)
-        };
+        let factor_now = factor_among_teams(urgency, within);
         self.virtual_time = self.virtual_time.max(self.times[team]);
         self.times[team] += SCALE / (TEAMS[team].1 * factor_now);
         self.inner[team] = self.inner[team].max(self.urgency_times[team][urgency as usize]);
