--- a/crates/jasminefall-entry/src/dispatch/state.rs
+++ b/crates/jasminefall-entry/src/dispatch/state.rs
@@ -104,6 +104,14 @@
 }
 
 impl Dispatch {
+    /// Returns how many requests wait for each service.
+    pub(crate) fn queue_lengths(&self) -> Vec<(ServiceId, usize)> {
+        let services = self.services.iter();
+        services
+            .map(|(name, service)| (name.clone(), service.queue.len()))
+            .collect()
+    }
+
     /// Takes the version that the entry acts on.
     pub(super) fn configure(
         &mut self,
--- a/crates/jasminefall-entry/src/outcome.rs
+++ b/crates/jasminefall-entry/src/outcome.rs
@@ -50,13 +50,6 @@
         }
     }
 
-    const fn retry_after_s(&self) -> u64 {
-        match self {
-            Self::Overloaded { retry_after_s } => *retry_after_s,
-            _ => RETRY_AFTER_S,
-        }
-    }
-
     /// Returns whether the caller's own request is the cause.
     pub(crate) const fn is_callers_fault(&self) -> bool {
         matches!(
@@ -65,6 +58,13 @@
         )
     }
 
+    const fn retry_after_s(&self) -> u64 {
+        match self {
+            Self::Overloaded { retry_after_s } => *retry_after_s,
+            _ => RETRY_AFTER_S,
+        }
+    }
+
     fn message(&self) -> &str {
         match self {
             Self::Bad(message) => message,
@@ -105,6 +105,15 @@
 }
 
 impl Outcome {
+    /// Returns the word that stands for the outcome.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not-run",
+            Self::MayHaveRun => "may-have-run",
+        }
+    }
+
     /// Returns the outcome as the caller sees it.
     pub(crate) fn into_response(self) -> HttpResponse {
         match self {
--- a/crates/jasminefall-entry/src/shared.rs
+++ b/crates/jasminefall-entry/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::backends::Backends;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatch;
+use crate::metrics::Metrics;
 use crate::recorder::Recorder;
 use crate::settings::Settings;
 
@@ -17,12 +18,14 @@
 pub(crate) struct Shared {
     /// The settings.
     pub(crate) settings: Settings,
+    /// What a metrics collector sees.
+    pub(crate) metrics: Metrics,
     configuration: Mutex<Configuration>,
     backends: Mutex<Backends>,
     dispatch: Mutex<Dispatch>,
+    recorder: Mutex<Recorder>,
     /// Wakes the exchange with other entries when requests wait that they could help with.
     pub(crate) help_wanted: Notify,
-    recorder: Mutex<Recorder>,
 }
 
 impl Shared {
@@ -30,11 +33,12 @@
     pub(crate) fn new(settings: Settings) -> Self {
         Self {
             settings,
+            metrics: Metrics::default(),
             configuration: Mutex::default(),
             backends: Mutex::default(),
             dispatch: Mutex::default(),
-            help_wanted: Notify::new(),
             recorder: Mutex::default(),
+            help_wanted: Notify::new(),
         }
     }
 
--- a/crates/jasminefall-policy/src/admission.rs
+++ b/crates/jasminefall-policy/src/admission.rs
@@ -22,7 +22,7 @@
 
 /// The longest that urgent work within its team's quota may wait to start.
 pub const URGENT_START_LIMIT_MS: u64 = 1_700;
-const SCALE: u64 = 1 << 16;
+const SCALE: u64 = 1 << 24;
 const WITHIN_QUOTA: u64 = 4;
 const RESERVE_DIVISOR: u32 = 16;
 const RESERVE_FROM_SLOTS: u32 = 4;
@@ -108,9 +108,10 @@
 pub struct Grant {
     /// Its team.
     pub team: TeamId,
-    /// The virtual time that the team paid in advance.
+    /// The time that the team paid for in advance.
     expected_ms: u64,
-    divisor: u64,
+    /// The virtual time that holding the slot costs each millisecond.
+    price: u64,
 }
 
 #[derive(Debug)]
@@ -280,14 +281,13 @@
 
     fn charge(&mut self, name: TeamId, urgency: Urgency, quota: u32) -> Grant {
         let expected_ms = self.service_time.mean_ms().max(1);
-        let mut divisor = 1;
+        let mut price = 0;
         if let Some(team) = self.teams.get_mut(&name) {
-            let within = team.in_progress < quota;
-            divisor = team.weight * factor_among_teams(urgency, within);
+            team.in_progress += 1;
+            price = team.price(urgency, quota);
             let before = team.virtual_time;
             self.virtual_time = self.virtual_time.max(before);
-            team.in_progress += 1;
-            team.pay(urgency, expected_ms, divisor);
+            team.pay(urgency, expected_ms, price);
             let after = team.virtual_time;
             if self.order.remove(&(before, name.clone())) {
                 self.order.insert((after, name.clone()));
@@ -296,7 +296,7 @@
         Grant {
             team: name,
             expected_ms,
-            divisor,
+            price,
         }
     }
 
@@ -313,9 +313,10 @@
         };
         let before = team.virtual_time;
         team.in_progress = team.in_progress.saturating_sub(1);
-        let paid = team::cost(grant.expected_ms, grant.divisor);
-        team.virtual_time =
-            (before.saturating_sub(paid)).saturating_add(team::cost(held_ms, grant.divisor));
+        let paid = grant.expected_ms.saturating_mul(grant.price);
+        team.virtual_time = before
+            .saturating_sub(paid)
+            .saturating_add(held_ms.saturating_mul(grant.price));
         let after = team.virtual_time;
         if self.order.remove(&(before, grant.team.clone())) {
             self.order.insert((after, grant.team.clone()));
@@ -332,8 +333,8 @@
         if slots == 0 {
             return 0;
         }
-        let in_progress: u32 = self.teams.values().map(|team| team.in_progress).sum();
-        if self.requests == 0 && in_progress < slots {
+        let all_in_progress: u32 = self.teams.values().map(|team| team.in_progress).sum();
+        if self.requests == 0 && all_in_progress < slots {
             return 0;
         }
         let active = self.teams.values().filter(|team| team.is_active());
@@ -342,21 +343,18 @@
         if !own.is_some_and(Team::is_active) {
             total += ask.weight;
         }
-        let is_within =
-            |weight: u64, in_progress: u32| u64::from(in_progress) < quota_of(slots, weight, total);
-        let ahead = own.map_or(0, |team| team.ahead_of(ask.urgency));
-        let own_in_progress = own.map_or(0, |team| team.in_progress);
-        let own_within = is_within(ask.weight, own_in_progress);
-        let own_weight = ask.weight.max(1) * factor_among_teams(ask.urgency, own_within);
+        let ahead = own.map_or(0, |team| team.ahead_of(ask.urgency)) as u64 + 1;
+        let in_progress = own.map_or(0, |team| team.in_progress);
+        let is_within = u64::from(in_progress) < quota_of(slots, ask.weight, total);
+        let weight = ask.weight.max(1) * factor_among_teams(ask.urgency, is_within);
         let others = self.order.iter().filter(|(_, name)| *name != ask.team);
         let others = others.filter_map(|(_, name)| self.teams.get(name));
-        let others_weight: u64 = others
-            .map(|team| team.waiting_weight(is_within(team.weight, team.in_progress)))
-            .sum();
-        let work = u128::from(self.service_time.mean_ms()) * (ahead as u128 + 1);
-        let wait = work * u128::from(own_weight + others_weight)
-            / (u128::from(own_weight) * u128::from(slots.max(1)));
-        u64::try_from(wait).unwrap_or(u64::MAX)
+        let others_ahead = others.map(|team| {
+            let quota = quota_of(slots, team.weight, total);
+            team.ahead_of_others(ahead, weight, quota)
+        });
+        let requests = ahead + others_ahead.sum::<u64>();
+        self.service_time.mean_ms().saturating_mul(requests) / u64::from(slots)
     }
 
     /// Returns the slots kept free for urgent work: none while requests are so short that a slot
--- a/crates/jasminefall-policy/src/admission/team.rs
+++ b/crates/jasminefall-policy/src/admission/team.rs
@@ -34,11 +34,6 @@
     }
 }
 
-/// Returns the virtual time that holding a slot costs.
-pub(super) const fn cost(held_ms: u64, divisor: u64) -> u64 {
-    held_ms.saturating_mul(SCALE) / divisor
-}
-
 impl<T> Team<T> {
     pub(super) fn len(&self) -> usize {
         self.waiting.iter().map(BTreeMap::len).sum()
@@ -60,11 +55,20 @@
         !self.waiting[urgency as usize].is_empty()
     }
 
-    /// Returns the weight with which the team competes: that of its most urgent waiting work.
-    pub(super) fn waiting_weight(&self, within_quota: bool) -> u64 {
+    /// Returns how many requests of this team are served before `turns` of another team's with a
+    /// total `weight`.
+    ///
+    /// What this team has within its quota counts fully only as far as the quota goes.
+    pub(super) fn ahead_of_others(&self, turns: u64, weight: u64, quota: u64) -> u64 {
         let most_urgent = Urgency::ALL.into_iter().find(|urgency| self.has(*urgency));
-        let factor = most_urgent.map_or(0, |urgency| factor_among_teams(urgency, within_quota));
-        self.weight * factor
+        let Some(urgency) = most_urgent else { return 0 };
+        let turns_at = |is_within| {
+            let own = self.weight * factor_among_teams(urgency, is_within);
+            (turns * own).div_ceil(weight.max(1))
+        };
+        let within = quota.saturating_sub(u64::from(self.in_progress));
+        let served = within.min(turns_at(true)) + turns_at(false);
+        served.min(self.len() as u64)
     }
 
     /// Returns how many requests of the team are served before a new one of an urgency.
@@ -116,11 +120,26 @@
         Some((urgency, self.remove(urgency, number)?))
     }
 
+    /// Returns the virtual time that holding one more slot costs each millisecond.
+    ///
+    /// Of a team beyond its quota, each slot counts in part as within it and in part as beyond, so
+    /// that what it has within its quota does not get dearer by what it has beyond.
+    pub(super) fn price(&self, urgency: Urgency, quota: u32) -> u64 {
+        let held = u64::from(self.in_progress.max(1));
+        let within = held.min(u64::from(quota));
+        let factor_within = factor_among_teams(urgency, true);
+        let factor_beyond = factor_among_teams(urgency, false);
+        let shares = within * factor_beyond + (held - within) * factor_within;
+        SCALE * shares / (held * factor_within * factor_beyond * self.weight)
+    }
+
     /// Advances the team's virtual time, and that of the urgency within the team.
-    pub(super) fn pay(&mut self, urgency: Urgency, expected_ms: u64, divisor: u64) {
+    pub(super) fn pay(&mut self, urgency: Urgency, expected_ms: u64, price: u64) {
         let position = urgency as usize;
         self.inner_time = self.inner_time.max(self.urgency_time[position]);
-        self.urgency_time[position] += cost(expected_ms, factor(urgency));
-        self.virtual_time = self.virtual_time.saturating_add(cost(expected_ms, divisor));
+        self.urgency_time[position] += expected_ms * SCALE / factor(urgency);
+        self.virtual_time = self
+            .virtual_time
+            .saturating_add(expected_ms.saturating_mul(price));
     }
 }
--- a/crates/jasminefall-policy/tests/differential.rs
+++ b/crates/jasminefall-policy/tests/differential.rs
@@ -110,7 +110,7 @@
 }
 
 const TEAMS: [(&str, u64); 3] = [("a", 1), ("b", 2), ("c", 4)];
-const SCALE: u64 = 1 << 16;
+const SCALE: u64 = 1 << 24;
 
 /// A queue that is one list, with the virtual times written down beside it.
 #[derive(Default)]
@@ -157,13 +157,18 @@
         let total: u64 = active.map(|team| TEAMS[team].1).sum();
         self.waiting.retain(|(other, _, _)| *other != number);
         let quota = (u64::from(slots) * TEAMS[team].1 / total).max(1);
-        let within = u64::from(self.in_progress[team]) < quota;
-        let factor_now = factor_among_teams(urgency, within);
+        self.in_progress[team] += 1;
+        let held = u64::from(self.in_progress[team]);
+        let (inside, beyond) = (
+            factor_among_teams(urgency, true),
+            factor_among_teams(urgency, false),
+        );
+        let shares = held.min(quota) * beyond + held.saturating_sub(quota) * inside;
+        let price = SCALE * shares / (held * inside * beyond * TEAMS[team].1);
         self.virtual_time = self.virtual_time.max(self.times[team]);
-        self.times[team] += SCALE / (TEAMS[team].1 * factor_now);
+        self.times[team] += price;
         self.inner[team] = self.inner[team].max(self.urgency_times[team][urgency as usize]);
         self.urgency_times[team][urgency as usize] += SCALE / factor(urgency);
-        self.in_progress[team] += 1;
         Some((number, team))
     }
 }
