--- a/crates/jasminefall-entry/src/recorder.rs
+++ b/crates/jasminefall-entry/src/recorder.rs
@@ -35,9 +35,11 @@
         let counts = self.counts.entry(pair).or_default();
         match outcome {
             Outcome::Answered(answer) if answer.status.is_server_error() => counts.failed += 1,
-            Outcome::Answered(_) => counts.answered += 1,
+            Outcome::Answered(_) | Outcome::AnsweredNotKept(_) => counts.answered += 1,
             Outcome::NotRun(_) => counts.refused += 1,
-            Outcome::MayHaveRun => counts.unknown += 1,
+            Outcome::MayHaveRun | Outcome::UnderWay | Outcome::NoLongerKnown => {
+                counts.unknown += 1;
+            }
         }
     }
 
