fix: lend to an entry that has far fewer slots also while requests wait here

Cause: a restarted entry has no slots of its own for 21 s; under overload the others lent it nothing because requests waited there too, and its callers were refused (seen: tests/slots_shared.rs a_backend_server_is_never_overloaded_through_kills_and_restarts waited 30 s in vain for the restarted entries to serve).

Change: a question tells how many slots its sender has; an entry that has two more keeps one free and lends it.

--- a/crates/jasminefall-entry/src/dispatch/lending.rs
+++ b/crates/jasminefall-entry/src/dispatch/lending.rs
@@ -9,6 +9,10 @@
 
 /// How long the idle slots that another entry told of are believed.
 const IDLE_LIFETIME_MS: u64 = 600;
+/// An entry with requests waiting lends only to one that has this many slots less.
+const LEVEL_MARGIN: u32 = 2;
+/// How long a slot is kept free for another entry that has too few.
+const OWED_MS: u64 = 400;
 /// A lender keeps back one in this many of its idle slots.
 const RESERVE_DIVISOR: u32 = 4;
 
@@ -54,6 +58,7 @@
             service.is_some_and(|service| service.needs_loans(now_ms))
         };
         news.held = self.book.hold_on(now_ms, name, peer.start, needed);
+        news.has = self.has(&wants);
         news.wants = wants;
     }
 
@@ -69,23 +74,45 @@
         }
         let mut loans = Vec::new();
         for want in &news.wants {
-            self.book.want_back(&news.entry, &want.service);
-            if may_lend && is_own_start && !self.is_waited_for(&want.service) {
-                let idle = self.book.idle(now_ms, &want.service);
-                let reserve = idle / RESERVE_DIVISOR;
-                loans.extend(self.book.lend(
-                    now_ms,
-                    &news.entry,
-                    news.start,
-                    &want.service,
-                    want.count,
-                    reserve,
-                ));
+            let has = news.has.iter().find(|has| has.service == want.service);
+            let has = has.map_or(0, |has| has.count);
+            let is_ahead = self.book.counts(&want.service).usable >= has + LEVEL_MARGIN;
+            let is_waiting = self.is_waited_for(&want.service);
+            if is_ahead || !is_waiting {
+                self.book.want_back(&news.entry, &want.service);
+            }
+            if may_lend && is_own_start && (is_ahead || !is_waiting) {
+                loans.extend(self.lend(now_ms, news, want, is_waiting));
             }
         }
         loans.into_iter().map(to_wire).collect()
     }
 
+    /// Lends idle slots; where requests wait here too, one slot, which may have to be kept free first.
+    fn lend(
+        &mut self,
+        now_ms: u64,
+        news: &News,
+        want: &ServiceCount,
+        is_waiting: bool,
+    ) -> Vec<Loan> {
+        let idle = self.book.idle(now_ms, &want.service);
+        let (count, reserve) = if is_waiting {
+            (1, 0)
+        } else {
+            (want.count, idle / RESERVE_DIVISOR)
+        };
+        let (entry, start) = (&news.entry, news.start);
+        let loans = self
+            .book
+            .lend(now_ms, entry, start, &want.service, count, reserve);
+        if let Some(service) = self.services.get_mut(&want.service) {
+            let owes = is_waiting && loans.is_empty();
+            service.owes_until_ms = if owes { now_ms + OWED_MS } else { 0 };
+        }
+        loans
+    }
+
     /// Takes another entry's answer to what was asked at `asked_at_ms`.
     pub(crate) fn take_answer(&mut self, asked_at_ms: u64, answer: News) {
         let peer = self.peers.entry(answer.entry.clone()).or_default();
@@ -144,6 +171,14 @@
         waiting.map(want).collect()
     }
 
+    fn has(&self, wants: &[ServiceCount]) -> Vec<ServiceCount> {
+        let has = wants.iter().map(|want| ServiceCount {
+            service: want.service.clone(),
+            count: self.book.counts(&want.service).usable,
+        });
+        has.collect()
+    }
+
     fn idle_here(&self, now_ms: u64) -> Vec<ServiceCount> {
         let services = self.book.services();
         let quiet = services.filter(|service| !self.is_waited_for(service));
--- a/crates/jasminefall-entry/src/dispatch/state.rs
+++ b/crates/jasminefall-entry/src/dispatch/state.rs
@@ -49,6 +49,8 @@
     pub(super) queue: FairQueue<Sender>,
     pub(super) ejections: Ejections,
     last_waited_ms: u64,
+    /// Until when one slot is kept free for an entry that has too few.
+    pub(super) owes_until_ms: u64,
 }
 
 /// Says that a request waits, and who had to go for it.
@@ -95,6 +97,7 @@
             queue: FairQueue::new(limits),
             ejections: Ejections::default(),
             last_waited_ms: 0,
+            owes_until_ms: 0,
         }
     }
 
@@ -190,6 +193,9 @@
         let mut too_late = Vec::new();
         while !service.queue.is_empty() && served.granted.len() < MAX_GRANTS {
             let counts = self.book.counts(name);
+            if now_ms < service.owes_until_ms && counts.usable <= counts.in_progress + 1 {
+                break;
+            }
             let (ejections, division) = (&service.ejections, self.division);
             let allows = |address: &SmolStr| {
                 ejections.verdict(now_ms, address, turn(division, address)) != Verdict::Leave
--- a/crates/jasminefall-wire/src/message.rs
+++ b/crates/jasminefall-wire/src/message.rs
@@ -141,4 +141,6 @@
     pub loans: Vec<SlotLoan>,
     /// The ejected backend servers, and those lately back.
     pub ejections: Vec<Ejection>,
+    /// The slots that the teller has, its own and borrowed, of each service that it wants more of.
+    pub has: Vec<ServiceCount>,
 }
