--- a/crates/jasminefall-control/src/edge/operators.rs
+++ b/crates/jasminefall-control/src/edge/operators.rs
@@ -29,7 +29,7 @@
 const SLOWEST_HEADER: Duration = Duration::from_secs(5);
 
 /// Starts the operators' listener.
-pub(crate) fn start(settings: &Settings, handle: NodeHandle) -> std::io::Result<Server> {
+pub(crate) fn start(settings: &Settings, handle: NodeHandle) -> anyhow::Result<Server> {
     let tokens = settings.tokens.clone();
     let server = HttpServer::new(move || {
         App::new()
@@ -49,8 +49,11 @@
     let server = server
         .workers(1)
         .max_connections(MAX_CONNECTIONS)
-        .client_request_timeout(SLOWEST_HEADER)
-        .bind(settings.operators)?;
+        .client_request_timeout(SLOWEST_HEADER);
+    let server = match &settings.operators_tls {
+        Some(files) => server.bind_rustls_0_23(settings.operators, files.server_config()?)?,
+        None => server.bind(settings.operators)?,
+    };
     Ok(server.run())
 }
 
--- a/crates/jasminefall-control/src/settings.rs
+++ b/crates/jasminefall-control/src/settings.rs
@@ -7,6 +7,7 @@
 use jasminefall_core::prelude::*;
 use jasminefall_replica::prelude::ReplicaId;
 use jasminefall_runtime::settings::{self, SettingsFile};
+use jasminefall_runtime::tls::TlsFiles;
 use jasminefall_runtime::tokens::Tokens;
 use jasminefall_wire::handshake::SiteKey;
 
@@ -40,6 +41,8 @@
     pub(crate) metrics: Option<SocketAddr>,
     /// The secret of the site.
     pub(crate) site_key: SiteKey,
+    /// The certificate that operators are shown, if the listener speaks TLS.
+    pub(crate) operators_tls: Option<TlsFiles>,
     /// Who may make operators' calls.
     pub(crate) tokens: Tokens,
     /// The replicas that a new site starts with.
@@ -51,7 +54,14 @@
     pub(crate) fn load(path: &Path) -> Result<Self, Problems> {
         let mut file = SettingsFile::load(path)?;
         let section = file.section("control");
-        let known = ["replica", "data_folder", "site_key_file", "metrics"];
+        let known = [
+            "replica",
+            "data_folder",
+            "site_key_file",
+            "metrics",
+            "operators_certificate",
+            "operators_key",
+        ];
         section.refuse_unknown(&known, &mut file.problems);
         let replicas = read_replicas(&mut file);
         let tokens = Tokens::read(
@@ -61,6 +71,7 @@
         );
         let problems = &mut file.problems;
         let replica = section.read_required("replica", "1", problems);
+        let operators_tls = TlsFiles::read(&section, "operators", problems);
         let metrics = section.read_optional("metrics", problems);
         let data_folder: Option<SmolStr> = section.read_required("data_folder", "data", problems);
         let secret = settings::read_site_key(&section, problems);
@@ -86,6 +97,7 @@
             data_folder: PathBuf::from(data_folder.as_str()),
             metrics,
             site_key: SiteKey::new(&secret),
+            operators_tls,
             tokens,
             replicas,
         };
--- a/crates/jasminefall-entry/src/edge/callers.rs
+++ b/crates/jasminefall-entry/src/edge/callers.rs
@@ -65,8 +65,9 @@
 }
 
 /// Starts the callers' listener: one thread, so that what it keeps is kept once an entry.
-pub(crate) fn start(shared: &Arc<Shared>) -> std::io::Result<Server> {
+pub(crate) fn start(shared: &Arc<Shared>) -> anyhow::Result<Server> {
     let address = shared.settings.callers;
+    let tls = shared.settings.callers_tls.clone();
     let stop_limit_s = shared.settings.stop_limit_ms.get().div_ceil(1_000);
     let shared = shared.clone();
     let server = HttpServer::new(move || {
@@ -87,7 +88,11 @@
         .h1_allow_half_closed(false)
         .shutdown_timeout(stop_limit_s)
         .disable_signals();
-    Ok(server.bind(address)?.run())
+    let server = match tls {
+        Some(files) => server.bind_rustls_0_23(address, files.server_config()?)?,
+        None => server.bind(address)?,
+    };
+    Ok(server.run())
 }
 
 /// Answers the balancer: ready while the configuration is in force and no stop was asked for.
--- a/crates/jasminefall-entry/src/settings.rs
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -5,9 +5,12 @@
 
 use jasminefall_core::prelude::*;
 use jasminefall_runtime::settings::{self, SettingsFile};
+use jasminefall_runtime::tls::TlsFiles;
 use jasminefall_wire::handshake::SiteKey;
 
-const KNOWN: [&str; 12] = [
+const KNOWN: [&str; 14] = [
+    "callers_certificate",
+    "callers_key",
     "metrics",
     "observation_interval",
     "name",
@@ -34,6 +37,8 @@
     pub(crate) name: EntryId,
     /// Where callers reach it.
     pub(crate) callers: SocketAddr,
+    /// The certificate that callers are shown, if the listener speaks TLS.
+    pub(crate) callers_tls: Option<TlsFiles>,
     /// Where backend servers announce themselves.
     pub(crate) backends: SocketAddr,
     /// Where other processes of the system reach it.
@@ -84,6 +89,7 @@
             DEFAULT_OBSERVATION_INTERVAL_MS,
             problems,
         );
+        let callers_tls = TlsFiles::read(&section, "callers", problems);
         let metrics = section.read_optional("metrics", problems);
         let stop_delay_ms = section.read_or("stop_delay", STOP_DELAY_MS, problems);
         let stop_limit_ms = section.read_or("stop_limit", STOP_LIMIT_MS, problems);
@@ -97,6 +103,7 @@
         let settings = Self {
             name,
             callers,
+            callers_tls,
             backends,
             peer,
             site_key,
--- a/crates/jasminefall-runtime/src/lib.rs
+++ b/crates/jasminefall-runtime/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`logging`]: one line of key=value pairs an event
 //! - [`metrics`]: the page that a metrics collector scrapes
 //! - [`supervisor`]: children that are restarted with back-off
+//! - [`tls`]: TLS of listeners
 //! - [`tokens`]: operators' tokens
 //! - [`clock`]: wall and monotonic time in milliseconds
 
@@ -23,4 +24,5 @@
 pub mod metrics;
 pub mod settings;
 pub mod supervisor;
+pub mod tls;
 pub mod tokens;
--- /dev/null
+++ b/crates/jasminefall-testing/tests/config_tls.rs
@@ -0,0 +1,106 @@
+//! TLS on the operators' listener, with a certificate that changes while connections are open.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use jasminefall_testing::site::{Site, wait_for};
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+use rustls::{ClientConfig, RootCertStore};
+
+/// Writes a fresh self-signed certificate and its key for the site's address.
+fn write_certificate(site: &Site, trusted: &Path) {
+    let names = vec![site.operators(0).ip().to_string()];
+    let made = rcgen::generate_simple_self_signed(names).unwrap();
+    std::fs::write(
+        site.folder().join("tls.key"),
+        made.signing_key.serialize_pem(),
+    )
+    .unwrap();
+    std::fs::write(site.folder().join("tls.pem"), made.cert.pem()).unwrap();
+    std::fs::write(trusted, made.cert.pem()).unwrap();
+}
+
+/// Adds the TLS files to the settings of the control instance.
+fn name_certificate(site: &Site) {
+    let path = site.folder().join("control-0.ini");
+    let folder = site.folder().display();
+    let keys = format!(
+        "[control]\noperators_certificate = {folder}/tls.pem\noperators_key = {folder}/tls.key\n"
+    );
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, text.replace("[control]\n", &keys)).unwrap();
+}
+
+/// Returns a client that trusts one certificate and keeps its connections.
+fn client(trusted: &Path) -> awc::Client {
+    let mut roots = RootCertStore::empty();
+    roots
+        .add(CertificateDer::from_pem_file(trusted).unwrap())
+        .unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .unwrap()
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let connector = awc::Connector::new().rustls_0_23(Arc::new(config));
+    awc::Client::builder().connector(connector).finish()
+}
+
+async fn is_answered(site: &Site, client: &awc::Client) -> bool {
+    let url = format!("https://{}/v1/status", site.operators(0));
+    let request = client.get(url).bearer_auth(site.read_token());
+    let Ok(mut answer) = request.send().await else {
+        return false;
+    };
+    // The body is read so that the connection is kept.
+    answer.body().await.is_ok() && answer.status().is_success()
+}
+
+#[actix_rt::test]
+async fn a_certificate_is_changed_without_cutting_open_connections() {
+    let site = Site::new(1, 1);
+    let [first, second] = ["first.pem", "second.pem"].map(|name| site.folder().join(name));
+    write_certificate(&site, &first);
+    name_certificate(&site);
+    site.edit_entry(0, |text| {
+        let folder = site.folder().display();
+        text + &format!("callers_certificate = {folder}/tls.pem\ncallers_key = {folder}/tls.key\n")
+    });
+    let site = site.started();
+    let kept = client(&first);
+    let ready = format!("https://{}/ready", site.callers(0));
+    wait_for("the callers' listener answers", || async {
+        kept.get(&ready).send().await.is_ok()
+    })
+    .await;
+    wait_for("the listener answers", || is_answered(&site, &kept)).await;
+    let trust = |trusted: &Path| site.ctl(&["--ca", trusted.to_str().unwrap(), "status"]);
+    let (success, printed) = trust(&first);
+    assert!(success, "{printed}");
+    let (success, _) = site.ctl(&["status"]);
+    assert!(!success, "a client that speaks plainly was answered");
+
+    write_certificate(&site, &second);
+    wait_for("the new certificate is shown", || async {
+        // A fresh connection would show a certificate that this client does not trust.
+        assert!(
+            is_answered(&site, &kept).await,
+            "the open connection was cut"
+        );
+        trust(&second).0
+    })
+    .await;
+    assert!(
+        is_answered(&site, &kept).await,
+        "the open connection was cut"
+    );
+    assert!(!is_answered(&site, &client(&first)).await);
+
+    std::fs::write(site.folder().join("tls.pem"), "no certificate").unwrap();
+    assert!(
+        trust(&second).0,
+        "an unreadable file took the old certificate out of use"
+    );
+}
--- a/crates/jasminefallctl/src/arguments.rs
+++ b/crates/jasminefallctl/src/arguments.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+use std::path::PathBuf;
+
 use getopts::Options;
 
 use crate::failure::Failure;
@@ -7,6 +9,7 @@
 const PROGRAM: &str = "jasminefallctl";
 const CONTROL_VARIABLE: &str = "JASMINEFALL_CONTROL";
 const TOKEN_VARIABLE: &str = "JASMINEFALL_TOKEN_FILE";
+const CA_VARIABLE: &str = "JASMINEFALL_CA_FILE";
 const COMMANDS: &str = "\
 Commands:
     check FILE              judge a desired state, without any control instance
@@ -30,6 +33,8 @@
     pub(crate) control: Vec<String>,
     /// Whether answers are printed as JSON.
     pub(crate) json: bool,
+    /// The file of the certificates to trust; with it the calls speak TLS.
+    pub(crate) ca: Option<PathBuf>,
     /// The token that proves who asks.
     pub(crate) token: Option<String>,
     /// The name of the change, so that a resend is recognised.
@@ -81,6 +86,10 @@
         Ok(Some(Self {
             control: control.map(split).unwrap_or_default(),
             json: matches.opt_present("json"),
+            ca: matches
+                .opt_str("ca")
+                .or_else(|| std::env::var(CA_VARIABLE).ok())
+                .map(PathBuf::from),
             token: token_file.map(|file| read_token(&file)).transpose()?,
             change: matches.opt_str("change"),
             base,
@@ -115,6 +124,12 @@
         "operators' addresses of the control replicas",
         "IP:PORT,...",
     );
+    options.optopt(
+        "",
+        "ca",
+        "the certificates to trust (PEM); the calls then speak TLS",
+        "FILE",
+    );
     options.optopt("t", "token-file", "the file with your token", "FILE");
     options.optopt(
         "",
--- a/crates/jasminefallctl/src/client.rs
+++ b/crates/jasminefallctl/src/client.rs
@@ -2,14 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use awc::Client;
 use awc::http::StatusCode;
+use awc::{Client, Connector};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::arguments::{Arguments, usage};
 use crate::failure::Failure;
+use crate::tls;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const TRY_FOR: Duration = Duration::from_secs(10);
@@ -25,6 +26,7 @@
 /// Calls whichever control replica carries out a call.
 pub(crate) struct ControlCalls {
     client: Client,
+    scheme: &'static str,
     addresses: Vec<String>,
 }
 
@@ -58,13 +60,22 @@
         if arguments.control.is_empty() {
             return Err(usage("no control instance is named; add --control IP:PORT"));
         }
-        let builder = Client::builder().disable_redirects().timeout(CALL_TIMEOUT);
+        let connector = Connector::new();
+        let (connector, scheme) = match &arguments.ca {
+            Some(ca) => (connector.rustls_0_23(tls::client_config(ca)?), "https"),
+            None => (connector, "http"),
+        };
+        let builder = Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .timeout(CALL_TIMEOUT);
         let client = match &arguments.token {
             Some(token) => builder.bearer_auth(token).finish(),
             None => builder.finish(),
         };
         Ok(Self {
             client,
+            scheme,
             addresses: arguments.control.clone(),
         })
     }
@@ -127,7 +138,7 @@
         path: &str,
         body: Option<&T>,
     ) -> Result<Answer, String> {
-        let url = format!("http://{address}{path}");
+        let url = format!("{}://{address}{path}", self.scheme);
         let sent = match body {
             Some(body) => self.client.post(url).send_json(body).await,
             None => self.client.get(url).send().await,
--- a/crates/jasminefallctl/src/main.rs
+++ b/crates/jasminefallctl/src/main.rs
@@ -6,11 +6,13 @@
 //! - [`client`]: calls to the control instances
 //! - [`command`]: what each command does
 //! - [`failure`]: what went wrong, with exit code and remedy
+//! - [`tls`]: TLS towards the control instances
 
 mod arguments;
 mod client;
 mod command;
 mod failure;
+mod tls;
 
 use std::process::ExitCode;
 
