--- a/crates/jasminefall-control/src/settings.rs
+++ b/crates/jasminefall-control/src/settings.rs
@@ -7,6 +7,7 @@
 use jasminefall_core::prelude::*;
 use jasminefall_replica::prelude::{DataCentre, ReplicaId};
 use jasminefall_runtime::settings::{self, SettingsFile};
+use jasminefall_runtime::tls::TlsFiles;
 use jasminefall_runtime::tokens::Tokens;
 use jasminefall_wire::handshake::SiteKey;
 
@@ -46,6 +47,8 @@
     pub(crate) metrics: Option<SocketAddr>,
     /// The secret of the site.
     pub(crate) site_key: SiteKey,
+    /// The certificate that operators are shown, if the listener speaks TLS.
+    pub(crate) operators_tls: Option<TlsFiles>,
     /// Who may make operators' calls.
     pub(crate) tokens: Tokens,
     /// The silence after which a voter is replaced by a learner.
@@ -65,6 +68,8 @@
             "site_key_file",
             "replace_after",
             "metrics",
+            "operators_certificate",
+            "operators_key",
         ];
         section.refuse_unknown(&known, &mut file.problems);
         let replicas = read_replicas(&mut file);
@@ -75,6 +80,7 @@
         );
         let problems = &mut file.problems;
         let replica = section.read_required("replica", "1", problems);
+        let operators_tls = TlsFiles::read(&section, "operators", problems);
         let metrics = section.read_optional("metrics", problems);
         let data_folder: Option<SmolStr> = section.read_required("data_folder", "data", problems);
         let secret = settings::read_site_key(&section, problems);
@@ -101,6 +107,7 @@
             data_folder: PathBuf::from(data_folder.as_str()),
             metrics,
             site_key: SiteKey::new(&secret),
+            operators_tls,
             tokens,
             replace_after_ms,
             replicas,
