--- a/crates/jasminefall-control/src/edge.rs
+++ b/crates/jasminefall-control/src/edge.rs
@@ -2,6 +2,7 @@
 //!
 //! The modules below translate and decide nothing.
 
+pub(crate) mod fleet;
 pub(crate) mod operators;
 pub(crate) mod workers;
 
--- /dev/null
+++ b/crates/jasminefall-control/src/edge/fleet.rs
@@ -0,0 +1,215 @@
+//! What operators ask of jobs, pools, instances and waves.
+
+use actix_web::{HttpResponse, web};
+use jasminefall_core::prelude::*;
+use jasminefall_state::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use super::{ErrorBody, refuse};
+use crate::node::{NodeHandle, View};
+use crate::planner::explain;
+
+/// Adds the routes.
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/jobs", web::get().to(jobs))
+        .route("/v1/jobs/cancel", web::post().to(cancel))
+        .route("/v1/pools", web::get().to(pools))
+        .route("/v1/instances", web::get().to(instances))
+        .route("/v1/instances/{instance}", web::post().to(act))
+        .route("/v1/waves", web::get().to(waves))
+        .route("/v1/waves/{wave}", web::post().to(wave))
+        .route("/v1/explain/{kind}/{name}", web::get().to(explained));
+}
+
+async fn look<T: Serialize + Send + 'static>(
+    handle: &NodeHandle,
+    look: impl FnOnce(&mut View) -> T + Send + 'static,
+) -> HttpResponse {
+    let looked = handle.look_fresh(look).await;
+    looked.map_or_else(|error| refuse(&error), |body| HttpResponse::Ok().json(body))
+}
+
+fn answer(outcome: Result<Outcome, jasminefall_wire::message::ControlError>) -> HttpResponse {
+    match outcome {
+        Ok(Outcome::Refused(refusal)) => HttpResponse::Conflict().json(ErrorBody {
+            error: refusal.to_string(),
+            leader_peer: None,
+        }),
+        Ok(_) => HttpResponse::Ok().json(DoneBody { done: true }),
+        Err(error) => refuse(&error),
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct DoneBody {
+    done: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct JobBody {
+    job: JobId,
+    team: TeamId,
+    kind: SmolStr,
+    urgency: Urgency,
+    attempts: u32,
+    state: JobState,
+}
+
+async fn jobs(handle: web::Data<NodeHandle>) -> HttpResponse {
+    look(&handle, |view| {
+        let jobs = view.state.jobs.iter().map(|job| JobBody {
+            job: job.id,
+            team: job.request.team.clone(),
+            kind: job.request.kind.clone(),
+            urgency: job.request.urgency,
+            attempts: job.attempts,
+            state: job.state.clone(),
+        });
+        jobs.collect::<Vec<_>>()
+    })
+    .await
+}
+
+async fn cancel(handle: web::Data<NodeHandle>, jobs: web::Json<Vec<JobId>>) -> HttpResponse {
+    answer(handle.propose(Command::Cancel(jobs.into_inner())).await)
+}
+
+#[derive(Debug, Serialize)]
+struct PoolBody {
+    pool: PoolId,
+    #[serde(flatten)]
+    count: PoolCount,
+    headroom: u64,
+}
+
+async fn pools(handle: web::Data<NodeHandle>) -> HttpResponse {
+    look(&handle, |view| {
+        let desired = view.state.configuration.desired();
+        let pools = desired.pools.keys().map(|pool| PoolBody {
+            pool: pool.clone(),
+            count: view.state.instances.count(pool),
+            headroom: view.state.instances.headroom(desired, pool),
+        });
+        pools.collect::<Vec<_>>()
+    })
+    .await
+}
+
+#[derive(Debug, Serialize)]
+struct InstanceBody {
+    name: InstanceId,
+    #[serde(flatten)]
+    instance: Instance,
+    tasks: usize,
+}
+
+async fn instances(handle: web::Data<NodeHandle>) -> HttpResponse {
+    look(&handle, |view| {
+        let instances = view.state.instances.iter().map(|(id, instance)| {
+            let worker = WorkerId::new(id.as_str());
+            InstanceBody {
+                name: id.clone(),
+                instance: instance.clone(),
+                tasks: view.state.jobs.on_worker(&worker).count(),
+            }
+        });
+        instances.collect::<Vec<_>>()
+    })
+    .await
+}
+
+/// Asks for a step of an instance.
+#[derive(Debug, Deserialize)]
+#[serde(tag = "action", rename_all = "kebab-case")]
+enum ActBody {
+    Drain { operator: SmolStr },
+    Move { to: PoolId },
+    Return,
+}
+
+async fn act(
+    handle: web::Data<NodeHandle>,
+    instance: web::Path<String>,
+    body: web::Json<ActBody>,
+) -> HttpResponse {
+    let action = match body.into_inner() {
+        ActBody::Drain { operator } => Action::Cordon(Purpose::Held(operator)),
+        ActBody::Move { to } => Action::Cordon(Purpose::Move(to)),
+        ActBody::Return => Action::Return,
+    };
+    let instance = InstanceId::new(instance.as_str());
+    let decided = handle.decide(move |view| {
+        let known = view.state.instances.get(&instance);
+        let epoch = known.map(|known| known.epoch).unwrap_or_default();
+        Some(Command::Step(InstanceStep {
+            instance,
+            epoch,
+            action,
+        }))
+    });
+    answer(
+        decided
+            .await
+            .map(|outcome| outcome.unwrap_or(Outcome::Done)),
+    )
+}
+
+#[derive(Debug, Serialize)]
+struct WaveBody {
+    name: WaveId,
+    #[serde(flatten)]
+    wave: Wave,
+    pending: usize,
+    done: usize,
+    failed: usize,
+}
+
+async fn waves(handle: web::Data<NodeHandle>) -> HttpResponse {
+    look(&handle, |view| {
+        let waves = view.state.waves.iter().map(|(name, wave)| WaveBody {
+            name: name.clone(),
+            pending: wave.count(MemberState::Pending),
+            done: wave.count(MemberState::Done),
+            failed: wave.count(MemberState::Failed),
+            wave: wave.clone(),
+        });
+        waves.collect::<Vec<_>>()
+    })
+    .await
+}
+
+/// Asks for something of a wave.
+#[derive(Debug, Deserialize)]
+struct WaveActionBody {
+    operator: SmolStr,
+    action: WaveAction,
+}
+
+async fn wave(
+    handle: web::Data<NodeHandle>,
+    wave: web::Path<String>,
+    body: web::Json<WaveActionBody>,
+) -> HttpResponse {
+    let WaveActionBody { operator, action } = body.into_inner();
+    let request = WaveRequest {
+        wave: WaveId::new(wave.as_str()),
+        operator,
+        action,
+    };
+    answer(handle.propose(Command::Wave(request)).await)
+}
+
+async fn explained(
+    handle: web::Data<NodeHandle>,
+    path: web::Path<(String, String)>,
+) -> HttpResponse {
+    let (kind, name) = path.into_inner();
+    look(&handle, move |view| match kind.as_str() {
+        "job" => explain::job(view, name.parse().unwrap_or_default()),
+        "instance" => explain::instance(view, &InstanceId::new(name)),
+        "wave" => explain::wave(view, &WaveId::new(name)),
+        _ => vec!["write `explain job N`, `explain instance X` or `explain wave W`".to_owned()],
+    })
+    .await
+}
--- a/crates/jasminefall-control/src/edge/operators.rs
+++ b/crates/jasminefall-control/src/edge/operators.rs
@@ -25,6 +25,7 @@
             .route("/v1/check", web::post().to(check))
             .route("/v1/apply", web::post().to(apply))
             .route("/v1/in-force/{version}", web::get().to(in_force))
+            .configure(super::fleet::configure)
     });
     let server = server.workers(1).bind(settings.operators)?;
     Ok(server.run())
--- a/crates/jasminefall-control/src/edge/workers.rs
+++ b/crates/jasminefall-control/src/edge/workers.rs
@@ -1,20 +1,20 @@
 //! What workers speak.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use actix_web::dev::Server;
 use actix_web::{App, HttpResponse, HttpServer, web};
 use jasminefall_core::prelude::*;
+use jasminefall_policy::placement::Need;
 use jasminefall_runtime::clock::monotonic_ms;
 use jasminefall_state::prelude::*;
+use jasminefall_wire::message::ControlError;
 use serde::{Deserialize, Serialize};
 
-use super::refuse;
-use crate::node::NodeHandle;
+use super::{ErrorBody, refuse};
+use crate::node::{NodeHandle, View};
 use crate::settings::Settings;
-
-/// How long a worker may go on with its tasks, counted from when it asked.
-const TASK_LEASE_MS: DurationMs = DurationMs::new(5_000);
+use crate::worker_book::{Heard, TASK_LEASE_MS};
 
 /// Starts the workers' listener.
 pub(crate) fn start(settings: &Settings, handle: NodeHandle) -> std::io::Result<Server> {
@@ -34,21 +34,39 @@
     epoch: Epoch,
 }
 
-#[derive(Debug, Deserialize)]
+/// Says how a task ended, or that it is throttled.
+#[derive(Debug, Clone, Deserialize)]
 struct EndedBody {
     job: JobId,
     epoch: Epoch,
     result: TaskResult,
 }
 
+/// Says what a running task was last seen to use.
+#[derive(Debug, Clone, Deserialize)]
+struct UsageBody {
+    job: JobId,
+    epoch: Epoch,
+    cpu_mcores: MilliCores,
+    memory_bytes: Bytes,
+}
+
 /// Says what a worker runs and what has ended.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Clone, Deserialize)]
 struct HeartbeatBody {
     worker: WorkerId,
     #[serde(default)]
+    incarnation: Incarnation,
+    #[serde(default)]
     running: BTreeSet<TaskBody>,
     #[serde(default)]
     ended: Vec<EndedBody>,
+    #[serde(default)]
+    usage: Vec<UsageBody>,
+    #[serde(default)]
+    requests_in_progress: u64,
+    #[serde(default)]
+    software: SmolStr,
 }
 
 #[derive(Debug, Serialize)]
@@ -56,64 +74,185 @@
     job: JobId,
     epoch: Epoch,
     command: SmolStr,
+    cpu_mcores: MilliCores,
+    memory_bytes: Bytes,
 }
 
 /// Says what the worker is to do.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Default, Serialize)]
 struct InstructionsBody {
     lease_ms: DurationMs,
     start: Vec<StartBody>,
+    throttle: Vec<TaskBody>,
+    checkpoint: Vec<TaskBody>,
     stop: Vec<TaskBody>,
+    drain: bool,
+    reboot: bool,
+}
+
+/// Says why a heartbeat was not taken.
+enum NotTaken {
+    /// The process was started anew since.
+    Outdated,
+    /// This replica could not.
+    Control(ControlError),
+}
+
+impl From<ControlError> for NotTaken {
+    fn from(error: ControlError) -> Self {
+        Self::Control(error)
+    }
 }
 
 async fn heartbeat(handle: web::Data<NodeHandle>, body: web::Json<HeartbeatBody>) -> HttpResponse {
-    let HeartbeatBody {
-        worker,
-        running,
-        ended,
-    } = body.into_inner();
-    if !ended.is_empty() {
-        let report = |ended: EndedBody| TaskReport {
-            job: ended.job,
-            worker: worker.clone(),
-            epoch: ended.epoch,
-            result: ended.result,
-        };
-        let reports = ended.into_iter().map(report).collect();
-        if let Err(error) = handle.propose(Command::Report(reports)).await {
-            return refuse(&error);
+    match take(&handle, body.into_inner()).await {
+        Ok(instructions) => HttpResponse::Ok().json(instructions),
+        Err(NotTaken::Control(error)) => refuse(&error),
+        Err(NotTaken::Outdated) => HttpResponse::Conflict().json(ErrorBody {
+            error: "a later start of this worker is known; stop its tasks and end".to_owned(),
+            leader_peer: None,
+        }),
+    }
+}
+
+async fn take(handle: &NodeHandle, body: HeartbeatBody) -> Result<InstructionsBody, NotTaken> {
+    let instance = InstanceId::new(body.worker.as_str());
+    let incarnation = body.incarnation;
+    let hear = Command::Hear {
+        instance: instance.clone(),
+        incarnation,
+    };
+    handle
+        .decide(move |view| must_hear(view, &instance, incarnation).then_some(hear))
+        .await?;
+    if !body.ended.is_empty() {
+        report(handle, &body).await?;
+    }
+    let looked = handle.look_fresh(move |view| grant(view, &body)).await?;
+    looked.ok_or(NotTaken::Outdated)
+}
+
+/// Returns whether the state must learn of this start of the process, or of its return.
+fn must_hear(view: &View, instance: &InstanceId, incarnation: Incarnation) -> bool {
+    view.state.instances.get(instance).is_some_and(|known| {
+        let is_new = known.incarnation.is_none_or(|old| old < incarnation);
+        let is_back = known.condition == Condition::Failed && known.purpose == Purpose::Lost;
+        is_new || (is_back && known.incarnation == Some(incarnation))
+    })
+}
+
+async fn report(handle: &NodeHandle, body: &HeartbeatBody) -> Result<(), ControlError> {
+    let reports = body.ended.iter().map(|ended| TaskReport {
+        job: ended.job,
+        worker: body.worker.clone(),
+        epoch: ended.epoch,
+        result: ended.result,
+    });
+    let reports: Vec<TaskReport> = reports.collect();
+    let now_ms = monotonic_ms();
+    let decided = handle.decide(move |view| {
+        for report in &reports {
+            note_health(view, report, now_ms);
         }
+        Some(Command::Report(reports))
+    });
+    decided.await.map(|_| ())
+}
+
+fn note_health(view: &mut View, report: &TaskReport, now_ms: u64) {
+    let job = view.state.jobs.get(report.job);
+    let task = job.and_then(Job::task);
+    let Some(job) = job.filter(|_| task.is_some_and(|task| task.epoch == report.epoch)) else {
+        return;
+    };
+    match report.result {
+        TaskResult::Completed => view.workers.health.completed(&report.worker, now_ms),
+        TaskResult::Failed => view.workers.health.failed(&report.worker, job.id, now_ms),
+        TaskResult::Stopped
+        | TaskResult::Checkpointed
+        | TaskResult::Throttled
+        | TaskResult::NotStarted => {}
     }
-    let looked = handle
-        .look_fresh(move |view| {
-            view.workers.note(worker.clone(), monotonic_ms());
-            instructions(&view.state.jobs, &worker, &running)
-        })
-        .await;
-    looked.map_or_else(|error| refuse(&error), |body| HttpResponse::Ok().json(body))
-}
-
-fn instructions(jobs: &Jobs, worker: &WorkerId, running: &BTreeSet<TaskBody>) -> InstructionsBody {
-    let mut wanted = BTreeSet::new();
-    let mut start = Vec::new();
-    for job in jobs.on_worker(worker) {
-        let JobState::Placed { epoch, .. } = job.state else {
+}
+
+/// Grants a lease and says what is to be done; none where the process was started anew since.
+fn grant(view: &mut View, body: &HeartbeatBody) -> Option<InstructionsBody> {
+    let now_ms = monotonic_ms();
+    let instance = view
+        .state
+        .instances
+        .get(&InstanceId::new(body.worker.as_str()));
+    if instance.is_some_and(|known| known.incarnation != Some(body.incarnation)) {
+        return None;
+    }
+    let condition = instance.map(|known| known.condition).unwrap_or_default();
+    let heard = Heard::new(now_ms, body.requests_in_progress, body.software.clone());
+    if !view.workers.grant(&body.worker, now_ms, heard) {
+        return Some(InstructionsBody {
+            stop: body.running.iter().copied().collect(),
+            ..InstructionsBody::default()
+        });
+    }
+    note_usage(view, body);
+    let drains = matches!(condition, Condition::Cordoned | Condition::Draining);
+    view.workers.note_drain(&body.worker, now_ms, drains);
+    Some(InstructionsBody {
+        lease_ms: TASK_LEASE_MS,
+        drain: drains,
+        reboot: condition == Condition::Rebooting,
+        ..instructions(&view.state.jobs, body)
+    })
+}
+
+/// Learns from usage of tasks that are still the current ones; other reports say nothing of them.
+fn note_usage(view: &mut View, body: &HeartbeatBody) {
+    for usage in &body.usage {
+        let job = view.state.jobs.get(usage.job);
+        let current = job.filter(|job| job.task().is_some_and(|task| task.epoch == usage.epoch));
+        if let Some(job) = current {
+            let used = Need {
+                cpu_mcores: usage.cpu_mcores,
+                memory_bytes: usage.memory_bytes,
+                accelerators: 0,
+            };
+            view.workers.sizes.note(&job.request.kind, job.id, &used);
+        }
+    }
+}
+
+fn instructions(jobs: &Jobs, body: &HeartbeatBody) -> InstructionsBody {
+    let mut wanted = BTreeMap::new();
+    let mut instructions = InstructionsBody::default();
+    for job in jobs.on_worker(&body.worker) {
+        let Some(task) = job.task() else {
             continue;
         };
-        let task = TaskBody { job: job.id, epoch };
-        wanted.insert(task);
-        if !running.contains(&task) {
-            start.push(StartBody {
+        let named = TaskBody {
+            job: job.id,
+            epoch: task.epoch,
+        };
+        wanted.insert(named, task.wish);
+        match task.wish {
+            TaskWish::Stop | TaskWish::Cancel => instructions.stop.push(named),
+            TaskWish::Checkpoint => instructions.checkpoint.push(named),
+            TaskWish::Throttle => instructions.throttle.push(named),
+            TaskWish::Run => {}
+        }
+        let runs = matches!(task.wish, TaskWish::Run | TaskWish::Throttle);
+        if runs && !body.running.contains(&named) {
+            instructions.start.push(StartBody {
                 job: job.id,
-                epoch,
+                epoch: task.epoch,
                 command: job.request.command.clone(),
+                cpu_mcores: task.size.cpu_mcores,
+                memory_bytes: task.size.memory_bytes,
             });
         }
     }
-    let stop = running.difference(&wanted).copied().collect();
-    InstructionsBody {
-        lease_ms: TASK_LEASE_MS,
-        start,
-        stop,
-    }
+    let unwanted = body
+        .running
+        .iter()
+        .filter(|task| !wanted.contains_key(task));
+    instructions.stop.extend(unwanted.copied());
+    instructions
 }
--- a/crates/jasminefall-control/src/node.rs
+++ b/crates/jasminefall-control/src/node.rs
@@ -128,7 +128,7 @@
         let view = View {
             state,
             entry_leases: EntryLeases::default(),
-            workers: WorkerBook::default(),
+            workers: WorkerBook::new(monotonic_ms()),
         };
         Self {
             replica: Replica::new(settings.replica, timing, recovered, rand::random()),
@@ -219,7 +219,7 @@
         if leads && !self.was_leader {
             log::info!("event=leads term={}", self.replica.term());
             self.view.entry_leases.start_over(monotonic_ms());
-            self.view.workers = WorkerBook::default();
+            self.view.workers = WorkerBook::new(monotonic_ms());
         }
         if !leads && self.was_leader {
             log::info!("event=follows term={}", self.replica.term());
@@ -256,6 +256,29 @@
         }
     }
 
+    /// Proposes a command; the answer comes once it has been applied here.
+    fn propose(&mut self, command: Command) -> ResponseFuture<ProposeAnswer> {
+        if self.waiting.len() >= MAX_WAITING {
+            return Box::pin(async { Err(ControlError::Busy) });
+        }
+        let stamped = Stamped {
+            at_ms: wall_ms(),
+            command,
+        };
+        let payload = Payload::Command(jasminefall_wire::codec::encode(&stamped));
+        let index = match self.replica.propose(monotonic_ms(), payload) {
+            Ok(index) => index,
+            Err(known) => {
+                let error = self.not_leader(known);
+                return Box::pin(async { Err(error) });
+            }
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(index, (self.replica.term(), sender));
+        self.pump();
+        Box::pin(async { receiver.await.unwrap_or(Err(ControlError::Unknown)) })
+    }
+
     fn not_leader(&self, known: NotLeader) -> ControlError {
         let leader = known.leader.filter(|leader| *leader != self.replica.id());
         let addresses = leader.and_then(|leader| self.addresses.get(&leader));
@@ -335,25 +358,29 @@
     type Result = ResponseFuture<ProposeAnswer>;
 
     fn handle(&mut self, Propose(command): Propose, _: &mut Self::Context) -> Self::Result {
-        if self.waiting.len() >= MAX_WAITING {
-            return Box::pin(async { Err(ControlError::Busy) });
+        self.propose(command)
+    }
+}
+
+type Decision = Box<dyn FnOnce(&mut View) -> Option<Command> + Send>;
+
+/// Looks at the fresh state and proposes what follows from it, with nothing handled in between.
+#[derive(Message)]
+#[rtype(result = "Result<Option<Outcome>, ControlError>")]
+struct Decide(Decision);
+
+impl Handler<Decide> for Node {
+    type Result = ResponseFuture<Result<Option<Outcome>, ControlError>>;
+
+    fn handle(&mut self, Decide(decide): Decide, _: &mut Self::Context) -> Self::Result {
+        if let Err(error) = self.require_fresh() {
+            return Box::pin(async { Err(error) });
         }
-        let stamped = Stamped {
-            at_ms: wall_ms(),
-            command,
-        };
-        let payload = Payload::Command(jasminefall_wire::codec::encode(&stamped));
-        let index = match self.replica.propose(monotonic_ms(), payload) {
-            Ok(index) => index,
-            Err(known) => {
-                let error = self.not_leader(known);
-                return Box::pin(async { Err(error) });
-            }
+        let Some(command) = decide(&mut self.view) else {
+            return Box::pin(async { Ok(None) });
         };
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.insert(index, (self.replica.term(), sender));
-        self.pump();
-        Box::pin(async { receiver.await.unwrap_or(Err(ControlError::Unknown)) })
+        let answer = self.propose(command);
+        Box::pin(async { answer.await.map(Some) })
     }
 }
 
@@ -411,6 +438,16 @@
             .unwrap_or(Err(ControlError::Unknown))
     }
 
+    /// Looks at the fresh state and proposes what follows from it, with nothing handled in between.
+    pub(crate) async fn decide(
+        &self,
+        decide: impl FnOnce(&mut View) -> Option<Command> + Send + 'static,
+    ) -> Result<Option<Outcome>, ControlError> {
+        let address = self.get().ok_or(ControlError::NotLeader(None))?;
+        let sent = address.send(Decide(Box::new(decide))).await;
+        sent.unwrap_or(Err(ControlError::Unknown))
+    }
+
     /// Looks at the state where it is fresh, which only the leader can promise.
     pub(crate) async fn look_fresh<T: Send + 'static>(
         &self,
--- a/crates/jasminefall-control/src/planner.rs
+++ b/crates/jasminefall-control/src/planner.rs
@@ -1,79 +1,57 @@
-//! Placing jobs on workers.
+//! Plans on the leader; every step goes through the replicated state.
+//!
+//! Nothing that a plan needs to carry on is kept here alone: a new leader reads the state and goes on
+//! from the middle of anything.
+//!
+//! - [`explain`]: which constraint holds something, and what would free it
+//! - [`leases`]: workers whose lease has run out
+//! - [`jobs`]: placing jobs, and making room for urgent ones
+//! - [`instances`]: steps of waves, moves and returns
+
+pub(crate) mod explain;
+pub(crate) mod instances;
+pub(crate) mod jobs;
+pub(crate) mod leases;
 
 use std::time::Duration;
 
-use jasminefall_core::prelude::*;
-use jasminefall_policy::placement::{Need, Room, place_on_emptiest};
-use jasminefall_runtime::clock::monotonic_ms;
 use jasminefall_state::prelude::*;
 
-use crate::node::{NodeHandle, View};
+use crate::node::NodeHandle;
 
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
-const MAX_PLACEMENTS: usize = 500;
+/// Instances are looked at every so many rounds.
+const INSTANCE_ROUNDS: u64 = 3;
 
 /// Plans for ever; does nothing where this replica does not lead.
 pub(crate) async fn run(handle: NodeHandle) -> anyhow::Result<()> {
+    let mut round: u64 = 0;
     loop {
-        let planned = handle.look_fresh(|view| plan(view)).await;
-        if let Ok(placements) = planned
-            && !placements.is_empty()
-        {
-            // A failed proposal is planned anew from the state in the next round.
-            let _ = handle.propose(Command::Place(placements)).await;
+        if round.is_multiple_of(INSTANCE_ROUNDS) {
+            leases::end_expired(&handle).await;
+            take_steps(&handle).await;
         }
+        jobs::place(&handle).await;
+        jobs::make_room(&handle).await;
+        round += 1;
         tokio::time::sleep(ROUND_PAUSE).await;
     }
 }
 
-fn plan(view: &View) -> Vec<Placement> {
-    let mut waiting: Vec<&Job> = view.state.jobs.waiting().collect();
-    if waiting.is_empty() {
-        return Vec::new();
-    }
-    waiting.sort_by_key(|job| (job.request.urgency, job.id));
-    let mut rooms = rooms(view);
-    let mut placements = Vec::new();
-    for job in waiting.into_iter().take(MAX_PLACEMENTS) {
-        if let Some(worker) = place_on_emptiest(&mut rooms, &need(job)) {
-            placements.push(Placement {
-                job: job.id,
-                worker,
-            });
-        }
-    }
-    placements
-}
-
-fn rooms(view: &View) -> Vec<Room> {
-    let now_ms = monotonic_ms();
-    let desired = view.state.configuration.desired();
-    let mut rooms = Vec::new();
-    for (instance, declared) in &desired.instances {
-        let worker = WorkerId::new(instance.as_str());
-        if !view.workers.is_live(&worker, now_ms) {
-            continue;
+/// Proposes the steps of instances; a refused step is planned anew from the state.
+async fn take_steps(handle: &NodeHandle) {
+    let Ok(commands) = handle.look_fresh(instances::plan).await else {
+        return;
+    };
+    let proposals = commands.into_iter().map(|command| async move {
+        let text = format!("{command:?}");
+        match handle.propose(command).await {
+            Ok(Outcome::Refused(refusal)) => {
+                log::info!("event=step_refused step=\"{text}\" cause=\"{refusal}\"");
+            }
+            Ok(_) => log::info!("event=step step=\"{text}\""),
+            Err(error) => log::info!("event=step_unknown step=\"{text}\" cause=\"{error}\""),
         }
-        let mut room = Room {
-            worker,
-            cpu_mcores: declared.cpu_mcores,
-            memory_bytes: declared.memory_bytes,
-            accelerators: declared.accelerators,
-        };
-        let worker = room.worker.clone();
-        view.state
-            .jobs
-            .on_worker(&worker)
-            .for_each(|job| room.take(&need(job)));
-        rooms.push(room);
-    }
-    rooms
-}
-
-const fn need(job: &Job) -> Need {
-    Need {
-        cpu_mcores: job.request.cpu_mcores,
-        memory_bytes: job.request.memory_bytes,
-        accelerators: job.request.accelerators,
-    }
+    });
+    futures::future::join_all(proposals).await;
 }
--- a/crates/jasminefall-core/src/desired.rs
+++ b/crates/jasminefall-core/src/desired.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::ids::{DataCentreId, EntryId, InstanceId, PoolId, RackId, ServiceId, TeamId};
+use crate::ids::{DataCentreId, EntryId, InstanceId, PoolId, RackId, ServiceId, TeamId, WaveId};
 use crate::problem::Problems;
 use crate::units::{Bytes, DurationMs, MilliCores};
 
@@ -36,6 +36,8 @@
     pub instances: BTreeMap<InstanceId, InstanceDeclaration>,
     /// The teams by name.
     pub teams: BTreeMap<TeamId, TeamDeclaration>,
+    /// The maintenance waves by name.
+    pub waves: BTreeMap<WaveId, WaveDeclaration>,
 }
 
 /// Describes the site as a whole.
@@ -115,6 +117,50 @@
     pub weight: u64,
 }
 
+/// Declares a maintenance wave; an instance belongs to it where every list that is given has it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct WaveDeclaration {
+    /// The pools whose instances are maintained; empty for all.
+    pub pools: BTreeSet<PoolId>,
+    /// The racks whose instances are maintained; empty for all.
+    pub racks: BTreeSet<RackId>,
+    /// The instances that are maintained; empty for all.
+    pub instances: BTreeSet<InstanceId>,
+    /// In which order the instances are taken.
+    pub order: WaveOrder,
+    /// The most instances that are out of service for the wave at once.
+    pub max_at_once: u64,
+    /// How long an instance may take to come back from its reboot.
+    pub reboot_timeout_ms: DurationMs,
+    /// The longest task that a drain waits for; the wave goes around a longer one.
+    pub longest_task_ms: DurationMs,
+    /// The software that an instance must report once it is back; empty for any.
+    pub software: SmolStr,
+}
+
+/// Says in which order the instances of a wave are taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WaveOrder {
+    /// One rack after the other.
+    #[default]
+    RackByRack,
+    /// As many racks at once as there are.
+    Spread,
+}
+
+impl std::str::FromStr for WaveOrder {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "rack-by-rack" => Ok(Self::RackByRack),
+            "spread" => Ok(Self::Spread),
+            _ => Err("no order; write rack-by-rack or spread"),
+        }
+    }
+}
+
 impl DesiredState {
     /// Reads a desired state and judges the whole of it.
     ///
--- a/crates/jasminefall-core/src/desired/read.rs
+++ b/crates/jasminefall-core/src/desired/read.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Budget, DesiredState, EntryDeclaration, Fleet, InstanceDeclaration, PoolDeclaration,
-    ServiceDeclaration, TeamDeclaration,
+    ServiceDeclaration, TeamDeclaration, WaveDeclaration, WaveOrder,
 };
 use crate::document::{Document, Section};
 use crate::problem::{Place, Problems};
@@ -20,7 +20,12 @@
 const DEFAULT_MAX_UNAVAILABLE: u64 = 1;
 const DEFAULT_CPU_MCORES: MilliCores = MilliCores::new(16_000);
 const DEFAULT_MEMORY_BYTES: Bytes = Bytes::new(32 << 30);
-const KINDS: [&str; 6] = ["entry", "service", "pool", "budget", "instance", "team"];
+const DEFAULT_MAX_AT_ONCE: u64 = 1_000;
+const DEFAULT_REBOOT_TIMEOUT_MS: DurationMs = DurationMs::new(15 * 60_000);
+const DEFAULT_LONGEST_TASK_MS: DurationMs = DurationMs::new(3_600_000);
+const KINDS: [&str; 7] = [
+    "entry", "service", "pool", "budget", "instance", "team", "wave",
+];
 
 /// Remembers where each key of each section stands.
 #[derive(Debug, Default)]
@@ -52,6 +57,7 @@
         budgets: read_all(&document, "budget", &mut problems, read_budget),
         instances: read_all(&document, "instance", &mut problems, read_instance),
         teams: read_all(&document, "team", &mut problems, read_team),
+        waves: read_all(&document, "wave", &mut problems, read_wave),
     };
     let sections = document
         .sections()
@@ -207,3 +213,32 @@
         weight: section.read_or("weight", 1, problems),
     }
 }
+
+fn read_wave(section: &Section, problems: &mut Problems) -> WaveDeclaration {
+    let known = [
+        "pools",
+        "racks",
+        "instances",
+        "order",
+        "max_at_once",
+        "reboot_timeout",
+        "longest_task",
+        "software",
+    ];
+    section.refuse_unknown(&known, problems);
+    WaveDeclaration {
+        pools: section.read_list("pools", problems).into_iter().collect(),
+        racks: section.read_list("racks", problems).into_iter().collect(),
+        instances: section
+            .read_list("instances", problems)
+            .into_iter()
+            .collect(),
+        order: section.read_or("order", WaveOrder::default(), problems),
+        max_at_once: section.read_or("max_at_once", DEFAULT_MAX_AT_ONCE, problems),
+        reboot_timeout_ms: section.read_or("reboot_timeout", DEFAULT_REBOOT_TIMEOUT_MS, problems),
+        longest_task_ms: section.read_or("longest_task", DEFAULT_LONGEST_TASK_MS, problems),
+        software: section
+            .read_optional("software", problems)
+            .unwrap_or_default(),
+    }
+}
--- a/crates/jasminefall-core/src/prelude.rs
+++ b/crates/jasminefall-core/src/prelude.rs
@@ -2,7 +2,7 @@
 
 pub use crate::desired::{
     Budget, DesiredState, EntryDeclaration, InstanceDeclaration, PoolDeclaration,
-    ServiceDeclaration, TeamDeclaration,
+    ServiceDeclaration, TeamDeclaration, WaveDeclaration, WaveOrder,
 };
 pub use crate::document::Document;
 pub use crate::ids::{
--- a/crates/jasminefall-entry/src/edge/jobs.rs
+++ b/crates/jasminefall-entry/src/edge/jobs.rs
@@ -28,6 +28,10 @@
     accelerators: u64,
     #[serde(default)]
     idempotent: bool,
+    #[serde(default)]
+    can_checkpoint: bool,
+    #[serde(default)]
+    expected_ms: DurationMs,
     command: SmolStr,
 }
 
@@ -52,6 +56,8 @@
         accelerators: body.accelerators,
         idempotent: body.idempotent,
         command: body.command,
+        can_checkpoint: body.can_checkpoint,
+        expected_ms: body.expected_ms,
     });
     match thread.control.propose(JOB_TIMEOUT, &command).await {
         Ok(Outcome::Accepted(job)) => HttpResponse::Accepted().json(AcceptedBody { job }),
--- a/crates/jasminefall-policy/src/lib.rs
+++ b/crates/jasminefall-policy/src/lib.rs
@@ -15,7 +15,15 @@
 //! - [`slots`]: how the slots of a backend server are shared by the entries
 //! - [`routing`]: which backend server gets a request
 //! - [`placement`]: which worker gets a job
+//! - [`sizing`]: what a job really needs, by kind
+//! - [`worker_health`]: whether a worker or its jobs are at fault
+//! - [`preemption`]: how urgent work gets room
+//! - [`waves`]: which instances of a maintenance wave are taken next
 
 pub mod placement;
+pub mod preemption;
 pub mod routing;
+pub mod sizing;
 pub mod slots;
+pub mod waves;
+pub mod worker_health;
--- a/crates/jasminefall-policy/src/placement.rs
+++ b/crates/jasminefall-policy/src/placement.rs
@@ -1,52 +1,151 @@
 //! Which worker gets a job.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
 use jasminefall_core::prelude::*;
+use serde::{Deserialize, Serialize};
 
-/// Describes the room that is left on a worker.
+/// Describes what a job needs, or what is left somewhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Need {
+    /// The processors.
+    pub cpu_mcores: MilliCores,
+    /// The memory.
+    pub memory_bytes: Bytes,
+    /// The accelerators.
+    pub accelerators: u64,
+}
+
+impl fmt::Display for Need {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (cpu, memory) = (self.cpu_mcores, self.memory_bytes);
+        write!(
+            formatter,
+            "{cpu}, {memory} and {} accelerators",
+            self.accelerators
+        )
+    }
+}
+
+impl Need {
+    /// Returns whether all of it fits into `room`.
+    #[must_use]
+    pub fn fits_in(&self, room: &Self) -> bool {
+        self.cpu_mcores <= room.cpu_mcores
+            && self.memory_bytes <= room.memory_bytes
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Adds another need.
+    pub fn add(&mut self, other: &Self) {
+        self.cpu_mcores = self.cpu_mcores.saturating_add(other.cpu_mcores);
+        self.memory_bytes = self.memory_bytes.saturating_add(other.memory_bytes);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
+    }
+
+    /// Takes another need away.
+    pub fn remove(&mut self, other: &Self) {
+        self.cpu_mcores = self.cpu_mcores.saturating_sub(other.cpu_mcores);
+        self.memory_bytes = self.memory_bytes.saturating_sub(other.memory_bytes);
+        self.accelerators = self.accelerators.saturating_sub(other.accelerators);
+    }
+}
+
+/// Describes a worker and the room that is left on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Room {
     /// The worker.
     pub worker: WorkerId,
-    /// The processors left.
-    pub cpu_mcores: MilliCores,
-    /// The memory left.
-    pub memory_bytes: Bytes,
-    /// The accelerators left.
-    pub accelerators: u64,
+    /// The rack that holds the worker.
+    pub rack: RackId,
+    /// The data centre that holds the worker.
+    pub data_centre: DataCentreId,
+    /// What is left.
+    pub left: Need,
 }
 
-/// Describes what a job needs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Need {
-    /// The processors needed.
-    pub cpu_mcores: MilliCores,
-    /// The memory needed.
-    pub memory_bytes: Bytes,
-    /// The accelerators needed.
-    pub accelerators: u64,
+/// Orders the workers by the processors left, so that a placement costs a few steps.
+#[derive(Debug, Clone, Default)]
+pub struct Rooms {
+    rooms: Vec<Room>,
+    by_cpu: BTreeSet<(MilliCores, usize)>,
+    in_rack: BTreeMap<(SmolStr, RackId), u32>,
+    in_data_centre: BTreeMap<(SmolStr, DataCentreId), u32>,
 }
 
-impl Room {
-    /// Returns whether the need fits into the room.
+/// How many workers with the most room are weighed for one job.
+const CANDIDATES: usize = 16;
+/// How many workers are looked through for candidates, where most lack memory or accelerators.
+const MAX_LOOKED_AT: usize = 512;
+
+impl Rooms {
+    /// Creates the order of `rooms`.
+    #[must_use]
+    pub fn new(rooms: Vec<Room>) -> Self {
+        let by_cpu = rooms.iter().enumerate();
+        let by_cpu = by_cpu.map(|(position, room)| (room.left.cpu_mcores, position));
+        Self {
+            by_cpu: by_cpu.collect(),
+            rooms,
+            in_rack: BTreeMap::new(),
+            in_data_centre: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the workers with what is left on each.
     #[must_use]
-    pub fn fits(&self, need: &Need) -> bool {
-        need.cpu_mcores <= self.cpu_mcores
-            && need.memory_bytes <= self.memory_bytes
-            && need.accelerators <= self.accelerators
+    pub fn rooms(&self) -> &[Room] {
+        &self.rooms
+    }
+
+    /// Notes that a task of a service or kind runs in a rack, so that others are spread from it.
+    pub fn note(&mut self, kind: &SmolStr, rack: &RackId, data_centre: &DataCentreId) {
+        let rack = (kind.clone(), rack.clone());
+        *self.in_rack.entry(rack).or_default() += 1;
+        let data_centre = (kind.clone(), data_centre.clone());
+        *self.in_data_centre.entry(data_centre).or_default() += 1;
+    }
+
+    /// Places a job and takes its need from the worker.
+    ///
+    /// Of the workers with the most processors left, the one wins whose data centre, then rack, runs
+    /// the fewest tasks of the same kind; workers in `avoid` come last.
+    pub fn place(&mut self, kind: &SmolStr, need: &Need, avoid: &[WorkerId]) -> Option<WorkerId> {
+        let looked_at = self.by_cpu.iter().rev().take(MAX_LOOKED_AT);
+        let fitting = looked_at
+            .take_while(|(cpu_mcores, _)| *cpu_mcores >= need.cpu_mcores)
+            .filter(|(_, position)| need.fits_in(&self.rooms[*position].left));
+        let rank = |position: usize| {
+            let room = &self.rooms[position];
+            let avoided = avoid.contains(&room.worker);
+            let in_data_centre = self
+                .in_data_centre
+                .get(&(kind.clone(), room.data_centre.clone()));
+            let in_rack = self.in_rack.get(&(kind.clone(), room.rack.clone()));
+            (avoided, in_data_centre.copied(), in_rack.copied())
+        };
+        let candidates = fitting.take(CANDIDATES + avoid.len());
+        let (_, position) = *candidates.min_by_key(|(_, position)| rank(*position))?;
+        self.take(position, need);
+        let room = &self.rooms[position];
+        let (worker, rack) = (room.worker.clone(), room.rack.clone());
+        let data_centre = room.data_centre.clone();
+        self.note(kind, &rack, &data_centre);
+        Some(worker)
     }
 
-    /// Takes the need out of the room.
-    pub fn take(&mut self, need: &Need) {
-        self.cpu_mcores = self.cpu_mcores.saturating_sub(need.cpu_mcores);
-        self.memory_bytes = self.memory_bytes.saturating_sub(need.memory_bytes);
-        self.accelerators = self.accelerators.saturating_sub(need.accelerators);
+    fn take(&mut self, position: usize, need: &Need) {
+        let room = &mut self.rooms[position];
+        self.by_cpu.remove(&(room.left.cpu_mcores, position));
+        room.left.remove(need);
+        self.by_cpu.insert((room.left.cpu_mcores, position));
     }
 }
 
-/// Returns the worker with the most processors left that the need fits on, and takes the need there.
-pub fn place_on_emptiest(rooms: &mut [Room], need: &Need) -> Option<WorkerId> {
-    let fitting = rooms.iter_mut().filter(|room| room.fits(need));
-    let room = fitting.max_by_key(|room| room.cpu_mcores)?;
-    room.take(need);
+/// Returns the first worker that the need fits on, and takes the need there: the naive baseline.
+pub fn place_first_fit(rooms: &mut [Room], need: &Need) -> Option<WorkerId> {
+    let room = rooms.iter_mut().find(|room| need.fits_in(&room.left))?;
+    room.left.remove(need);
     Some(room.worker.clone())
 }
--- a/crates/jasminefall-state/src/cluster.rs
+++ b/crates/jasminefall-state/src/cluster.rs
@@ -7,6 +7,8 @@
 use crate::configuration::Configuration;
 use crate::jobs::Jobs;
 use crate::outcome::Outcome;
+use crate::pools::Instances;
+use crate::waves::Waves;
 
 /// Holds everything that the control replicas agree on.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -19,6 +21,10 @@
     pub claims: Claims,
     /// The jobs and their tasks.
     pub jobs: Jobs,
+    /// The instances with their pools and conditions.
+    pub instances: Instances,
+    /// The maintenance waves.
+    pub waves: Waves,
 }
 
 impl ClusterState {
@@ -28,7 +34,7 @@
         let now_ms = self.now_ms;
         match stamped.command {
             Command::Tick => Outcome::Done,
-            Command::Apply(request) => self.configuration.apply(now_ms, request),
+            Command::Apply(request) => self.publish(now_ms, request),
             Command::Claim(requests) => Outcome::Claimed(self.claims.claim(now_ms, requests)),
             Command::Record(answers) => {
                 self.claims.record(now_ms, answers);
@@ -39,7 +45,9 @@
                 self.jobs.submit(now_ms, desired, request)
             }
             Command::Place(placements) => {
-                self.jobs.place(now_ms, placements);
+                let desired = self.configuration.desired();
+                self.jobs
+                    .place(now_ms, desired, &self.instances, placements);
                 Outcome::Done
             }
             Command::Report(reports) => {
@@ -50,6 +58,18 @@
                 self.jobs.cancel(now_ms, &jobs);
                 Outcome::Done
             }
+            Command::Wish(changes) => {
+                self.jobs.wish(&changes);
+                Outcome::Done
+            }
+            Command::Lose(workers) => self.lose(now_ms, &workers),
+            Command::Hear {
+                instance,
+                incarnation,
+            } => self.hear(now_ms, &instance, incarnation),
+            Command::Step(step) => self.step(now_ms, &step),
+            Command::Wave(request) => self.wave(now_ms, &request),
+            Command::SetAside(step) => self.set_aside(now_ms, &step),
         }
     }
 
--- a/crates/jasminefall-state/src/command.rs
+++ b/crates/jasminefall-state/src/command.rs
@@ -5,7 +5,9 @@
 
 use crate::claims::{ClaimRequest, RecordedAnswer};
 use crate::configuration::ApplyRequest;
-use crate::jobs::{JobRequest, Placement, TaskReport};
+use crate::jobs::{JobRequest, Placement, TaskReport, WishChange};
+use crate::pools::InstanceStep;
+use crate::waves::WaveRequest;
 
 /// Carries a command with the leader's clock at its proposal.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -35,4 +37,30 @@
     Report(Vec<TaskReport>),
     /// Cancels jobs.
     Cancel(Vec<JobId>),
+    /// Changes what is wanted of tasks.
+    Wish(Vec<WishChange>),
+    /// Notes workers that are lost; their leases have run out.
+    Lose(Vec<LostWorker>),
+    /// Notes the start of an instance's process.
+    Hear {
+        /// The instance.
+        instance: InstanceId,
+        /// The start of its process.
+        incarnation: Incarnation,
+    },
+    /// Takes one step of one instance.
+    Step(InstanceStep),
+    /// Asks for something of a wave.
+    Wave(WaveRequest),
+    /// Sets a worker aside that fails what others do not.
+    SetAside(InstanceStep),
+}
+
+/// Names a worker whose lease has run out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Whether the rest of its rack is still heard.
+    pub alone: bool,
 }
--- /dev/null
+++ b/crates/jasminefall-state/src/fleet.rs
@@ -0,0 +1,128 @@
+//! Steps that touch instances, jobs and waves together.
+
+use jasminefall_core::prelude::*;
+
+use crate::cluster::ClusterState;
+use crate::command::LostWorker;
+use crate::configuration::ApplyRequest;
+use crate::outcome::{Outcome, Refusal};
+use crate::pools::{Action, Condition, InstanceStep, Purpose};
+use crate::waves::{MemberState, WaveRequest};
+
+/// The share of the fleet that may be set aside at once, in percent; one worker always may.
+const MAX_SET_ASIDE_PERCENT: u64 = 10;
+/// Names the holder of workers that were set aside.
+const SET_ASIDE_BY: &str = "worker-health";
+
+impl ClusterState {
+    /// Publishes a desired state and takes its instances and waves over.
+    pub(crate) fn publish(&mut self, now_ms: u64, request: ApplyRequest) -> Outcome {
+        let before = self.configuration.version();
+        let outcome = self.configuration.apply(now_ms, request);
+        if self.configuration.version() != before {
+            let desired = self.configuration.desired().clone();
+            let undeclared = self.instances.iter();
+            let undeclared: Vec<WorkerId> = undeclared
+                .filter(|(id, _)| !desired.instances.contains_key(*id))
+                .map(|(id, _)| WorkerId::new(id.as_str()))
+                .collect();
+            for worker in undeclared {
+                let jobs: Vec<JobId> = self.jobs.on_worker(&worker).map(|job| job.id).collect();
+                self.jobs.cancel(now_ms, &jobs);
+            }
+            self.instances.declare(now_ms, &desired);
+            self.waves.declare(now_ms, &desired);
+        }
+        outcome
+    }
+
+    /// Ends the leases of lost workers.
+    pub(crate) fn lose(&mut self, now_ms: u64, workers: &[LostWorker]) -> Outcome {
+        for lost in workers {
+            self.jobs.lose(now_ms, &lost.worker, lost.alone);
+            let instance = InstanceId::new(lost.worker.as_str());
+            self.instances.lose(now_ms, &instance);
+        }
+        Outcome::Done
+    }
+
+    /// Notes the start of an instance's process; the tasks of its earlier start are lost.
+    pub(crate) fn hear(
+        &mut self,
+        now_ms: u64,
+        instance: &InstanceId,
+        incarnation: Incarnation,
+    ) -> Outcome {
+        if self.instances.hear(now_ms, instance, incarnation) {
+            let worker = WorkerId::new(instance.as_str());
+            self.jobs.lose_before(now_ms, &worker, incarnation);
+        }
+        Outcome::Done
+    }
+
+    /// Takes a step of an instance if it holds now.
+    pub(crate) fn step(&mut self, now_ms: u64, step: &InstanceStep) -> Outcome {
+        match self.try_step(now_ms, step) {
+            Ok(()) => Outcome::Done,
+            Err(refusal) => Outcome::Refused(refusal),
+        }
+    }
+
+    fn try_step(&mut self, now_ms: u64, step: &InstanceStep) -> Result<(), Refusal> {
+        let before = self.instances.get(&step.instance).cloned();
+        let before = before.unwrap_or_default();
+        let maintains = match &step.action {
+            Action::Cordon(purpose) => *purpose == Purpose::Maintenance,
+            Action::Reboot => true,
+            _ => false,
+        };
+        if maintains {
+            self.waves.require_wanted(&step.instance)?;
+        }
+        let worker = WorkerId::new(step.instance.as_str());
+        let is_idle = self.jobs.is_idle(&worker);
+        let desired = self.configuration.desired().clone();
+        self.instances.step(now_ms, &desired, step, is_idle)?;
+        let verified = before.condition == Condition::Verifying;
+        match step.action {
+            Action::Return if verified => {
+                self.waves.note(now_ms, &step.instance, MemberState::Done);
+            }
+            Action::GiveUp => self.waves.note(now_ms, &step.instance, MemberState::Failed),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Carries out what is asked of a wave.
+    pub(crate) fn wave(&mut self, now_ms: u64, request: &WaveRequest) -> Outcome {
+        let desired = self.configuration.desired();
+        match self.waves.request(now_ms, desired, request) {
+            Ok(()) => Outcome::Done,
+            Err(refusal) => Outcome::Refused(refusal),
+        }
+    }
+
+    /// Sets a worker aside within the budget and the share of the fleet, and forgives its jobs.
+    pub(crate) fn set_aside(&mut self, now_ms: u64, step: &InstanceStep) -> Outcome {
+        let purpose = Purpose::Held(SET_ASIDE_BY.into());
+        let aside = self.instances.out_of_service();
+        let aside = aside.filter(|(_, one)| one.purpose == purpose).count() as u64;
+        let fleet = self.instances.iter().count() as u64;
+        let allowed = (fleet * MAX_SET_ASIDE_PERCENT / 100).max(1);
+        if aside >= allowed {
+            let message = format!("{aside} workers are set aside and {allowed} may be; mend one");
+            return Outcome::Refused(Refusal::Held(message.into()));
+        }
+        let cordon = InstanceStep {
+            action: Action::Cordon(purpose),
+            ..step.clone()
+        };
+        let outcome = self.step(now_ms, &cordon);
+        if outcome == Outcome::Done {
+            let worker = WorkerId::new(step.instance.as_str());
+            self.jobs.forgive(&worker);
+        }
+        outcome
+    }
+}
--- a/crates/jasminefall-state/src/jobs.rs
+++ b/crates/jasminefall-state/src/jobs.rs
@@ -1,111 +1,44 @@
 //! Jobs and their tasks on workers.
+//!
+//! A job has at most one task at a time, and an epoch fences it. What tasks hold is counted when they
+//! are placed, so that neither a worker nor a team's quota is ever overcommitted.
+//!
+//! - [`request`]: what is asked of jobs and said of tasks
+//! - [`usage`]: what tasks hold, by worker and by team
+//! - [`retention`]: how long ended jobs and their keys are remembered
 
-use std::collections::BTreeMap;
+pub mod request;
+pub mod retention;
+pub mod usage;
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use jasminefall_core::prelude::*;
+use jasminefall_policy::placement::Need;
 use serde::{Deserialize, Serialize};
 
+pub use self::request::{
+    Job, JobRequest, JobState, Placement, Task, TaskReport, TaskResult, TaskWish, WishChange,
+};
+use self::retention::Retention;
+use self::usage::{Usage, WorkerUsage};
 use crate::outcome::{Outcome, Refusal};
+use crate::pools::Instances;
 
-/// Asks for a job to be run.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct JobRequest {
-    /// The caller's key; a resend with the same key gets the same job.
-    pub key: IdempotencyKey,
-    /// The team that the job counts towards.
-    pub team: TeamId,
-    /// The kind of job, by which sizes are learnt.
-    pub kind: SmolStr,
-    /// How urgent the job is.
-    pub urgency: Urgency,
-    /// The processors that the job declares.
-    pub cpu_mcores: MilliCores,
-    /// The memory that the job declares.
-    pub memory_bytes: Bytes,
-    /// The accelerators that the job needs.
-    pub accelerators: u64,
-    /// Whether the job may be started again after it may have run.
-    pub idempotent: bool,
-    /// What the worker is to run, opaque to the system.
-    pub command: SmolStr,
-}
-
-/// Says where a job stands.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum JobState {
-    /// Waiting for a worker.
-    Waiting,
-    /// Placed on a worker; the epoch fences the task.
-    Placed {
-        /// The worker.
-        worker: WorkerId,
-        /// The epoch of this task.
-        epoch: Epoch,
-        /// When the job was placed, in milliseconds since 1970.
-        at_ms: u64,
-    },
-    /// Completed.
-    Completed,
-    /// Failed for good.
-    Failed,
-    /// Cancelled.
-    Cancelled,
-    /// Lost together with its lease: it may have run.
-    MayHaveRun,
-}
-
-/// Holds one job.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Job {
-    /// The job's identifier.
-    pub id: JobId,
-    /// What was asked.
-    pub request: JobRequest,
-    /// When the job was accepted, in milliseconds since 1970.
-    pub submitted_at_ms: u64,
-    /// Where the job stands.
-    pub state: JobState,
-    /// How many tasks of the job have been started.
-    pub attempts: u32,
-}
-
-/// Places one job on a worker.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Placement {
-    /// The job.
-    pub job: JobId,
-    /// The worker.
-    pub worker: WorkerId,
-}
-
-/// Says how a task ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum TaskResult {
-    /// It ended well.
-    Completed,
-    /// It failed.
-    Failed,
-}
-
-/// Carries what a worker says of a task that has ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskReport {
-    /// The job.
-    pub job: JobId,
-    /// The worker that ran the task.
-    pub worker: WorkerId,
-    /// The epoch of the task; a report of an earlier epoch is ignored.
-    pub epoch: Epoch,
-    /// How the task ended.
-    pub result: TaskResult,
-}
+/// On how many workers a job may fail before it is retired.
+pub const MAX_FAILED_WORKERS: usize = 3;
+/// With how many workers, each lost alone, a job may be lost before it is retired.
+pub const MAX_LOST_WORKERS: usize = 5;
+/// The part of its processors that a throttled task keeps.
+pub const THROTTLED_DIVISOR: u64 = 4;
 
 /// Holds every job.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Jobs {
     by_id: BTreeMap<JobId, Job>,
-    by_key: BTreeMap<(TeamId, IdempotencyKey), JobId>,
+    waiting: BTreeSet<(Urgency, JobId)>,
+    usage: Usage,
+    retention: Retention,
     last_id: JobId,
     last_epoch: Epoch,
 }
@@ -117,97 +50,398 @@
         self.by_id.get(&id)
     }
 
-    /// Returns every job in order of submission.
+    /// Returns every job kept, in order of submission.
     pub fn iter(&self) -> impl Iterator<Item = &Job> {
         self.by_id.values()
     }
 
-    /// Returns the jobs that wait, in order of submission.
+    /// Returns the jobs that wait, the most urgent first, then in order of submission.
     pub fn waiting(&self) -> impl Iterator<Item = &Job> {
-        self.iter().filter(|job| job.state == JobState::Waiting)
+        let jobs = self.waiting.iter();
+        jobs.filter_map(|(_, id)| self.by_id.get(id))
+    }
+
+    /// Returns the jobs that wait with one urgency, in order of submission.
+    pub fn waiting_with(&self, urgency: Urgency) -> impl Iterator<Item = &Job> {
+        let range = (urgency, JobId::new(0))..=(urgency, JobId::new(u64::MAX));
+        let jobs = self.waiting.range(range);
+        jobs.filter_map(|(_, id)| self.by_id.get(id))
     }
 
     /// Returns the jobs placed on a worker.
-    pub fn on_worker<'jobs>(
-        &'jobs self,
-        worker: &'jobs WorkerId,
-    ) -> impl Iterator<Item = &'jobs Job> {
-        self.iter().filter(move |job| {
-            matches!(&job.state, JobState::Placed { worker: placed, .. } if placed == worker)
-        })
+    pub fn on_worker(&self, worker: &WorkerId) -> impl Iterator<Item = &Job> {
+        let jobs = self.usage.on_worker(worker).into_iter();
+        jobs.flat_map(|usage| &usage.jobs)
+            .filter_map(|id| self.by_id.get(id))
+    }
+
+    /// Returns whether a worker has no task.
+    #[must_use]
+    pub fn is_idle(&self, worker: &WorkerId) -> bool {
+        self.usage.on_worker(worker).is_none()
+    }
+
+    /// Returns what the tasks on a worker hold.
+    #[must_use]
+    pub fn held_on(&self, worker: &WorkerId) -> Need {
+        let usage = self.usage.on_worker(worker);
+        usage
+            .map(|usage: &WorkerUsage| usage.held)
+            .unwrap_or_default()
+    }
+
+    /// Returns the processors that a team holds within its quota.
+    #[must_use]
+    pub fn within_quota(&self, team: &TeamId) -> MilliCores {
+        self.usage.within_quota(team)
     }
 
     /// Accepts a job, or gives the resent one its first answer.
     pub fn submit(&mut self, now_ms: u64, desired: &DesiredState, request: JobRequest) -> Outcome {
-        if !desired.teams.contains_key(&request.team) {
-            let reason = format!("the team `{}` is not declared", request.team);
-            return Outcome::Refused(Refusal::Impossible(reason.into()));
+        self.retention.expire(now_ms);
+        if let Some(id) = self.retention.job_of(&request.team, &request.key) {
+            return Outcome::Accepted(id);
+        }
+        if let Some(reason) = never_fits(desired, &request) {
+            return Outcome::Refused(Refusal::Impossible(reason));
         }
-        let key = (request.team.clone(), request.key.clone());
-        if let Some(id) = self.by_key.get(&key) {
-            return Outcome::Accepted(*id);
+        if !self.retention.has_room() {
+            let wait_ms = self.retention.next_expiry_ms().unwrap_or(now_ms) - now_ms;
+            return Outcome::Refused(Refusal::TooManyJobs { wait_ms });
         }
         self.last_id = self.last_id.next();
         let id = self.last_id;
-        self.by_key.insert(key, id);
-        let state = JobState::Waiting;
-        self.by_id.insert(
+        self.retention.keep(&request.team, &request.key, id);
+        self.waiting.insert((request.urgency, id));
+        let job = Job {
             id,
-            Job {
-                id,
-                request,
-                submitted_at_ms: now_ms,
-                state,
-                attempts: 0,
-            },
-        );
+            request,
+            submitted_at_ms: now_ms,
+            state: JobState::Waiting,
+            attempts: 0,
+            failed_on: Vec::new(),
+            lost_on: Vec::new(),
+        };
+        self.by_id.insert(id, job);
         Outcome::Accepted(id)
     }
 
-    /// Places waiting jobs; a job that does not wait any more is passed over.
-    pub fn place(&mut self, now_ms: u64, placements: Vec<Placement>) {
-        for Placement { job, worker } in placements {
-            let Some(job) = self
-                .by_id
-                .get_mut(&job)
-                .filter(|job| job.state == JobState::Waiting)
-            else {
-                continue;
-            };
-            self.last_epoch = self.last_epoch.next();
-            job.attempts += 1;
-            job.state = JobState::Placed {
-                worker,
-                epoch: self.last_epoch,
-                at_ms: now_ms,
-            };
+    /// Places waiting jobs; a placement that does not hold any more is passed over.
+    ///
+    /// A placement holds where the job still waits, the worker takes work, the room is there and the
+    /// team's quota is kept. Only a task that may be disturbed may borrow beyond the quota.
+    pub fn place(
+        &mut self,
+        now_ms: u64,
+        desired: &DesiredState,
+        instances: &Instances,
+        placements: Vec<Placement>,
+    ) {
+        for placement in placements {
+            if let Some(task) = self.task_of(now_ms, desired, instances, &placement) {
+                self.start(placement.job, task);
+            }
+        }
+    }
+
+    fn task_of(
+        &self,
+        now_ms: u64,
+        desired: &DesiredState,
+        instances: &Instances,
+        placement: &Placement,
+    ) -> Option<Task> {
+        let job = self.by_id.get(&placement.job)?;
+        if job.state != JobState::Waiting {
+            return None;
+        }
+        let instance = InstanceId::new(placement.worker.as_str());
+        let incarnation = instances.incarnation_for_work(&instance)?;
+        let mut room = desired.instances.get(&instance).map(capacity)?;
+        room.remove(&self.held_on(&placement.worker));
+        if !placement.size.fits_in(&room) {
+            return None;
         }
+        let team = desired.teams.get(&job.request.team)?;
+        let held = self.within_quota(&job.request.team);
+        let wanted = held.saturating_add(placement.size.cpu_mcores);
+        let may_borrow = job.request.urgency != Urgency::Urgent && job.request.may_be_disturbed();
+        let borrowed = placement.borrowed && may_borrow;
+        if !borrowed && wanted > team.quota_mcores {
+            return None;
+        }
+        Some(Task {
+            worker: placement.worker.clone(),
+            incarnation,
+            epoch: self.last_epoch.next(),
+            at_ms: now_ms,
+            size: placement.size,
+            borrowed,
+            wish: TaskWish::Run,
+        })
+    }
+
+    fn start(&mut self, id: JobId, task: Task) {
+        let Some(job) = self.by_id.get_mut(&id) else {
+            return;
+        };
+        self.last_epoch = task.epoch;
+        self.waiting.remove(&(job.request.urgency, id));
+        self.usage.add(id, &task.worker, &task.size);
+        if !task.borrowed {
+            self.usage.add_team(&job.request.team, task.size.cpu_mcores);
+        }
+        job.attempts += 1;
+        job.state = JobState::Placed(task);
     }
 
     /// Takes reports of tasks; those of an earlier epoch change nothing.
-    pub fn report(&mut self, _now_ms: u64, reports: Vec<TaskReport>) {
+    pub fn report(&mut self, now_ms: u64, reports: Vec<TaskReport>) {
         for report in reports {
-            let Some(job) = self.by_id.get_mut(&report.job) else {
+            let task = self.by_id.get(&report.job).and_then(Job::task);
+            let Some(task) = task.filter(|task| task.epoch == report.epoch) else {
                 continue;
             };
-            if matches!(&job.state, JobState::Placed { epoch, .. } if *epoch == report.epoch) {
-                job.state = match report.result {
-                    TaskResult::Completed => JobState::Completed,
-                    TaskResult::Failed => JobState::Failed,
-                };
+            let wish = task.wish;
+            match report.result {
+                TaskResult::Completed => self.end(now_ms, report.job, JobState::Completed),
+                TaskResult::Throttled => self.shrink(report.job),
+                TaskResult::Failed if wish == TaskWish::Cancel => {
+                    self.end(now_ms, report.job, JobState::Cancelled);
+                }
+                TaskResult::Failed => self.fail(now_ms, report.job),
+                TaskResult::Stopped | TaskResult::Checkpointed | TaskResult::NotStarted => {
+                    self.stopped(now_ms, report.job, report.result);
+                }
             }
         }
     }
 
-    /// Cancels jobs that have not ended.
-    pub fn cancel(&mut self, _now_ms: u64, jobs: &[JobId]) {
+    fn stopped(&mut self, now_ms: u64, id: JobId, result: TaskResult) {
+        let Some(job) = self.by_id.get(&id) else {
+            return;
+        };
+        let cancelled = job.task().is_some_and(|task| task.wish == TaskWish::Cancel);
+        let carries_on = result != TaskResult::Stopped || job.request.idempotent;
+        if cancelled {
+            self.end(now_ms, id, JobState::Cancelled);
+        } else if carries_on {
+            self.wait_again(id);
+        } else {
+            self.end(now_ms, id, JobState::MayHaveRun);
+        }
+    }
+
+    fn fail(&mut self, now_ms: u64, id: JobId) {
+        let Some(job) = self.by_id.get_mut(&id) else {
+            return;
+        };
+        if let JobState::Placed(task) = &job.state
+            && !job.failed_on.contains(&task.worker)
+        {
+            job.failed_on.push(task.worker.clone());
+        }
+        if job.request.idempotent && job.failed_on.len() < MAX_FAILED_WORKERS {
+            self.wait_again(id);
+        } else {
+            self.end(now_ms, id, JobState::Failed);
+        }
+    }
+
+    /// Ends the leases of tasks on lost workers, or on earlier starts of a worker.
+    ///
+    /// The caller knows that the worker has stopped them. `alone` says that the worker went without
+    /// its rack, which may be the job's fault.
+    pub fn lose(&mut self, now_ms: u64, worker: &WorkerId, alone: bool) {
+        let lost: Vec<JobId> = self.on_worker(worker).map(|job| job.id).collect();
+        for id in lost {
+            self.lose_one(now_ms, id, worker, alone);
+        }
+    }
+
+    /// Ends the leases of tasks that an earlier start of a worker's process had.
+    pub fn lose_before(&mut self, now_ms: u64, worker: &WorkerId, incarnation: Incarnation) {
+        let earlier = |job: &&Job| {
+            job.task()
+                .is_some_and(|task| task.incarnation < incarnation)
+        };
+        let lost: Vec<JobId> = self
+            .on_worker(worker)
+            .filter(earlier)
+            .map(|job| job.id)
+            .collect();
+        for id in lost {
+            self.lose_one(now_ms, id, worker, true);
+        }
+    }
+
+    fn lose_one(&mut self, now_ms: u64, id: JobId, worker: &WorkerId, alone: bool) {
+        let Some(job) = self.by_id.get_mut(&id) else {
+            return;
+        };
+        if alone && !job.lost_on.contains(worker) {
+            job.lost_on.push(worker.clone());
+        }
+        let cancelled = job.task().is_some_and(|task| task.wish == TaskWish::Cancel);
+        if !job.request.idempotent {
+            self.end(now_ms, id, JobState::MayHaveRun);
+        } else if cancelled {
+            self.end(now_ms, id, JobState::Cancelled);
+        } else if job.lost_on.len() >= MAX_LOST_WORKERS {
+            self.end(now_ms, id, JobState::Failed);
+        } else {
+            self.wait_again(id);
+        }
+    }
+
+    /// Cancels jobs that have not ended; a task goes on holding its room until it has stopped.
+    pub fn cancel(&mut self, now_ms: u64, jobs: &[JobId]) {
         for id in jobs {
             let Some(job) = self.by_id.get_mut(id) else {
                 continue;
             };
-            if matches!(job.state, JobState::Waiting | JobState::Placed { .. }) {
-                job.state = JobState::Cancelled;
+            match &mut job.state {
+                JobState::Waiting => self.end(now_ms, *id, JobState::Cancelled),
+                JobState::Placed(task) => task.wish = TaskWish::Cancel,
+                _ => {}
+            }
+        }
+    }
+
+    /// Changes what is wanted of tasks; a task that may not be disturbed is left alone.
+    pub fn wish(&mut self, changes: &[WishChange]) {
+        for change in changes {
+            let Some(job) = self.by_id.get_mut(&change.job) else {
+                continue;
+            };
+            let allowed = match change.wish {
+                TaskWish::Run | TaskWish::Throttle => job.request.may_be_disturbed(),
+                TaskWish::Checkpoint => job.request.can_checkpoint,
+                TaskWish::Stop => job.request.idempotent,
+                TaskWish::Cancel => false,
+            };
+            if let JobState::Placed(task) = &mut job.state
+                && task.epoch == change.epoch
+                && task.wish != TaskWish::Cancel
+                && allowed
+            {
+                task.wish = change.wish;
+            }
+        }
+    }
+
+    /// Forgets what jobs have against a worker that turned out to be at fault itself.
+    pub fn forgive(&mut self, worker: &WorkerId) {
+        let waiting: Vec<JobId> = self.waiting.iter().map(|(_, id)| *id).collect();
+        for id in waiting {
+            if let Some(job) = self.by_id.get_mut(&id) {
+                job.failed_on.retain(|other| other != worker);
             }
         }
     }
+
+    fn shrink(&mut self, id: JobId) {
+        let Some(job) = self.by_id.get_mut(&id) else {
+            return;
+        };
+        let declared_mcores = job.request.cpu_mcores.get();
+        let JobState::Placed(task) = &mut job.state else {
+            return;
+        };
+        let throttled =
+            MilliCores::new(declared_mcores / THROTTLED_DIVISOR).min(task.size.cpu_mcores);
+        let freed = task.size.cpu_mcores.saturating_sub(throttled);
+        self.usage.remove(id, &task.worker, &task.size);
+        task.size.cpu_mcores = throttled;
+        self.usage.add(id, &task.worker, &task.size);
+        if !task.borrowed {
+            self.usage.remove_team(&job.request.team, freed);
+        }
+    }
+
+    fn release(&mut self, id: JobId) {
+        let Some(job) = self.by_id.get(&id) else {
+            return;
+        };
+        let JobState::Placed(task) = &job.state else {
+            return;
+        };
+        self.usage.remove(id, &task.worker, &task.size);
+        if !task.borrowed {
+            self.usage
+                .remove_team(&job.request.team, task.size.cpu_mcores);
+        }
+    }
+
+    fn wait_again(&mut self, id: JobId) {
+        self.release(id);
+        if let Some(job) = self.by_id.get_mut(&id) {
+            job.state = JobState::Waiting;
+            self.waiting.insert((job.request.urgency, id));
+        }
+    }
+
+    fn end(&mut self, now_ms: u64, id: JobId, state: JobState) {
+        self.release(id);
+        let Some(job) = self.by_id.get_mut(&id) else {
+            return;
+        };
+        job.state = state;
+        self.waiting.remove(&(job.request.urgency, id));
+        let evicted = self
+            .retention
+            .note_ended(now_ms, id, &job.request.team, &job.request.key);
+        if let Some(evicted) = evicted {
+            self.by_id.remove(&evicted);
+        }
+    }
+}
+
+/// Returns what an instance has in all.
+#[must_use]
+pub const fn capacity(declared: &InstanceDeclaration) -> Need {
+    Need {
+        cpu_mcores: declared.cpu_mcores,
+        memory_bytes: declared.memory_bytes,
+        accelerators: declared.accelerators,
+    }
+}
+
+/// Returns why a job can never run, if it cannot.
+fn never_fits(desired: &DesiredState, request: &JobRequest) -> Option<SmolStr> {
+    let Some(team) = desired.teams.get(&request.team) else {
+        let team = &request.team;
+        return Some(format!("the team `{team}` is not declared; name a declared team").into());
+    };
+    let need = request.need();
+    let mut capacities = desired.instances.values().map(capacity);
+    if !capacities.any(|capacity| need.fits_in(&capacity)) {
+        return Some(too_large(desired, &need).into());
+    }
+    let may_borrow = request.urgency != Urgency::Urgent && request.may_be_disturbed();
+    if need.cpu_mcores > team.quota_mcores && !may_borrow {
+        return Some(
+            format!(
+                "it declares {} and its team's quota is {}; declare less or raise the quota",
+                need.cpu_mcores, team.quota_mcores
+            )
+            .into(),
+        );
+    }
+    None
+}
+
+fn too_large(desired: &DesiredState, need: &Need) -> String {
+    let largest = desired
+        .instances
+        .values()
+        .map(capacity)
+        .fold(Need::default(), |most, one| Need {
+            cpu_mcores: most.cpu_mcores.max(one.cpu_mcores),
+            memory_bytes: most.memory_bytes.max(one.memory_bytes),
+            accelerators: most.accelerators.max(one.accelerators),
+        });
+    format!(
+        "no instance has {need} at once (the most of each is {largest}); declare less or add a larger instance"
+    )
 }
--- /dev/null
+++ b/crates/jasminefall-state/src/jobs/retention.rs
@@ -0,0 +1,86 @@
+//! How long ended jobs and their keys are remembered.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use jasminefall_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// How many ended jobs are kept whole.
+pub const MAX_ENDED: usize = 20_000;
+/// How many keys are kept; beyond it new jobs are refused rather than keys forgotten early.
+pub const MAX_KEYS: usize = 300_000;
+/// How long the key of an ended job is kept.
+pub const KEY_RETENTION_MS: u64 = 7 * 86_400_000;
+
+/// Remembers the keys of jobs and the order in which jobs ended.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Retention {
+    keys: BTreeMap<TeamId, BTreeMap<IdempotencyKey, JobId>>,
+    key_count: usize,
+    ended: VecDeque<JobId>,
+    /// The keys of ended jobs with the time at which each may be forgotten, oldest first.
+    expiring: VecDeque<(u64, TeamId, IdempotencyKey)>,
+}
+
+impl Retention {
+    /// Returns the job that a key stands for.
+    #[must_use]
+    pub fn job_of(&self, team: &TeamId, key: &IdempotencyKey) -> Option<JobId> {
+        self.keys.get(team)?.get(key).copied()
+    }
+
+    /// Returns whether one more key can be kept.
+    #[must_use]
+    pub const fn has_room(&self) -> bool {
+        self.key_count < MAX_KEYS
+    }
+
+    /// Returns when the oldest key is forgotten.
+    #[must_use]
+    pub fn next_expiry_ms(&self) -> Option<u64> {
+        self.expiring.front().map(|(at_ms, _, _)| *at_ms)
+    }
+
+    /// Keeps a key.
+    pub(super) fn keep(&mut self, team: &TeamId, key: &IdempotencyKey, job: JobId) {
+        let keys = self.keys.entry(team.clone()).or_default();
+        keys.insert(key.clone(), job);
+        self.key_count += 1;
+    }
+
+    /// Notes that a job has ended; returns the job that is no longer kept whole.
+    pub(super) fn note_ended(
+        &mut self,
+        now_ms: u64,
+        job: JobId,
+        team: &TeamId,
+        key: &IdempotencyKey,
+    ) -> Option<JobId> {
+        let until_ms = now_ms + KEY_RETENTION_MS;
+        self.expiring
+            .push_back((until_ms, team.clone(), key.clone()));
+        self.ended.push_back(job);
+        if self.ended.len() > MAX_ENDED {
+            return self.ended.pop_front();
+        }
+        None
+    }
+
+    /// Forgets the keys whose time has come; returns the jobs that they stood for.
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        while self.next_expiry_ms().is_some_and(|at_ms| at_ms <= now_ms) {
+            let Some((_, team, key)) = self.expiring.pop_front() else {
+                return;
+            };
+            let Some(keys) = self.keys.get_mut(&team) else {
+                continue;
+            };
+            if keys.remove(&key).is_some() {
+                self.key_count -= 1;
+            }
+            if keys.is_empty() {
+                self.keys.remove(&team);
+            }
+        }
+    }
+}
--- a/crates/jasminefall-state/src/lib.rs
+++ b/crates/jasminefall-state/src/lib.rs
@@ -21,14 +21,20 @@
 //! - [`configuration`]: published versions of the desired state
 //! - [`claims`]: requests that run at most once
 //! - [`jobs`]: jobs and their tasks on workers
+//! - [`pools`]: instances with their pool and condition, and the budget check
+//! - [`waves`]: maintenance waves and their progress
+//! - `fleet`: steps that touch instances, jobs and waves together
 
 pub mod claims;
 pub mod cluster;
 pub mod command;
 pub mod configuration;
+mod fleet;
 pub mod jobs;
 pub mod outcome;
+pub mod pools;
 pub mod prelude;
+pub mod waves;
 
 pub use cluster::ClusterState;
 pub use command::{Command, Stamped};
--- a/crates/jasminefall-state/src/outcome.rs
+++ b/crates/jasminefall-state/src/outcome.rs
@@ -38,6 +38,13 @@
     },
     /// The job can never run.
     Impossible(SmolStr),
+    /// Too many jobs are remembered.
+    TooManyJobs {
+        /// How long until room is made, in milliseconds.
+        wait_ms: u64,
+    },
+    /// A constraint holds the step; the text names it and what would free it.
+    Held(SmolStr),
 }
 
 impl fmt::Display for Refusal {
@@ -54,6 +61,13 @@
                  read it, merge your change and apply against {current}"
             ),
             Self::Impossible(reason) => write!(formatter, "the job can never run: {reason}"),
+            Self::TooManyJobs { wait_ms } => {
+                write!(
+                    formatter,
+                    "too many jobs are remembered; submit again in {wait_ms} ms"
+                )
+            }
+            Self::Held(reason) => formatter.write_str(reason),
         }
     }
 }
--- a/crates/jasminefall-state/src/prelude.rs
+++ b/crates/jasminefall-state/src/prelude.rs
@@ -2,7 +2,11 @@
 
 pub use crate::claims::{Claim, ClaimAnswer, ClaimRequest, Claims, RecordedAnswer};
 pub use crate::cluster::ClusterState;
-pub use crate::command::{Command, Stamped};
+pub use crate::command::{Command, LostWorker, Stamped};
 pub use crate::configuration::{ApplyRequest, Configuration, Published};
-pub use crate::jobs::{Job, JobRequest, JobState, Jobs, Placement, TaskReport, TaskResult};
+pub use crate::jobs::{
+    Job, JobRequest, JobState, Jobs, Placement, Task, TaskReport, TaskResult, TaskWish, WishChange,
+};
 pub use crate::outcome::{Outcome, Refusal};
+pub use crate::pools::{Action, Condition, Instance, InstanceStep, Instances, PoolCount, Purpose};
+pub use crate::waves::{MemberState, Wave, WaveAction, WaveRequest, WaveState, Waves};
--- /dev/null
+++ b/crates/jasminefall-state/src/waves.rs
@@ -0,0 +1,290 @@
+//! Maintenance waves and their progress.
+//!
+//! A wave lists instances. The steps belong to the instance: where two waves list the same one, it is
+//! rebooted once and both note it.
+
+use std::collections::BTreeMap;
+
+use jasminefall_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::outcome::Refusal;
+
+/// How many instances of a wave may fail before it pauses itself.
+pub const PAUSE_AFTER_FAILED: usize = 2;
+/// How many ended waves are kept.
+pub const MAX_ENDED_WAVES: usize = 100;
+
+/// Says where a wave stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WaveState {
+    /// It runs.
+    Running,
+    /// It takes no further step until it is resumed.
+    Paused {
+        /// Who or what paused it.
+        cause: SmolStr,
+    },
+    /// Every instance has been maintained or given up.
+    Completed,
+    /// It was aborted.
+    Aborted,
+}
+
+/// Says where an instance of a wave stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberState {
+    /// It has not been maintained yet.
+    Pending,
+    /// It has been rebooted and is back in service.
+    Done,
+    /// It did not come back well.
+    Failed,
+}
+
+/// Asks for something of a wave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveRequest {
+    /// The wave.
+    pub wave: WaveId,
+    /// Who asks.
+    pub operator: SmolStr,
+    /// What is asked.
+    pub action: WaveAction,
+}
+
+/// Says what is asked of a wave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WaveAction {
+    /// Start it; a wave that runs already goes on.
+    Start,
+    /// Take no further step.
+    Pause,
+    /// Go on.
+    Resume,
+    /// End it; instances that have not been rebooted go back into service.
+    Abort,
+}
+
+/// Holds one wave.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wave {
+    /// Who started it.
+    pub operator: SmolStr,
+    /// Where it stands.
+    pub state: WaveState,
+    /// When it started, in milliseconds since 1970.
+    pub started_at_ms: u64,
+    /// When it ended, in milliseconds since 1970.
+    pub ended_at_ms: Option<u64>,
+    /// Its instances.
+    pub members: BTreeMap<InstanceId, MemberState>,
+}
+
+impl Wave {
+    /// Returns whether the wave has ended.
+    #[must_use]
+    pub const fn has_ended(&self) -> bool {
+        matches!(self.state, WaveState::Completed | WaveState::Aborted)
+    }
+
+    /// Returns whether the wave wants an instance to be maintained now.
+    #[must_use]
+    pub fn wants(&self, instance: &InstanceId) -> bool {
+        self.state == WaveState::Running
+            && self.members.get(instance) == Some(&MemberState::Pending)
+    }
+
+    /// Returns how many instances stand at `state`.
+    #[must_use]
+    pub fn count(&self, state: MemberState) -> usize {
+        self.members.values().filter(|one| **one == state).count()
+    }
+
+    fn note(&mut self, now_ms: u64, instance: &InstanceId, state: MemberState) {
+        let Some(member) = self.members.get_mut(instance) else {
+            return;
+        };
+        if *member != MemberState::Pending {
+            return;
+        }
+        *member = state;
+        let running = self.state == WaveState::Running;
+        if running && state == MemberState::Failed && self.count(state) >= PAUSE_AFTER_FAILED {
+            let cause = format!("{} instances did not come back", self.count(state));
+            self.state = WaveState::Paused {
+                cause: cause.into(),
+            };
+        }
+        self.complete_if_done(now_ms);
+    }
+
+    fn complete_if_done(&mut self, now_ms: u64) {
+        if !self.has_ended() && self.count(MemberState::Pending) == 0 {
+            self.state = WaveState::Completed;
+            self.ended_at_ms = Some(now_ms);
+        }
+    }
+}
+
+/// Holds every wave.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Waves {
+    by_id: BTreeMap<WaveId, Wave>,
+}
+
+impl Waves {
+    /// Returns a wave.
+    #[must_use]
+    pub fn get(&self, wave: &WaveId) -> Option<&Wave> {
+        self.by_id.get(wave)
+    }
+
+    /// Returns every wave in order of name.
+    pub fn iter(&self) -> impl Iterator<Item = (&WaveId, &Wave)> {
+        self.by_id.iter()
+    }
+
+    /// Returns whether a running wave wants an instance to be maintained.
+    #[must_use]
+    pub fn want(&self, instance: &InstanceId) -> bool {
+        self.by_id.values().any(|wave| wave.wants(instance))
+    }
+
+    /// Carries out what is asked of a wave.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be done, and the remedy.
+    pub fn request(
+        &mut self,
+        now_ms: u64,
+        desired: &DesiredState,
+        request: &WaveRequest,
+    ) -> Result<(), Refusal> {
+        if request.action == WaveAction::Start {
+            return self.start(now_ms, desired, request);
+        }
+        let wave = self
+            .by_id
+            .get_mut(&request.wave)
+            .filter(|wave| !wave.has_ended());
+        let Some(wave) = wave else {
+            let message = format!("the wave `{}` does not run; start it", request.wave);
+            return Err(Refusal::Held(message.into()));
+        };
+        match request.action {
+            WaveAction::Start => {}
+            WaveAction::Pause => {
+                let cause = request.operator.clone();
+                wave.state = WaveState::Paused { cause };
+            }
+            WaveAction::Resume => wave.state = WaveState::Running,
+            WaveAction::Abort => {
+                wave.state = WaveState::Aborted;
+                wave.ended_at_ms = Some(now_ms);
+            }
+        }
+        Ok(())
+    }
+
+    fn start(
+        &mut self,
+        now_ms: u64,
+        desired: &DesiredState,
+        request: &WaveRequest,
+    ) -> Result<(), Refusal> {
+        if self
+            .by_id
+            .get(&request.wave)
+            .is_some_and(|wave| !wave.has_ended())
+        {
+            return Ok(());
+        }
+        let Some(members) = members(desired, &request.wave) else {
+            let message = format!(
+                "the wave `{0}` is not declared; add [wave.{0}]",
+                request.wave
+            );
+            return Err(Refusal::Held(message.into()));
+        };
+        let mut wave = Wave {
+            operator: request.operator.clone(),
+            state: WaveState::Running,
+            started_at_ms: now_ms,
+            ended_at_ms: None,
+            members: members
+                .map(|id| (id.clone(), MemberState::Pending))
+                .collect(),
+        };
+        wave.complete_if_done(now_ms);
+        self.by_id.insert(request.wave.clone(), wave);
+        self.forget_oldest();
+        Ok(())
+    }
+
+    /// Takes over a new desired state: instances that it adds are maintained, others dropped.
+    pub fn declare(&mut self, now_ms: u64, desired: &DesiredState) {
+        for (id, wave) in self.by_id.iter_mut().filter(|(_, wave)| !wave.has_ended()) {
+            let Some(wanted) = members(desired, id) else {
+                wave.state = WaveState::Aborted;
+                wave.ended_at_ms = Some(now_ms);
+                continue;
+            };
+            let old = std::mem::take(&mut wave.members);
+            let state = |id| old.get(id).copied().unwrap_or(MemberState::Pending);
+            wave.members = wanted.map(|id| (id.clone(), state(id))).collect();
+            wave.complete_if_done(now_ms);
+        }
+    }
+
+    /// Notes how the maintenance of an instance ended, in every wave that has not ended.
+    pub fn note(&mut self, now_ms: u64, instance: &InstanceId, state: MemberState) {
+        for wave in self.by_id.values_mut().filter(|wave| !wave.has_ended()) {
+            wave.note(now_ms, instance, state);
+        }
+    }
+
+    /// Returns whether a step of maintenance may go on for an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns that no running wave lists it.
+    pub fn require_wanted(&self, instance: &InstanceId) -> Result<(), Refusal> {
+        if self.want(instance) {
+            return Ok(());
+        }
+        let message = format!("no running wave wants `{instance}`; start or resume one");
+        Err(Refusal::Held(message.into()))
+    }
+
+    fn forget_oldest(&mut self) {
+        let ended = self.by_id.iter().filter(|(_, wave)| wave.has_ended());
+        let mut ended: Vec<(u64, WaveId)> = ended
+            .map(|(id, wave)| (wave.ended_at_ms.unwrap_or_default(), id.clone()))
+            .collect();
+        ended.sort();
+        let surplus = ended.len().saturating_sub(MAX_ENDED_WAVES);
+        for (_, id) in ended.into_iter().take(surplus) {
+            self.by_id.remove(&id);
+        }
+    }
+}
+
+/// Returns the instances that a declared wave lists.
+fn members<'desired>(
+    desired: &'desired DesiredState,
+    wave: &WaveId,
+) -> Option<impl Iterator<Item = &'desired InstanceId>> {
+    let declared = desired.waves.get(wave)?;
+    let listed = |(id, instance): &(&InstanceId, &InstanceDeclaration)| {
+        let by_rack = declared.racks.is_empty() || declared.racks.contains(&instance.rack);
+        let by_pool = declared.pools.is_empty() || declared.pools.contains(&instance.pool);
+        let by_name = declared.instances.is_empty() || declared.instances.contains(*id);
+        by_rack && by_pool && by_name
+    };
+    Some(desired.instances.iter().filter(listed).map(|(id, _)| id))
+}
--- a/crates/jasminefallctl/src/arguments.rs
+++ b/crates/jasminefallctl/src/arguments.rs
@@ -10,7 +10,14 @@
 Commands:
     check FILE            judge a desired state
     apply FILE --base N   publish a desired state written against version N
-    status                show the site";
+    status                show the site
+    jobs | pools | instances | waves
+    jobs cancel N...      cancel jobs
+    waves start|pause|resume|abort|watch WAVE
+    drain INSTANCE        take an instance out of service within the budget
+    return INSTANCE       put an instance back into service
+    move INSTANCE POOL    drain an instance and hand it over to a pool
+    explain job N | instance INSTANCE | wave WAVE";
 
 /// Holds what the command line asks for.
 #[derive(Debug)]
--- a/crates/jasminefallctl/src/command.rs
+++ b/crates/jasminefallctl/src/command.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod fleet;
 mod status;
 
 use crate::arguments::{Arguments, usage};
@@ -14,6 +15,10 @@
         ["check", file] => check::run(file),
         ["apply", file] => apply::run(arguments, file).await,
         ["status"] => status::run(arguments).await,
+        [
+            "jobs" | "pools" | "instances" | "waves" | "drain" | "return" | "move" | "explain",
+            ..,
+        ] => fleet::run(arguments, &words).await,
         [] => Err(usage("no command is given")),
         [unknown, ..] => Err(usage(&format!(
             "`{unknown}` with these words is no command"
