test: hold the fleet's promises under random commands

Cause: budgets, one pool, no overcommit, quotas and one task at a time had no test. Change: 2,000 random sequences with racks lost; tables of how jobs and waves end. Conclusion: the promises hold in the state as far as these sequences go.

--- /dev/null
+++ b/crates/jasminefall-state/tests/fleet_invariants.rs
@@ -0,0 +1,334 @@
+//! Random commands with failures in waves keep every promise of the fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jasminefall_core::prelude::*;
+use jasminefall_policy::placement::Need;
+use jasminefall_state::jobs::capacity;
+use jasminefall_state::prelude::*;
+use proptest::prelude::*;
+
+const INSTANCES: usize = 12;
+const RACKS: usize = 3;
+const JOB_RESULTS: [TaskResult; 6] = [
+    TaskResult::Completed,
+    TaskResult::Failed,
+    TaskResult::Stopped,
+    TaskResult::Checkpointed,
+    TaskResult::Throttled,
+    TaskResult::NotStarted,
+];
+const WISHES: [TaskWish; 5] = [
+    TaskWish::Run,
+    TaskWish::Throttle,
+    TaskWish::Checkpoint,
+    TaskWish::Stop,
+    TaskWish::Cancel,
+];
+const WAVE_ACTIONS: [WaveAction; 4] = [
+    WaveAction::Start,
+    WaveAction::Pause,
+    WaveAction::Resume,
+    WaveAction::Abort,
+];
+
+/// Declares three racks of four instances: two pools of five and one of two spares.
+fn desired() -> String {
+    let mut text = "[fleet]\nname = test\n[budget.one]\nmax_unavailable = 1\n\
+        [budget.two]\nmax_unavailable = 2\n[pool.red]\nbudget = one\n[pool.blue]\nbudget = two\n\
+        [pool.spare]\nbudget = one\nspare = true\n[team.guild]\nquota = 20cores\n\
+        [team.school]\nquota = 6cores\n[wave.all]\n[wave.reds]\npools = red\n"
+        .to_owned();
+    for number in 0..INSTANCES {
+        let pool = ["red", "blue", "spare"][number / 5];
+        let rack = number % RACKS;
+        text += &format!(
+            "[instance.w{number}]\npool = {pool}\ndata_centre = dc{rack}\nrack = r{rack}\n\
+             cpu = 4cores\nmemory = 8GiB\n"
+        );
+    }
+    text
+}
+
+/// Picks a command by numbers; what they mean depends on the state.
+#[derive(Debug, Clone, Copy)]
+struct Pick {
+    kind: u8,
+    target: u64,
+    detail: usize,
+    flags: [bool; 3],
+}
+
+fn picks() -> impl Strategy<Value = Vec<Pick>> {
+    let pick = (0..32u8, 1..40u64, 0..64usize, any::<[bool; 3]>());
+    let pick = pick.prop_map(|(kind, target, detail, flags)| Pick {
+        kind,
+        target,
+        detail,
+        flags,
+    });
+    prop::collection::vec(pick, 1..300)
+}
+
+fn id(number: u64) -> InstanceId {
+    InstanceId::new(format!("w{}", number % INSTANCES as u64))
+}
+
+fn worker(number: u64) -> WorkerId {
+    WorkerId::new(id(number).as_str())
+}
+
+fn command(state: &ClusterState, number: usize, pick: Pick) -> Command {
+    match pick.kind {
+        0..5 => submit(number, pick),
+        5..12 => place(state, pick),
+        12..16 => report(state, pick),
+        16 => Command::Cancel(vec![JobId::new(pick.target)]),
+        17..19 => wish(state, pick),
+        19 => lose_rack(pick),
+        20 => lose(pick),
+        21..24 => hear(state, pick),
+        24..30 => step(state, pick),
+        _ => wave(pick),
+    }
+}
+
+fn submit(number: usize, pick: Pick) -> Command {
+    let [idempotent, can_checkpoint, urgent] = pick.flags;
+    Command::Submit(JobRequest {
+        key: IdempotencyKey::new(format!("k{number}")),
+        team: TeamId::new(["guild", "school"][pick.detail % 2]),
+        urgency: [Urgency::Background, Urgency::Urgent][usize::from(urgent)],
+        cpu_mcores: MilliCores::new(1_000 + 1_000 * (pick.target % 4)),
+        memory_bytes: Bytes::new((1 + pick.detail as u64 % 8) << 30),
+        idempotent,
+        can_checkpoint,
+        ..JobRequest::default()
+    })
+}
+
+fn place(state: &ClusterState, pick: Pick) -> Command {
+    let job = JobId::new(pick.target);
+    let known = state.jobs.get(job);
+    Command::Place(vec![Placement {
+        job,
+        worker: worker(pick.detail as u64),
+        size: known.map(|job| job.request.need()).unwrap_or_default(),
+        borrowed: pick.flags[0],
+    }])
+}
+
+fn epoch_of(state: &ClusterState, job: JobId) -> Epoch {
+    let task = state.jobs.get(job).and_then(Job::task);
+    task.map(|task| task.epoch).unwrap_or_default()
+}
+
+fn report(state: &ClusterState, pick: Pick) -> Command {
+    let job = JobId::new(pick.target);
+    let stale = pick.flags == [true; 3];
+    let epoch = if stale {
+        Epoch::new(0)
+    } else {
+        epoch_of(state, job)
+    };
+    let (worker, result) = (worker(0), JOB_RESULTS[pick.detail % JOB_RESULTS.len()]);
+    Command::Report(vec![TaskReport {
+        job,
+        worker,
+        epoch,
+        result,
+    }])
+}
+
+fn wish(state: &ClusterState, pick: Pick) -> Command {
+    let job = JobId::new(pick.target);
+    let (epoch, wish) = (epoch_of(state, job), WISHES[pick.detail % WISHES.len()]);
+    Command::Wish(vec![WishChange { job, epoch, wish }])
+}
+
+fn lose_rack(pick: Pick) -> Command {
+    let rack = pick.detail % RACKS;
+    let workers = (0..INSTANCES).filter(|number| number % RACKS == rack);
+    let lost = workers.map(|number| LostWorker {
+        worker: worker(number as u64),
+        alone: false,
+    });
+    Command::Lose(lost.collect())
+}
+
+fn lose(pick: Pick) -> Command {
+    Command::Lose(vec![LostWorker {
+        worker: worker(pick.target),
+        alone: true,
+    }])
+}
+
+fn hear(state: &ClusterState, pick: Pick) -> Command {
+    let instance = id(pick.target);
+    let known = state.instances.get(&instance);
+    let known = known.and_then(|one| one.incarnation).unwrap_or_default();
+    let incarnation = if pick.flags[0] { known.next() } else { known };
+    Command::Hear {
+        instance,
+        incarnation,
+    }
+}
+
+fn step(state: &ClusterState, pick: Pick) -> Command {
+    let instance = id(pick.target);
+    let epoch = state.instances.get(&instance).map(|one| one.epoch);
+    let epoch = epoch.unwrap_or_default();
+    let stale = pick.flags == [true; 3];
+    let actions = [
+        Action::Cordon(Purpose::Maintenance),
+        Action::Cordon(Purpose::Move("blue".into())),
+        Action::Cordon(Purpose::Move("red".into())),
+        Action::Cordon(Purpose::Held("ada".into())),
+        Action::Drain,
+        Action::Reboot,
+        Action::HandOver,
+        Action::Return,
+        Action::GiveUp,
+    ];
+    Command::Step(InstanceStep {
+        instance,
+        epoch: if stale { epoch.next() } else { epoch },
+        action: actions[pick.detail % actions.len()].clone(),
+    })
+}
+
+fn wave(pick: Pick) -> Command {
+    Command::Wave(WaveRequest {
+        wave: WaveId::new(["all", "reds"][usize::from(pick.flags[0])]),
+        operator: "ada".into(),
+        action: WAVE_ACTIONS[pick.detail % WAVE_ACTIONS.len()],
+    })
+}
+
+fn started_state() -> ClusterState {
+    let mut state = ClusterState::default();
+    let request = ApplyRequest {
+        change: "c".into(),
+        operator: "ada".into(),
+        base: Version::default(),
+        text: desired(),
+    };
+    let command = Command::Apply(request);
+    let outcome = state.apply(Stamped { at_ms: 1, command });
+    assert!(matches!(outcome, Outcome::Published(_)), "{outcome:?}");
+    for number in 0..INSTANCES {
+        let command = Command::Hear {
+            instance: id(number as u64),
+            incarnation: Incarnation::new(1),
+        };
+        state.apply(Stamped { at_ms: 1, command });
+    }
+    state
+}
+
+/// Counts by looking at everything, as a naive version would.
+fn naive_in_service(state: &ClusterState, pool: &str) -> u64 {
+    let instances = state.instances.iter();
+    let counted = instances
+        .filter(|(_, one)| one.pool.as_str() == pool && one.condition == Condition::InService);
+    counted.count() as u64
+}
+
+fn check_nothing_overcommitted(state: &ClusterState) {
+    let desired = state.configuration.desired();
+    let mut by_worker: BTreeMap<WorkerId, Need> = BTreeMap::new();
+    let mut by_team: BTreeMap<TeamId, u64> = BTreeMap::new();
+    let mut epochs = BTreeSet::new();
+    for job in state.jobs.iter() {
+        let Some(task) = job.task() else { continue };
+        assert!(epochs.insert(task.epoch), "two tasks share an epoch");
+        let held = by_worker.entry(task.worker.clone()).or_default();
+        held.add(&task.size);
+        if task.borrowed {
+            let urgent = job.request.urgency == Urgency::Urgent;
+            assert!(!urgent && job.request.may_be_disturbed());
+        } else {
+            let held = by_team.entry(job.request.team.clone()).or_default();
+            *held += task.size.cpu_mcores.get();
+        }
+    }
+    for (worker, held) in &by_worker {
+        let declared = &desired.instances[&InstanceId::new(worker.as_str())];
+        assert!(held.fits_in(&capacity(declared)), "{worker} holds {held}");
+        assert_eq!(*held, state.jobs.held_on(worker), "the count of {worker}");
+    }
+    for (team, declared) in &desired.teams {
+        let held = by_team.get(team).copied().unwrap_or(0);
+        assert!(held <= declared.quota_mcores.get(), "{team} over quota");
+        assert_eq!(held, state.jobs.within_quota(team).get(), "the count");
+    }
+}
+
+/// Checks what a command did to budgets, pools and drains against the state before it.
+fn check_instances(before: &ClusterState, after: &ClusterState, command: &Command) {
+    let planned = matches!(command, Command::Step(_));
+    for (pool, required) in [("red", 4), ("blue", 3)] {
+        let was = naive_in_service(before, pool);
+        let is = naive_in_service(after, pool);
+        assert_eq!(is, after.instances.count(&pool.into()).in_service);
+        let broke = planned && is < was && is < required;
+        assert!(!broke, "a planned step broke the budget of {pool}");
+    }
+    for (id, now) in after.instances.iter() {
+        let was = before.instances.get(id).expect("declared once");
+        let fenced = now.epoch == was.epoch.next() || now == was;
+        assert!(fenced, "{id} changed without its epoch");
+        let idle = before.jobs.is_idle(&WorkerId::new(id.as_str()));
+        if now.pool != was.pool {
+            assert_eq!(was.condition, Condition::Draining, "{id} undrained");
+            assert!(idle, "{id} changed pools with a task");
+        }
+        if now.condition == Condition::Rebooting && was.condition != now.condition {
+            assert!(idle, "{id} rebooted with a task");
+            assert!(before.waves.want(id), "{id} rebooted for no wave");
+        }
+    }
+}
+
+/// Checks that a job keeps its end, has one task at a time and runs at most once if it must.
+fn check_jobs(before: &ClusterState, after: &ClusterState, command: &Command) {
+    for job in after.jobs.iter() {
+        let Some(was) = before.jobs.get(job.id) else {
+            continue;
+        };
+        assert!(!was.state.has_ended() || was == job, "{} changed", job.id);
+        let (old, new) = (was.task(), job.task());
+        if let (Some(old), Some(new)) = (old, new) {
+            assert_eq!(old.epoch, new.epoch, "job {} has two tasks", job.id);
+        }
+        let lost = matches!(command, Command::Lose(_) | Command::Hear { .. });
+        let reruns = old.is_some() && job.state == JobState::Waiting;
+        let twice = lost && reruns && !job.request.idempotent;
+        assert!(!twice, "job {} may run twice", job.id);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn budgets_pools_rooms_quotas_and_epochs_hold_under_random_commands(picks in picks()) {
+        let mut state = started_state();
+        for (number, pick) in picks.into_iter().enumerate() {
+            let command = command(&state, number, pick);
+            let before = state.clone();
+            let at_ms = 10 * number as u64;
+            state.apply(Stamped { at_ms, command: command.clone() });
+            check_nothing_overcommitted(&state);
+            check_instances(&before, &state, &command);
+            check_jobs(&before, &state, &command);
+        }
+        let restored = ClusterState::from_bytes(&state.to_bytes()).expect("it reads back");
+        prop_assert!(restored == state);
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-state/tests/jobs_lifecycle.rs
@@ -0,0 +1,162 @@
+//! How jobs end: losses, cancels, refusals and resends.
+
+#[path = "support/fleet_site.rs"]
+mod fleet_site;
+
+use fleet_site::*;
+use jasminefall_core::prelude::*;
+use jasminefall_policy::placement::Need;
+use jasminefall_state::jobs::retention::{KEY_RETENTION_MS, MAX_ENDED};
+use jasminefall_state::prelude::*;
+
+#[test]
+fn a_lost_lease_reruns_only_what_is_idempotent() {
+    for (idempotent, expected) in [(true, JobState::Waiting), (false, JobState::MayHaveRun)] {
+        let mut state = started();
+        let job = submit(&mut state, request("a", idempotent));
+        let epoch = place(&mut state, job, "w1");
+        lose(&mut state, "w1", true);
+        assert_eq!(stands(&state, job), expected);
+        report(&mut state, job, epoch, TaskResult::Completed);
+        assert_eq!(stands(&state, job), expected, "a late report is ignored");
+    }
+}
+
+#[test]
+fn a_new_start_of_a_worker_loses_the_tasks_of_the_old_one_only() {
+    let mut state = started();
+    let job = submit(&mut state, request("a", false));
+    place(&mut state, job, "w1");
+    hear(&mut state, "w1", 1);
+    assert!(matches!(stands(&state, job), JobState::Placed(_)));
+    hear(&mut state, "w1", 2);
+    assert_eq!(stands(&state, job), JobState::MayHaveRun);
+}
+
+#[test]
+fn a_cancel_holds_the_room_until_the_task_has_stopped_and_a_completion_wins() {
+    let cases = [
+        (TaskResult::Completed, JobState::Completed),
+        (TaskResult::Stopped, JobState::Cancelled),
+        (TaskResult::Failed, JobState::Cancelled),
+        (TaskResult::NotStarted, JobState::Cancelled),
+    ];
+    for (result, expected) in cases {
+        let mut state = started();
+        let job = submit(&mut state, request("a", true));
+        let epoch = place(&mut state, job, "w1");
+        apply(&mut state, Command::Cancel(vec![job]));
+        assert_ne!(state.jobs.held_on(&"w1".into()), Need::default());
+        report(&mut state, job, epoch, result);
+        assert_eq!(stands(&state, job), expected, "{result:?}");
+        assert_eq!(state.jobs.held_on(&"w1".into()), Need::default());
+    }
+}
+
+#[test]
+fn a_cancel_on_a_worker_cut_off_ends_with_the_lease() {
+    for (idempotent, expected) in [(true, JobState::Cancelled), (false, JobState::MayHaveRun)] {
+        let mut state = started();
+        let job = submit(&mut state, request("a", idempotent));
+        place(&mut state, job, "w1");
+        apply(&mut state, Command::Cancel(vec![job]));
+        lose(&mut state, "w1", true);
+        assert_eq!(stands(&state, job), expected);
+    }
+}
+
+#[test]
+fn a_job_is_retired_by_failures_on_three_workers_and_not_by_many_on_one() {
+    let mut state = started();
+    let job = submit(&mut state, request("a", true));
+    for _ in 0..4 {
+        let epoch = place(&mut state, job, "w1");
+        report(&mut state, job, epoch, TaskResult::Failed);
+    }
+    assert_eq!(stands(&state, job), JobState::Waiting);
+    for worker in ["w2", "w3"] {
+        let epoch = place(&mut state, job, worker);
+        report(&mut state, job, epoch, TaskResult::Failed);
+    }
+    assert_eq!(stands(&state, job), JobState::Failed);
+}
+
+#[test]
+fn racks_that_go_never_retire_a_job() {
+    let mut state = started();
+    let job = submit(&mut state, request("a", true));
+    for round in 0..10 {
+        for worker in ["w1", "w2", "w3"] {
+            place(&mut state, job, worker);
+            lose(&mut state, worker, false);
+            hear(&mut state, worker, 2 + round);
+        }
+    }
+    assert_eq!(stands(&state, job), JobState::Waiting);
+}
+
+#[test]
+fn a_worker_set_aside_is_forgiven_by_its_jobs_and_a_share_of_the_fleet_is_the_limit() {
+    let mut state = started();
+    let job = submit(&mut state, request("a", true));
+    let epoch = place(&mut state, job, "w1");
+    report(&mut state, job, epoch, TaskResult::Failed);
+    assert_eq!(set_aside(&mut state, "w1"), Outcome::Done);
+    assert!(state.jobs.get(job).expect("kept").failed_on.is_empty());
+    let outcome = set_aside(&mut state, "w2");
+    assert!(matches!(outcome, Outcome::Refused(_)), "{outcome:?}");
+}
+
+#[test]
+fn jobs_that_can_never_fit_are_refused_with_the_reason() {
+    type Change = fn(&mut JobRequest);
+    let cases: [(Change, &str); 5] = [
+        (
+            |job| job.cpu_mcores = MilliCores::new(17_000),
+            "no instance",
+        ),
+        (|job| job.memory_bytes = Bytes::new(33 << 30), "no instance"),
+        (|job| job.accelerators = 1, "no instance"),
+        (|job| job.cpu_mcores = MilliCores::new(9_000), "quota"),
+        (|job| job.team = "nobody".into(), "not declared"),
+    ];
+    for (change, reason) in cases {
+        let mut wanted = request("a", false);
+        change(&mut wanted);
+        let outcome = apply(&mut started(), Command::Submit(wanted));
+        let Outcome::Refused(refusal) = outcome else {
+            panic!("accepted: {outcome:?}");
+        };
+        assert!(refusal.to_string().contains(reason), "{refusal}");
+    }
+}
+
+#[test]
+fn the_key_of_a_job_no_longer_kept_does_not_start_a_second_one() {
+    let mut state = started();
+    let first = submit(&mut state, request("first", false));
+    apply(&mut state, Command::Cancel(vec![first]));
+    for number in 0..MAX_ENDED {
+        let job = submit(&mut state, request(&format!("k{number}"), false));
+        apply(&mut state, Command::Cancel(vec![job]));
+    }
+    assert!(state.jobs.get(first).is_none(), "no longer kept whole");
+    state.now_ms += KEY_RETENTION_MS - 1;
+    assert_eq!(submit(&mut state, request("first", false)), first);
+    assert_eq!(state.jobs.waiting().count(), 0);
+}
+
+#[test]
+fn ten_thousand_jobs_are_cancelled_at_once() {
+    let mut state = started();
+    let numbers = 0..10_000;
+    let jobs: Vec<JobId> = numbers
+        .map(|number| submit(&mut state, request(&format!("k{number}"), true)))
+        .collect();
+    let epoch = place(&mut state, jobs[0], "w1");
+    apply(&mut state, Command::Cancel(jobs.clone()));
+    assert_eq!(state.jobs.waiting().count(), 0);
+    report(&mut state, jobs[0], epoch, TaskResult::Stopped);
+    let cancelled = |job: &JobId| stands(&state, *job) == JobState::Cancelled;
+    assert!(jobs.iter().all(cancelled));
+}
--- /dev/null
+++ b/crates/jasminefall-state/tests/support/fleet_site.rs
@@ -0,0 +1,132 @@
+//! A state with three workers, and short ways to ask it for things.
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+use jasminefall_core::prelude::*;
+use jasminefall_state::prelude::*;
+
+pub const DESIRED: &str = "[fleet]\nname = test\n[budget.one]\n[pool.general]\nbudget = one\n\
+    [team.guild]\nquota = 8cores\n[wave.all]\n[wave.again]\n\
+    [instance.w1]\npool = general\ndata_centre = dc1\nrack = r1\n\
+    [instance.w2]\npool = general\ndata_centre = dc1\nrack = r1\n\
+    [instance.w3]\npool = general\ndata_centre = dc1\nrack = r2\n";
+
+pub fn apply(state: &mut ClusterState, command: Command) -> Outcome {
+    let at_ms = state.now_ms;
+    state.apply(Stamped { at_ms, command })
+}
+
+pub fn publish(state: &mut ClusterState, change: &str, text: &str) -> Outcome {
+    let base = state.configuration.version();
+    let request = ApplyRequest {
+        change: change.into(),
+        operator: "ada".into(),
+        base,
+        text: text.to_owned(),
+    };
+    apply(state, Command::Apply(request))
+}
+
+pub fn started() -> ClusterState {
+    let mut state = ClusterState::default();
+    publish(&mut state, "first", DESIRED);
+    for worker in ["w1", "w2", "w3"] {
+        hear(&mut state, worker, 1);
+    }
+    state
+}
+
+pub fn hear(state: &mut ClusterState, worker: &str, incarnation: u64) {
+    let command = Command::Hear {
+        instance: worker.into(),
+        incarnation: Incarnation::new(incarnation),
+    };
+    apply(state, command);
+}
+
+pub fn request(key: &str, idempotent: bool) -> JobRequest {
+    JobRequest {
+        key: key.into(),
+        team: "guild".into(),
+        cpu_mcores: MilliCores::new(1_000),
+        memory_bytes: Bytes::new(1 << 30),
+        idempotent,
+        ..JobRequest::default()
+    }
+}
+
+pub fn submit(state: &mut ClusterState, request: JobRequest) -> JobId {
+    match apply(state, Command::Submit(request)) {
+        Outcome::Accepted(id) => id,
+        other => panic!("{other:?}"),
+    }
+}
+
+pub fn place(state: &mut ClusterState, job: JobId, worker: &str) -> Epoch {
+    let known = state.jobs.get(job).expect("kept");
+    let placement = Placement {
+        job,
+        worker: worker.into(),
+        size: known.request.need(),
+        borrowed: false,
+    };
+    apply(state, Command::Place(vec![placement]));
+    let task = state.jobs.get(job).and_then(Job::task);
+    task.expect("placed").epoch
+}
+
+pub fn report(state: &mut ClusterState, job: JobId, epoch: Epoch, result: TaskResult) {
+    let report = TaskReport {
+        job,
+        worker: "w1".into(),
+        epoch,
+        result,
+    };
+    apply(state, Command::Report(vec![report]));
+}
+
+pub fn lose(state: &mut ClusterState, worker: &str, alone: bool) {
+    let worker = worker.into();
+    apply(state, Command::Lose(vec![LostWorker { worker, alone }]));
+}
+
+pub fn stands(state: &ClusterState, job: JobId) -> JobState {
+    state.jobs.get(job).expect("kept").state.clone()
+}
+
+fn instance_step(state: &ClusterState, instance: &str, action: Action) -> InstanceStep {
+    let instance = InstanceId::new(instance);
+    let epoch = state.instances.get(&instance).expect("declared").epoch;
+    InstanceStep {
+        instance,
+        epoch,
+        action,
+    }
+}
+
+pub fn step(state: &mut ClusterState, instance: &str, action: Action) -> Outcome {
+    let step = instance_step(state, instance, action);
+    apply(state, Command::Step(step))
+}
+
+pub fn set_aside(state: &mut ClusterState, instance: &str) -> Outcome {
+    let step = instance_step(state, instance, Action::Return);
+    apply(state, Command::SetAside(step))
+}
+
+pub fn wave(state: &mut ClusterState, wave: &str, action: WaveAction) {
+    let request = WaveRequest {
+        wave: wave.into(),
+        operator: "ada".into(),
+        action,
+    };
+    assert_eq!(apply(state, Command::Wave(request)), Outcome::Done);
+}
+
+pub fn maintain(state: &mut ClusterState, instance: &str, incarnation: u64) {
+    let cordon = Action::Cordon(Purpose::Maintenance);
+    for action in [cordon, Action::Drain, Action::Reboot] {
+        assert_eq!(step(state, instance, action), Outcome::Done);
+    }
+    hear(state, instance, incarnation);
+    assert_eq!(step(state, instance, Action::Return), Outcome::Done);
+}
--- /dev/null
+++ b/crates/jasminefall-state/tests/waves_and_budgets.rs
@@ -0,0 +1,115 @@
+//! What budgets, waves and moves allow, step by step.
+
+#[path = "support/fleet_site.rs"]
+mod fleet_site;
+
+use fleet_site::*;
+use jasminefall_core::prelude::*;
+use jasminefall_state::prelude::*;
+
+fn cordon() -> Action {
+    Action::Cordon(Purpose::Maintenance)
+}
+
+fn is_held(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Refused(Refusal::Held(_)))
+}
+
+#[test]
+fn two_waves_on_one_instance_reboot_it_once() {
+    let mut state = started();
+    wave(&mut state, "all", WaveAction::Start);
+    wave(&mut state, "again", WaveAction::Start);
+    maintain(&mut state, "w1", 2);
+    for name in ["all", "again"] {
+        let started = state.waves.get(&name.into()).expect("started");
+        assert_eq!(started.members[&InstanceId::new("w1")], MemberState::Done);
+    }
+    assert!(is_held(&step(&mut state, "w1", cordon())));
+}
+
+#[test]
+fn failures_use_up_the_budget_between_plan_and_commit() {
+    let mut state = started();
+    wave(&mut state, "all", WaveAction::Start);
+    lose(&mut state, "w2", true);
+    let outcome = step(&mut state, "w1", cordon());
+    let Outcome::Refused(refusal) = outcome else {
+        panic!("the step was taken");
+    };
+    assert!(refusal.to_string().contains("max_unavailable"), "{refusal}");
+    hear(&mut state, "w2", 1);
+    assert_eq!(step(&mut state, "w1", cordon()), Outcome::Done);
+    assert_eq!(step(&mut state, "w1", Action::Drain), Outcome::Done);
+    lose(&mut state, "w2", true);
+    assert!(is_held(&step(&mut state, "w1", Action::Reboot)));
+    assert_eq!(step(&mut state, "w1", Action::Return), Outcome::Done);
+}
+
+#[test]
+fn a_reboot_waits_for_the_last_task() {
+    let mut state = started();
+    let job = submit(&mut state, request("a", false));
+    let epoch = place(&mut state, job, "w1");
+    wave(&mut state, "all", WaveAction::Start);
+    assert_eq!(step(&mut state, "w1", cordon()), Outcome::Done);
+    assert_eq!(step(&mut state, "w1", Action::Drain), Outcome::Done);
+    assert!(is_held(&step(&mut state, "w1", Action::Reboot)));
+    report(&mut state, job, epoch, TaskResult::Completed);
+    assert_eq!(step(&mut state, "w1", Action::Reboot), Outcome::Done);
+}
+
+#[test]
+fn a_step_planned_against_an_older_epoch_is_refused() {
+    let mut state = started();
+    wave(&mut state, "all", WaveAction::Start);
+    let instance = InstanceId::new("w1");
+    let epoch = state.instances.get(&instance).expect("declared").epoch;
+    let planned = InstanceStep {
+        instance,
+        epoch,
+        action: cordon(),
+    };
+    assert_eq!(step(&mut state, "w1", cordon()), Outcome::Done);
+    assert_eq!(step(&mut state, "w1", Action::Return), Outcome::Done);
+    assert!(is_held(&apply(&mut state, Command::Step(planned))));
+}
+
+#[test]
+fn a_wave_pauses_after_two_instances_did_not_come_back_and_can_be_resumed() {
+    let mut state = started();
+    wave(&mut state, "all", WaveAction::Start);
+    for instance in ["w1", "w2"] {
+        for action in [cordon(), Action::Drain, Action::Reboot, Action::GiveUp] {
+            assert_eq!(step(&mut state, instance, action), Outcome::Done);
+        }
+        assert_eq!(step(&mut state, instance, Action::Return), Outcome::Done);
+    }
+    let stands = |state: &ClusterState| {
+        let wave = state.waves.get(&"all".into());
+        wave.expect("started").state.clone()
+    };
+    assert!(matches!(stands(&state), WaveState::Paused { .. }));
+    assert!(is_held(&step(&mut state, "w3", cordon())));
+    wave(&mut state, "all", WaveAction::Resume);
+    maintain(&mut state, "w3", 2);
+    assert_eq!(stands(&state), WaveState::Completed);
+}
+
+#[test]
+fn a_changed_desired_state_adds_and_drops_instances_of_a_running_wave() {
+    let mut state = started();
+    wave(&mut state, "all", WaveAction::Start);
+    maintain(&mut state, "w1", 2);
+    let text = DESIRED.replace("instance.w3", "instance.w4");
+    let outcome = publish(&mut state, "second", &text);
+    assert_eq!(outcome, Outcome::Published(Version::new(2)));
+    let expected = [
+        ("w1", MemberState::Done),
+        ("w2", MemberState::Pending),
+        ("w4", MemberState::Pending),
+    ];
+    let expected = expected.map(|(name, state)| (InstanceId::new(name), state));
+    let wave = state.waves.get(&"all".into()).expect("started");
+    assert_eq!(wave.members, expected.into());
+}
--- /dev/null
+++ b/crates/jasminefall-testing/tests/fleet_waves.rs
@@ -0,0 +1,176 @@
+//! Waves and moves with real control replicas, whose leader is killed between every two steps.
+
+use std::collections::BTreeMap;
+
+use jasminefall_testing::site::{Site, wait_for};
+use jasminefall_testing::worker::FakeWorker;
+use serde_json::Value;
+
+/// Declares racks of two instances, all of one pool but the last, which is spare.
+fn desired(instances: usize) -> String {
+    let mut text = "[fleet]\nname = demo\n[budget.standard]\nmax_unavailable = 1\n\
+        [pool.general]\nbudget = standard\n[pool.spare]\nbudget = standard\nspare = true\n\
+        [team.guild]\n[wave.all]\npools = general\nreboot_timeout = 2s\nsoftware = v2\n"
+        .to_owned();
+    for number in 1..=instances {
+        let pool = if number == instances {
+            "spare"
+        } else {
+            "general"
+        };
+        text += &format!(
+            "[instance.w{number}]\npool = {pool}\ndata_centre = dc1\nrack = r{}\n",
+            number / 2
+        );
+    }
+    text
+}
+
+fn workers(site: &Site, count: usize) -> BTreeMap<String, FakeWorker> {
+    let names = (1..=count).map(|number| format!("w{number}"));
+    let start = |name: String| {
+        let worker = FakeWorker::start(&name, &site.workers());
+        worker.shared().software = "v2".to_owned();
+        (name, worker)
+    };
+    names.map(start).collect()
+}
+
+fn rows(site: &Site, what: &str) -> Vec<Value> {
+    let (_, printed) = site.ctl(&[what, "--json"]);
+    serde_json::from_str(&printed).unwrap_or_default()
+}
+
+fn in_service(site: &Site, pool: &str) -> u64 {
+    let pools = rows(site, "pools");
+    let pool = pools.iter().find(|one| one["pool"] == pool);
+    pool.map_or(0, |pool| pool["in_service"].as_u64().unwrap_or(0))
+}
+
+fn instance(site: &Site, name: &str) -> Value {
+    let instances = rows(site, "instances");
+    let found = instances.into_iter().find(|one| one["name"] == name);
+    found.unwrap_or_default()
+}
+
+fn wave(site: &Site) -> Value {
+    rows(site, "waves").into_iter().next().unwrap_or_default()
+}
+
+fn leader(site: &Site) -> usize {
+    let (_, printed) = site.ctl(&["status", "--json"]);
+    let status: Value = serde_json::from_str(&printed).unwrap_or_default();
+    let leader = status["replica"]["leader"].as_u64().unwrap_or(1);
+    usize::try_from(leader - 1).expect("few replicas")
+}
+
+/// Kills the leader and starts it again.
+fn fell_leader(site: &mut Site) {
+    let position = leader(site);
+    site.kill_control(position);
+    site.start_control(position);
+}
+
+async fn all_heard(site: &Site, count: usize) {
+    wait_for("every worker is heard", || async {
+        let heard = rows(site, "instances");
+        heard
+            .iter()
+            .filter(|one| !one["incarnation"].is_null())
+            .count()
+            == count
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_wave_and_a_move_end_although_the_leader_falls_between_any_two_steps() {
+    let mut site = Site::new(3, 1).started();
+    site.apply(0, &(desired(3) + &site.entry_sections()));
+    let workers = workers(&site, 3);
+    all_heard(&site, 3).await;
+    let (started, printed) = site.ctl(&["waves", "start", "all"]);
+    assert!(started, "{printed}");
+
+    let mut seen = Value::Null;
+    let mut killed = 0;
+    while wave(&site)["state"] != "completed" {
+        let conditions = [instance(&site, "w1"), instance(&site, "w2")];
+        let conditions: Value = conditions
+            .iter()
+            .map(|one| one["condition"].clone())
+            .collect();
+        if conditions != seen && killed < 5 {
+            seen = conditions;
+            killed += 1;
+            fell_leader(&mut site);
+        }
+        assert!(in_service(&site, "general") >= 1, "the budget is broken");
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    for name in ["w1", "w2"] {
+        assert_eq!(workers[name].shared().reboots, 1, "{name}");
+    }
+
+    let (moved, printed) = site.ctl(&["move", "w3", "general"]);
+    assert!(moved, "{printed}");
+    fell_leader(&mut site);
+    wait_for("the instance is handed over or back", || async {
+        instance(&site, "w3")["condition"] == "in-service"
+    })
+    .await;
+    let pool = instance(&site, "w3")["pool"].clone();
+    assert!(pool == "general" || pool == "spare", "{pool}");
+}
+
+#[actix_rt::test]
+async fn an_instance_that_does_not_come_back_is_replaced_and_reported() {
+    let site = Site::new(1, 1).started();
+    site.apply(0, &(desired(4) + &site.entry_sections()));
+    let workers = workers(&site, 4);
+    all_heard(&site, 4).await;
+    workers["w1"].shared().stays_away = true;
+    let (started, printed) = site.ctl(&["waves", "start", "all"]);
+    assert!(started, "{printed}");
+    wait_for("the spare replaces it", || async {
+        instance(&site, "w4")["pool"] == "general"
+    })
+    .await;
+    wait_for("the wave ends", || async {
+        wave(&site)["state"] == "completed"
+    })
+    .await;
+    assert_eq!(wave(&site)["failed"], 1);
+    let (_, explained) = site.ctl(&["explain", "instance", "w1"]);
+    assert!(explained.contains("did not come back well"), "{explained}");
+}
+
+#[actix_rt::test]
+async fn a_rack_lost_in_a_wave_holds_it_until_the_rack_is_back() {
+    let site = Site::new(1, 1).started();
+    site.apply(0, &(desired(6) + &site.entry_sections()));
+    let mut workers = workers(&site, 6);
+    all_heard(&site, 6).await;
+    workers.retain(|name, _| name != "w2" && name != "w3");
+    wait_for("the rack is lost", || async {
+        in_service(&site, "general") == 3
+    })
+    .await;
+    let (started, printed) = site.ctl(&["waves", "start", "all"]);
+    assert!(started, "{printed}");
+    wait_for("the wave says what holds it", || async {
+        let (_, explained) = site.ctl(&["explain", "wave", "all"]);
+        explained.contains("budget of pool `general` is used up")
+    })
+    .await;
+    assert_eq!(in_service(&site, "general"), 3, "no planned step was taken");
+    for name in ["w2", "w3"] {
+        let worker = FakeWorker::start(name, &site.workers());
+        worker.shared().software = "v2".to_owned();
+        workers.insert(name.to_owned(), worker);
+    }
+    wait_for("the wave ends", || async {
+        wave(&site)["state"] == "completed"
+    })
+    .await;
+}
