fix: judge waits by the clock, not by the latest command

Cause: a wave stood still for good in verifying: the state's time moves with commands only, and none came. Seen failing: a_wave_and_a_move_end_although_the_leader_falls_between_any_two_steps. Change: the leader judges waits by its wall clock, never behind the state's time. Conclusion: a wave ends although the leader is killed between its steps.

--- a/crates/jasminefall-control/src/planner/instances.rs
+++ b/crates/jasminefall-control/src/planner/instances.rs
@@ -4,7 +4,7 @@
 
 use jasminefall_core::prelude::*;
 use jasminefall_policy::waves::{Limits, Pending, choose};
-use jasminefall_runtime::clock::monotonic_ms;
+use jasminefall_runtime::clock::{monotonic_ms, wall_ms};
 use jasminefall_state::prelude::*;
 
 use crate::node::View;
@@ -32,6 +32,11 @@
     commands
 }
 
+/// Returns the time by which waits are judged; the state's own stands still without commands.
+fn now_ms(view: &View) -> u64 {
+    wall_ms().max(view.state.now_ms)
+}
+
 fn step(id: &InstanceId, instance: &Instance, action: Action) -> InstanceStep {
     InstanceStep {
         instance: id.clone(),
@@ -54,7 +59,7 @@
         (Condition::Rebooting | Condition::Verifying, _) => after_reboot(view, id, instance),
         (Condition::Failed | Condition::InService, _) | (_, Purpose::Lost) => None,
         (_, Purpose::Held(holder)) if holder == SET_ASIDE_BY => {
-            let waited_ms = view.state.now_ms.saturating_sub(instance.since_ms);
+            let waited_ms = now_ms(view).saturating_sub(instance.since_ms);
             (waited_ms >= TRY_AGAIN_AFTER_MS).then_some(Action::Return)
         }
         (condition, Purpose::Held(_)) => {
@@ -107,7 +112,7 @@
 fn after_reboot(view: &View, id: &InstanceId, instance: &Instance) -> Option<Action> {
     let waves = listing(view, id);
     let declared: Vec<&WaveDeclaration> = waves.collect();
-    let waited_ms = view.state.now_ms.saturating_sub(instance.since_ms);
+    let waited_ms = now_ms(view).saturating_sub(instance.since_ms);
     let timeout_ms = declared
         .iter()
         .map(|wave| wave.reboot_timeout_ms.get())
@@ -182,7 +187,7 @@
 
 /// Returns whether an instance is not expected back by itself.
 fn is_given_up(view: &View, instance: &Instance) -> bool {
-    let failed_for_ms = view.state.now_ms.saturating_sub(instance.since_ms);
+    let failed_for_ms = now_ms(view).saturating_sub(instance.since_ms);
     let overdue = instance.purpose == Purpose::Lost && failed_for_ms >= REPLACE_LOST_AFTER_MS;
     instance.condition == Condition::Failed && (instance.purpose == Purpose::NotVerified || overdue)
 }
@@ -326,7 +331,7 @@
     }
     let undisturbed = |job: &&Job| {
         let end_ms = job.task().map_or(0, |task| task.at_ms) + job.request.expected_ms.get();
-        let left_ms = end_ms.saturating_sub(view.state.now_ms);
+        let left_ms = end_ms.saturating_sub(now_ms(view));
         !job.request.can_checkpoint && left_ms > declared.longest_task_ms.get()
     };
     let job = view.state.jobs.on_worker(&worker).find(undisturbed)?;
--- a/crates/jasminefall-testing/tests/fleet_waves.rs
+++ b/crates/jasminefall-testing/tests/fleet_waves.rs
@@ -1,6 +1,7 @@
 //! Waves and moves with real control replicas, whose leader is killed between every two steps.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use jasminefall_testing::site::{Site, wait_for};
 use jasminefall_testing::worker::FakeWorker;
@@ -94,7 +95,9 @@
 
     let mut seen = Value::Null;
     let mut killed = 0;
+    let deadline = Instant::now() + Duration::from_secs(30);
     while wave(&site)["state"] != "completed" {
+        assert!(Instant::now() < deadline, "the wave stands still");
         let conditions = [instance(&site, "w1"), instance(&site, "w2")];
         let conditions: Value = conditions
             .iter()
@@ -106,7 +109,7 @@
             fell_leader(&mut site);
         }
         assert!(in_service(&site, "general") >= 1, "the budget is broken");
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
     }
     for name in ["w1", "w2"] {
         assert_eq!(workers[name].shared().reboots, 1, "{name}");
