--- a/crates/jasminefall-control/src/edge.rs
+++ b/crates/jasminefall-control/src/edge.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod fleet;
 pub(crate) mod operators;
+pub(crate) mod service_levels;
 pub(crate) mod workers;
 
 use actix_web::HttpResponse;
--- a/crates/jasminefall-policy/src/lib.rs
+++ b/crates/jasminefall-policy/src/lib.rs
@@ -13,16 +13,18 @@
 //! # Module map
 //!
 //! - [`slots`]: how the slots of a backend server are shared by the entries
-//! - [`routing`]: which backend server gets a request
+//! - [`admission`]: which requests wait, in which order they get slots, which are refused at once
+//! - [`ejection`]: which backend servers are left out because they fail what they are given
 //! - [`placement`]: which worker gets a job
 //! - [`sizing`]: what a job really needs, by kind
 //! - [`worker_health`]: whether a worker or its jobs are at fault
 //! - [`preemption`]: how urgent work gets room
 //! - [`waves`]: which instances of a maintenance wave are taken next
 
+pub mod admission;
+pub mod ejection;
 pub mod placement;
 pub mod preemption;
-pub mod routing;
 pub mod sizing;
 pub mod slots;
 pub mod waves;
--- a/crates/jasminefall-state/src/cluster.rs
+++ b/crates/jasminefall-state/src/cluster.rs
@@ -8,6 +8,7 @@
 use crate::jobs::Jobs;
 use crate::outcome::Outcome;
 use crate::pools::Instances;
+use crate::service_levels::ServiceLevels;
 use crate::waves::Waves;
 
 /// Holds everything that the control replicas agree on.
@@ -21,6 +22,8 @@
     pub claims: Claims,
     /// The jobs and their tasks.
     pub jobs: Jobs,
+    /// What became of requests over time.
+    pub service_levels: ServiceLevels,
     /// The instances with their pools and conditions.
     pub instances: Instances,
     /// The maintenance waves.
@@ -54,10 +57,18 @@
                 self.jobs.report(now_ms, reports);
                 Outcome::Done
             }
+            Command::Observe(batch) => {
+                self.service_levels.observe(now_ms, batch);
+                Outcome::Done
+            }
             Command::Cancel(jobs) => {
                 self.jobs.cancel(now_ms, &jobs);
                 Outcome::Done
             }
+            Command::Release(releases) => {
+                self.claims.release(now_ms, &releases);
+                Outcome::Done
+            }
             Command::Wish(changes) => {
                 self.jobs.wish(&changes);
                 Outcome::Done
--- a/crates/jasminefall-state/src/command.rs
+++ b/crates/jasminefall-state/src/command.rs
@@ -3,10 +3,11 @@
 use jasminefall_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::claims::{ClaimRequest, RecordedAnswer};
+use crate::claims::{ClaimRelease, ClaimRequest, RecordedAnswer};
 use crate::configuration::ApplyRequest;
 use crate::jobs::{JobRequest, Placement, TaskReport, WishChange};
 use crate::pools::InstanceStep;
+use crate::service_levels::ObservationBatch;
 use crate::waves::WaveRequest;
 
 /// Carries a command with the leader's clock at its proposal.
@@ -37,6 +38,10 @@
     Report(Vec<TaskReport>),
     /// Cancels jobs.
     Cancel(Vec<JobId>),
+    /// Takes what an entry counted of its requests.
+    Observe(ObservationBatch),
+    /// Gives back claims of requests that did not run.
+    Release(Vec<ClaimRelease>),
     /// Changes what is wanted of tasks.
     Wish(Vec<WishChange>),
     /// Notes workers that are lost; their leases have run out.
--- a/crates/jasminefall-state/src/lib.rs
+++ b/crates/jasminefall-state/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`configuration`]: published versions of the desired state
 //! - [`claims`]: requests that run at most once
 //! - [`jobs`]: jobs and their tasks on workers
+//! - [`service_levels`]: what became of requests over time
 //! - [`pools`]: instances with their pool and condition, and the budget check
 //! - [`waves`]: maintenance waves and their progress
 //! - `fleet`: steps that touch instances, jobs and waves together
@@ -34,6 +35,7 @@
 pub mod outcome;
 pub mod pools;
 pub mod prelude;
+pub mod service_levels;
 pub mod waves;
 
 pub use cluster::ClusterState;
