feat: decide spare, sizes and measures, tested against naive versions

Cause: spare, learnt sizes, faults, measures for urgent work and the order of waves were untested. Change: capacity (shared spare, borrowing by weights, lasting lacks), tests against first fit and one instance at a time.

--- /dev/null
+++ b/crates/jasminefall-policy/examples/fleet-costs.rs
@@ -0,0 +1,261 @@
+//! Measures the fleet's decisions against naive ones: `cargo run --release -p jasminefall-policy --example fleet-costs`.
+//!
+//! Placement is timed at three sizes. A page of code generates the demand of two sites, and the
+//! decisions are fed with it as functions.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use jasminefall_core::prelude::*;
+use jasminefall_policy::capacity::{
+    MoveFilter, PoolDemand, Weights, borrow_for_wave, shared_spare, summed_spare,
+};
+use jasminefall_policy::placement::{Need, Room, Rooms, place_first_fit};
+use jasminefall_policy::waves::{Limits, Pending, choose};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+
+const ROUNDS: usize = 41;
+const JOBS: usize = 500;
+const RACK_SIZE: usize = 4;
+const POOLS: usize = 5;
+const EXECUTORS: u64 = 10;
+const DAY_S: u64 = 86_400;
+
+fn main() {
+    placement();
+    buffers();
+    waves();
+    schedule();
+}
+
+fn rooms(count: usize) -> Vec<Room> {
+    let room = |number: usize| Room {
+        worker: WorkerId::new(format!("w{number}")),
+        rack: RackId::new(format!("r{}", number / RACK_SIZE)),
+        data_centre: DataCentreId::new(format!("dc{}", number % 3)),
+        left: Need {
+            cpu_mcores: MilliCores::new(64_000),
+            memory_bytes: Bytes::new(256 << 30),
+            accelerators: 2,
+        },
+    };
+    (0..count).map(room).collect()
+}
+
+fn needs(random: &mut ChaCha8Rng) -> Vec<Need> {
+    let need = |_| Need {
+        cpu_mcores: MilliCores::new(500 + u64::from(random.next_u32() % 4_000)),
+        memory_bytes: Bytes::new(u64::from(1 + random.next_u32() % 12) << 30),
+        accelerators: u64::from(random.next_u32().is_multiple_of(20)),
+    };
+    (0..JOBS).map(need).collect()
+}
+
+/// Times both decisions alternately in one run.
+fn placement() {
+    println!(
+        "| workers | decision | median ns a job | p95 ns a job | most tasks on one worker | racks used by one kind |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let mut random = ChaCha8Rng::seed_from_u64(6);
+    for workers in [50, 500, 5_700] {
+        let (mut ours, mut naive, mut build) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut our_spread, mut naive_spread) = ((0, 0), (0, 0));
+        for _ in 0..ROUNDS {
+            let needs = needs(&mut random);
+            let fresh = rooms(workers);
+            let start = Instant::now();
+            let mut ordered = Rooms::new(fresh);
+            build.push(start.elapsed().as_nanos() / JOBS as u128);
+            let kind = SmolStr::from("render");
+            let start = Instant::now();
+            let placed: Vec<_> = needs
+                .iter()
+                .filter_map(|need| ordered.place(&kind, need, &[]))
+                .collect();
+            ours.push(start.elapsed().as_nanos() / JOBS as u128);
+            our_spread = spread(&placed);
+            let mut plain = rooms(workers);
+            let start = Instant::now();
+            let placed: Vec<_> = needs
+                .iter()
+                .filter_map(|need| place_first_fit(&mut plain, need))
+                .collect();
+            naive.push(start.elapsed().as_nanos() / JOBS as u128);
+            naive_spread = spread(&placed);
+        }
+        for (name, times, (most, racks)) in [
+            ("ordered rooms", &mut ours, our_spread),
+            ("first fit", &mut naive, naive_spread),
+            (
+                "building the order, a job of a round of 500",
+                &mut build,
+                (0, 0),
+            ),
+        ] {
+            times.sort_unstable();
+            let (median, high) = (times[ROUNDS / 2], times[ROUNDS * 95 / 100]);
+            println!("| {workers} | {name} | {median} | {high} | {most} | {racks} |");
+        }
+    }
+}
+
+fn spread(placed: &[WorkerId]) -> (usize, usize) {
+    let mut tasks: BTreeMap<&WorkerId, usize> = BTreeMap::new();
+    let mut racks: BTreeMap<usize, usize> = BTreeMap::new();
+    for worker in placed {
+        *tasks.entry(worker).or_default() += 1;
+        let number: usize = worker.as_str()[1..].parse().unwrap_or(0);
+        *racks.entry(number / RACK_SIZE).or_default() += 1;
+    }
+    (tasks.values().copied().max().unwrap_or(0), racks.len())
+}
+
+/// Returns what a queue asks of its pool in instances, at a second of the day.
+///
+/// Each queue in its turn asks for five times its mean for 20 s, and a twentieth in between; the mean
+/// itself doubles in the evening.
+fn demand(pool: usize, second: u64) -> (u64, u64) {
+    let evening = (64_800..75_600).contains(&second);
+    let mean = EXECUTORS * if evening { 2 } else { 1 } / 2;
+    let turn = second / 20 % POOLS as u64 == pool as u64;
+    let now = if turn { 5 * mean } else { mean.div_ceil(20) };
+    (mean, now)
+}
+
+fn buffers() {
+    println!(
+        "\n| site | provisioning | instances held | of them buffer | moves a day | seconds short of the mean |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for (site, survives) in [("Mauritius", false), ("Sfax", true)] {
+        let demands: Vec<PoolDemand> = (0..POOLS)
+            .map(|_| PoolDemand {
+                forecast: EXECUTORS,
+                peak: 5 * EXECUTORS,
+                largest_rack: RACK_SIZE as u64,
+                largest_data_centre: EXECUTORS.div_ceil(3),
+                survive_data_centre: survives,
+            })
+            .collect();
+        let base = EXECUTORS * POOLS as u64;
+        for (name, spare, lasting_ms) in [
+            ("peak, each pool for itself", summed_spare(&demands), 0),
+            (
+                "shared spare, moves after 60 s",
+                shared_spare(&demands),
+                60_000,
+            ),
+            ("shared spare, moves at once", shared_spare(&demands), 0),
+        ] {
+            let (moves, short) = day(spare, lasting_ms, name.starts_with("peak"));
+            println!(
+                "| {site} | {name} | {} | {spare} | {moves} | {short} |",
+                base + spare
+            );
+        }
+    }
+}
+
+/// Feeds a day to the move decision; returns the moves and the seconds in which a pool lacked its mean.
+fn day(spare: u64, lasting_ms: u64, own: bool) -> (u64, u64) {
+    let mut lent = [0u64; POOLS];
+    let mut filters = [MoveFilter::new(DurationMs::new(lasting_ms)); POOLS];
+    let (mut moves, mut short) = (0, 0);
+    for second in 0..DAY_S {
+        for pool in 0..POOLS {
+            let (mean, now) = demand(pool, second);
+            if own {
+                continue;
+            }
+            let held = EXECUTORS + lent[pool];
+            let lacking = now.saturating_sub(held);
+            let free = spare - lent.iter().sum::<u64>();
+            if filters[pool].note(second * 1_000, lacking) && free > 0 {
+                let taken = lacking.min(free);
+                lent[pool] += taken;
+                moves += taken;
+            }
+            if lacking == 0 && lent[pool] > 0 && now < EXECUTORS {
+                moves += lent[pool];
+                lent[pool] = 0;
+            }
+            short += u64::from(EXECUTORS + lent[pool] < mean);
+        }
+    }
+    (moves, short)
+}
+
+/// Runs a wave over one pool in rounds; returns the rounds that it takes.
+fn rounds(instances: u64, at_once: u64, order: WaveOrder) -> u64 {
+    let mut pending: Vec<Pending> = (0..instances)
+        .map(|number| Pending {
+            instance: InstanceId::new(format!("w{number}")),
+            pool: "general".into(),
+            rack: RackId::new(format!("r{}", number / RACK_SIZE as u64)),
+            hold: None,
+        })
+        .collect();
+    let mut rounds = 0;
+    while !pending.is_empty() {
+        let limits = Limits {
+            order,
+            at_once: u64::MAX,
+            headroom: BTreeMap::from([("general".into(), at_once)]),
+            ..Limits::default()
+        };
+        let taken = choose(&pending, limits).taken;
+        pending.retain(|one| !taken.contains(&one.instance));
+        rounds += 1;
+    }
+    rounds
+}
+
+fn waves() {
+    println!(
+        "\n| wave over 50 instances | weights (roll-out : moves) | borrowed | rounds | moves |"
+    );
+    println!("| --- | --- | --- | --- | --- |");
+    println!(
+        "| one instance at a time | - | 0 | {} | 0 |",
+        rounds(50, 1, WaveOrder::Spread)
+    );
+    for (name, rollout_time, moves) in [("Mauritius", 8, 1), ("balanced", 2, 1), ("Sfax", 1, 4)] {
+        let borrowed = borrow_for_wave(
+            50,
+            2,
+            8,
+            Weights {
+                rollout_time,
+                moves,
+            },
+        );
+        let spread = rounds(50, 2 + borrowed, WaveOrder::Spread);
+        let racks = rounds(50, 2 + borrowed, WaveOrder::RackByRack);
+        println!(
+            "| {name}, spread | {rollout_time} : {moves} | {borrowed} | {spread} | {} |",
+            2 * borrowed
+        );
+        println!(
+            "| {name}, rack by rack | {rollout_time} : {moves} | {borrowed} | {racks} | {} |",
+            2 * borrowed
+        );
+    }
+}
+
+/// Works the three weeks out on paper from the rounds of one pool.
+fn schedule() {
+    let per_pool = 5_700_u64.div_ceil(55);
+    println!("\n| instances a pool | at once | rounds | days at 15 min a round |");
+    println!("| --- | --- | --- | --- |");
+    for at_once in [1, 2, 4] {
+        let rounds = rounds(per_pool, at_once, WaveOrder::Spread);
+        let minutes = rounds * 15;
+        println!(
+            "| {per_pool} | {at_once} | {rounds} | {}.{} |",
+            minutes / 1_440,
+            minutes % 1_440 * 10 / 1_440
+        );
+    }
+}
--- a/crates/jasminefall-policy/src/lib.rs
+++ b/crates/jasminefall-policy/src/lib.rs
@@ -18,10 +18,12 @@
 //! - [`placement`]: which worker gets a job
 //! - [`sizing`]: what a job really needs, by kind
 //! - [`worker_health`]: whether a worker or its jobs are at fault
+//! - [`capacity`]: how much spare a site holds and what is borrowed for a wave
 //! - [`preemption`]: how urgent work gets room
 //! - [`waves`]: which instances of a maintenance wave are taken next
 
 pub mod admission;
+pub mod capacity;
 pub mod ejection;
 pub mod placement;
 pub mod preemption;
--- a/crates/jasminefall-policy/src/placement.rs
+++ b/crates/jasminefall-policy/src/placement.rs
@@ -76,8 +76,6 @@
 
 /// How many workers with the most room are weighed for one job.
 const CANDIDATES: usize = 16;
-/// How many workers are looked through for candidates, where most lack memory or accelerators.
-const MAX_LOOKED_AT: usize = 512;
 
 impl Rooms {
     /// Creates the order of `rooms`.
@@ -112,8 +110,8 @@
     /// Of the workers with the most processors left, the one wins whose data centre, then rack, runs
     /// the fewest tasks of the same kind; workers in `avoid` come last.
     pub fn place(&mut self, kind: &SmolStr, need: &Need, avoid: &[WorkerId]) -> Option<WorkerId> {
-        let looked_at = self.by_cpu.iter().rev().take(MAX_LOOKED_AT);
-        let fitting = looked_at
+        let roomiest = self.by_cpu.iter().rev();
+        let fitting = roomiest
             .take_while(|(cpu_mcores, _)| *cpu_mcores >= need.cpu_mcores)
             .filter(|(_, position)| need.fits_in(&self.rooms[*position].left));
         let rank = |position: usize| {
--- a/crates/jasminefall-testing/src/worker.rs
+++ b/crates/jasminefall-testing/src/worker.rs
@@ -91,7 +91,6 @@
     }
 
     /// Returns what may be looked at and changed.
-    #[must_use]
     pub fn shared(&self) -> MutexGuard<'_, Shared> {
         lock(&self.shared)
     }
