--- a/crates/jasminefall-control/src/edge.rs
+++ b/crates/jasminefall-control/src/edge.rs
@@ -2,6 +2,7 @@
 //!
 //! The modules below translate and decide nothing.
 
+pub(crate) mod fleet;
 pub(crate) mod operators;
 mod operators_members;
 pub(crate) mod service_levels;
--- a/crates/jasminefall-control/src/edge/operators.rs
+++ b/crates/jasminefall-control/src/edge/operators.rs
@@ -46,6 +46,7 @@
             )
             .configure(publishing::add_routes)
             .configure(history::add_routes)
+            .configure(super::fleet::configure)
     });
     let server = server
         .workers(1)
--- a/crates/jasminefall-control/src/edge/operators/publishing.rs
+++ b/crates/jasminefall-control/src/edge/operators/publishing.rs
@@ -141,11 +141,10 @@
     let mut jobs_by_team = BTreeMap::new();
     let mut tasks_by_instance = BTreeMap::new();
     for job in view.state.jobs.iter() {
-        let placed = match &job.state {
-            JobState::Waiting => None,
-            JobState::Placed { worker, .. } => Some(InstanceId::new(worker.as_str())),
-            _ => continue,
-        };
+        if job.state.has_ended() {
+            continue;
+        }
+        let placed = job.task().map(|task| InstanceId::new(task.worker.as_str()));
         *jobs_by_team.entry(job.request.team.clone()).or_insert(0) += 1;
         if let Some(instance) = placed {
             *tasks_by_instance.entry(instance).or_insert(0) += 1;
--- a/crates/jasminefall-control/src/node.rs
+++ b/crates/jasminefall-control/src/node.rs
@@ -171,7 +171,7 @@
         let view = View {
             state,
             entry_leases: EntryLeases::default(),
-            workers: WorkerBook::default(),
+            workers: WorkerBook::new(monotonic_ms()),
         };
         Self {
             replica,
@@ -279,7 +279,7 @@
         if leads && !self.was_leader {
             log::info!("event=leads term={}", self.replica.term());
             self.view.entry_leases.start_over(monotonic_ms());
-            self.view.workers = WorkerBook::default();
+            self.view.workers = WorkerBook::new(monotonic_ms());
         }
         if !leads && self.was_leader {
             log::info!("event=follows term={}", self.replica.term());
--- a/crates/jasminefall-control/src/node/handle.rs
+++ b/crates/jasminefall-control/src/node/handle.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::members::MembersBody;
-use super::messages::{ChangeMembers, Look, LookAt, LookAtMembers, Propose, Step};
+use super::messages::{ChangeMembers, Decide, Look, LookAt, LookAtMembers, Propose, Step};
 use super::{Node, ReplicaStatus, View};
 
 /// Reaches the node from any thread, also after the node has been restarted.
@@ -44,6 +44,16 @@
             .unwrap_or(Err(ControlError::Unknown))
     }
 
+    /// Looks at the fresh state and proposes what follows from it, with nothing handled in between.
+    pub(crate) async fn decide(
+        &self,
+        decide: impl FnOnce(&mut View) -> Option<Command> + Send + 'static,
+    ) -> Result<Option<Outcome>, ControlError> {
+        let address = self.get().ok_or(ControlError::NotLeader(None))?;
+        let sent = address.send(Decide(Box::new(decide))).await;
+        sent.unwrap_or(Err(ControlError::Unknown))
+    }
+
     /// Looks at the state where it is fresh, which only the leader can promise.
     pub(crate) async fn look_fresh<T: Send + 'static>(
         &self,
--- a/crates/jasminefall-control/src/node/messages.rs
+++ b/crates/jasminefall-control/src/node/messages.rs
@@ -77,6 +77,39 @@
     type Result = ResponseFuture<ProposeAnswer>;
 
     fn handle(&mut self, Propose(command): Propose, context: &mut Self::Context) -> Self::Result {
+        self.propose(command, context)
+    }
+}
+
+pub(super) type Decision = Box<dyn FnOnce(&mut View) -> Option<Command> + Send>;
+
+/// Looks at the fresh state and proposes what follows from it, with nothing handled in between.
+#[derive(Message)]
+#[rtype(result = "Result<Option<Outcome>, ControlError>")]
+pub(super) struct Decide(pub(super) Decision);
+
+impl Handler<Decide> for Node {
+    type Result = ResponseFuture<Result<Option<Outcome>, ControlError>>;
+
+    fn handle(&mut self, Decide(decide): Decide, context: &mut Self::Context) -> Self::Result {
+        if let Err(error) = self.require_fresh() {
+            return Box::pin(async { Err(error) });
+        }
+        let Some(command) = decide(&mut self.view) else {
+            return Box::pin(async { Ok(None) });
+        };
+        let answer = self.propose(command, context);
+        Box::pin(async { answer.await.map(Some) })
+    }
+}
+
+impl Node {
+    /// Proposes a command; the answer comes once it has been applied here.
+    fn propose(
+        &mut self,
+        command: Command,
+        context: &mut Context<Self>,
+    ) -> ResponseFuture<ProposeAnswer> {
         let is_full = self.waiting.len() >= MAX_WAITING || self.waiting_bytes >= MAX_WAITING_BYTES;
         if is_full || self.is_disk_behind() {
             return Box::pin(async { Err(ControlError::Busy) });
--- a/crates/jasminefall-core/src/prelude.rs
+++ b/crates/jasminefall-core/src/prelude.rs
@@ -2,7 +2,7 @@
 
 pub use crate::desired::{
     Budget, DesiredState, EntryDeclaration, InUse, InstanceDeclaration, ObjectChange,
-    PoolDeclaration, ServiceDeclaration, TeamDeclaration, WaveDeclaration,
+    PoolDeclaration, ServiceDeclaration, TeamDeclaration, WaveDeclaration, WaveOrder,
 };
 pub use crate::document::Document;
 pub use crate::ids::{
--- a/crates/jasminefall-state/src/cluster.rs
+++ b/crates/jasminefall-state/src/cluster.rs
@@ -7,7 +7,9 @@
 use crate::configuration::Configuration;
 use crate::jobs::Jobs;
 use crate::outcome::Outcome;
+use crate::pools::Instances;
 use crate::service_levels::ServiceLevels;
+use crate::waves::Waves;
 
 /// Holds everything that the control replicas agree on.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -22,6 +24,10 @@
     pub jobs: Jobs,
     /// What became of requests over time.
     pub service_levels: ServiceLevels,
+    /// The instances with their pools and conditions.
+    pub instances: Instances,
+    /// The maintenance waves.
+    pub waves: Waves,
 }
 
 impl ClusterState {
@@ -31,7 +37,7 @@
         let now_ms = self.now_ms;
         match stamped.command {
             Command::Tick => Outcome::Done,
-            Command::Apply(request) => self.configuration.apply(now_ms, request),
+            Command::Apply(request) => self.publish(now_ms, request),
             Command::Claim(requests) => Outcome::Claimed(self.claims.claim(now_ms, requests)),
             Command::Record(answers) => {
                 self.claims.record(now_ms, answers);
@@ -42,7 +48,9 @@
                 self.jobs.submit(now_ms, desired, request)
             }
             Command::Place(placements) => {
-                self.jobs.place(now_ms, placements);
+                let desired = self.configuration.desired();
+                self.jobs
+                    .place(now_ms, desired, &self.instances, placements);
                 Outcome::Done
             }
             Command::Report(reports) => {
@@ -61,6 +69,18 @@
                 self.claims.release(now_ms, &releases);
                 Outcome::Done
             }
+            Command::Wish(changes) => {
+                self.jobs.wish(&changes);
+                Outcome::Done
+            }
+            Command::Lose(workers) => self.lose(now_ms, &workers),
+            Command::Hear {
+                instance,
+                incarnation,
+            } => self.hear(now_ms, &instance, incarnation),
+            Command::Step(step) => self.step(now_ms, &step),
+            Command::Wave(request) => self.wave(now_ms, &request),
+            Command::SetAside(step) => self.set_aside(now_ms, &step),
         }
     }
 
--- a/crates/jasminefall-state/src/outcome.rs
+++ b/crates/jasminefall-state/src/outcome.rs
@@ -40,6 +40,13 @@
     Impossible(SmolStr),
     /// The name of the change was used for another text or base.
     ChangeReused,
+    /// Too many jobs are remembered.
+    TooManyJobs {
+        /// How long until room is made, in milliseconds.
+        wait_ms: u64,
+    },
+    /// A constraint holds the step; the text names it and what would free it.
+    Held(SmolStr),
 }
 
 impl fmt::Display for Refusal {
@@ -59,6 +66,13 @@
             Self::ChangeReused => formatter.write_str(
                 "the name of the change was used for another text or base; give this one a new name",
             ),
+            Self::TooManyJobs { wait_ms } => {
+                write!(
+                    formatter,
+                    "too many jobs are remembered; submit again in {wait_ms} ms"
+                )
+            }
+            Self::Held(reason) => formatter.write_str(reason),
         }
     }
 }
--- a/crates/jasminefallctl/src/arguments.rs
+++ b/crates/jasminefallctl/src/arguments.rs
@@ -23,6 +23,16 @@
     status                  show the site and which replicas answer
     members                 show the control replicas as their leader knows them
     members remove N        take control replica N out
+    jobs | pools | instances | waves
+                            list them
+    jobs cancel N...        cancel jobs
+    waves start|pause|resume|abort|watch WAVE
+                            steer a maintenance wave
+    drain INSTANCE          take an instance out of service within the budget
+    return INSTANCE         put an instance back into service
+    move INSTANCE POOL      drain an instance and hand it over to a pool
+    explain job N | instance INSTANCE | wave WAVE
+                            say which constraint holds it and what would free it
 
 Exit codes:
     0 done   2 usage   3 faulty desired state   4 somebody else published first
--- a/crates/jasminefallctl/src/command.rs
+++ b/crates/jasminefallctl/src/command.rs
@@ -4,6 +4,7 @@
 mod check;
 mod diff;
 mod export;
+mod fleet;
 mod history;
 mod members;
 mod status;
@@ -28,6 +29,10 @@
         ["status"] => status::run(arguments).await,
         ["members"] => members::show(arguments).await,
         ["members", "remove", replica] => members::remove(arguments, replica).await,
+        [
+            "jobs" | "pools" | "instances" | "waves" | "drain" | "return" | "move" | "explain",
+            ..,
+        ] => fleet::run(arguments, &words).await,
         [] => Err(usage("no command is given")),
         [unknown, ..] => Err(usage(&format!(
             "`{unknown}` with these words is no command"
