test: take back the test of a waiting request

Cause: the test of the commit before passes also where the lease never runs out (tried on a scratch copy), so it could not fail and showed nothing. Conclusion: that a queued request stays back without a lease is not shown by a test.

--- a/crates/jasminefall-testing/tests/config_in_force.rs
+++ b/crates/jasminefall-testing/tests/config_in_force.rs
@@ -1,20 +1,11 @@
 //! A configuration that is in force everywhere and never reverts, on real processes.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use jasminefall_testing::backend::FakeBackend;
 use jasminefall_testing::proxy::Proxy;
 use jasminefall_testing::site::{Site, wait_for};
 
-/// The slots that the fake backend server announces.
-const SLOTS: usize = 8;
-/// Longer than a lease, so that slots fall free only after it has run out.
-const SLOW_MS: u64 = 5_000;
-/// Longer than a slow call, so that the waiting ones are still there when slots fall free.
-const TIMEOUT_MS: &str = "8000";
-const LONGEST_CALL: Duration = Duration::from_secs(30);
-
 /// Declares a service that only some versions have.
 fn text(site: &Site, service: &str) -> String {
     format!(
@@ -83,40 +74,6 @@
     assert_eq!(taken(&site, 0), [1, 2]);
 }
 
-#[actix_rt::test]
-async fn a_request_that_waits_for_a_slot_does_not_run_once_the_lease_has_run_out() {
-    let site = Site::new(3, 2);
-    let proxies = put_proxies(&site, 0, 3).await;
-    let site = site.started();
-    let backend = FakeBackend::start(site.any_port()).unwrap();
-    let runs = backend.runs.clone();
-    let _backend = backend.with_announcements(site.backends(0), "old");
-    site.apply_beside(0, &text(&site, "old")).await;
-    wait_for("the entry serves", || is_served(site.callers(0), "old")).await;
-
-    let url = format!(
-        "http://{}/call/old/slow?delay_ms={SLOW_MS}",
-        site.callers(0)
-    );
-    let client = awc::Client::builder().timeout(LONGEST_CALL).finish();
-    let calls = (0..2 * SLOTS).map(|_| {
-        let call = client.get(&url);
-        actix_rt::spawn(
-            call.insert_header(("Jasminefall-Timeout-Ms", TIMEOUT_MS))
-                .send(),
-        )
-    });
-    let calls: Vec<_> = calls.collect();
-    wait_for("every slot is taken", || async { runs.all().len() > SLOTS }).await;
-    proxies.iter().for_each(|proxy| proxy.faults.silence(true));
-    site.apply_beside(1, &text(&site, "new")).await;
-    let in_force = runs.all().len();
-    for call in calls {
-        let _ = call.await;
-    }
-    assert_eq!(runs.all().len(), in_force, "the older version was acted on");
-}
-
 #[actix_rt::test]
 async fn a_paused_entry_resumes_without_serving_under_its_lapsed_lease() {
     let site = Site::new(3, 2).started();
