--- a/crates/jasminefall-control/src/metrics.rs
+++ b/crates/jasminefall-control/src/metrics.rs
@@ -82,7 +82,7 @@
         let desired = configuration.desired();
         let lagging = view
             .entry_leases
-            .lagging(desired, configuration.version(), now_ms);
+            .lagging(configuration, configuration.version(), now_ms);
         let live = desired
             .instances
             .keys()
--- a/crates/jasminefall-runtime/src/lib.rs
+++ b/crates/jasminefall-runtime/src/lib.rs
@@ -3,7 +3,7 @@
 //! ```
 //! use jasminefall_runtime::settings::SettingsFile;
 //!
-//! let file = SettingsFile::parse("entry.ini", "[entry]\nname = e1\n").unwrap();
+//! let file = SettingsFile::parse("entry.ini", "[entry]\nname = e1\n");
 //! assert_eq!(file.document.section("entry").unwrap().text("name"), Some("e1"));
 //! ```
 //!
@@ -14,6 +14,7 @@
 //! - [`logging`]: one line of key=value pairs an event
 //! - [`metrics`]: the page that a metrics collector scrapes
 //! - [`supervisor`]: children that are restarted with back-off
+//! - [`tokens`]: operators' tokens
 //! - [`clock`]: wall and monotonic time in milliseconds
 
 pub mod clock;
@@ -22,3 +23,4 @@
 pub mod metrics;
 pub mod settings;
 pub mod supervisor;
+pub mod tokens;
--- a/crates/jasminefall-testing/tests/observability.rs
+++ b/crates/jasminefall-testing/tests/observability.rs
@@ -22,6 +22,8 @@
 fn report(site: &Site) -> String {
     let output = Command::new(Site::program("jasminefall-report"))
         .args(["--control", &site.operators(0).to_string()])
+        .arg("--token-file")
+        .arg(site.folder().join("read-token"))
         .output()
         .expect("the report starts");
     String::from_utf8_lossy(&output.stdout).into_owned()
