fix(replica): let the measurement propose as soon as a commit makes room

Cause: the measuring loop waited up to 10 ms for a message before it proposed again, so with one command outstanding it gave 115 to 124 commits/s at a median of 2.39 ms. Change: propose after each commit. Conclusion: the figures before this are void for few outstanding commands.

--- a/crates/jasminefall-replica/examples/measure_commits.rs
+++ b/crates/jasminefall-replica/examples/measure_commits.rs
@@ -74,20 +74,25 @@
                 self.replica.step(self.now_ms(), message);
             }
             self.replica.tick(self.now_ms());
-            self.propose();
             self.carry_out();
+            // What a commit makes room for leaves at once.
+            if self.propose() {
+                self.carry_out();
+            }
         }
         self.latencies_us
     }
 
-    fn propose(&mut self) {
+    fn propose(&mut self) -> bool {
+        let before = self.under_way.len();
         while self.replica.is_leader() && self.under_way.len() < self.outstanding {
             let command = vec![7; COMMAND_BYTES];
             match self.replica.propose(self.now_ms(), command) {
                 Ok(index) => self.under_way.push((index, Instant::now())),
-                Err(_) => return,
+                Err(_) => return false,
             }
         }
+        self.under_way.len() > before
     }
 
     fn carry_out(&mut self) {
