--- a/crates/jasminefall-control/src/settings.rs
+++ b/crates/jasminefall-control/src/settings.rs
@@ -6,7 +6,8 @@
 
 use jasminefall_core::prelude::*;
 use jasminefall_replica::prelude::{DataCentre, ReplicaId};
-use jasminefall_runtime::settings::SettingsFile;
+use jasminefall_runtime::settings::{self, SettingsFile};
+use jasminefall_runtime::tokens::Tokens;
 use jasminefall_wire::handshake::SiteKey;
 
 /// Long enough for an instance that is only started anew.
@@ -47,6 +48,8 @@
     pub(crate) site_key: SiteKey,
     /// The silence after which a voter is replaced by a learner, in milliseconds.
     pub(crate) replace_after_ms: u64,
+    /// Who may make operators' calls.
+    pub(crate) tokens: Tokens,
     /// The replicas that a new site starts with.
     pub(crate) replicas: BTreeMap<ReplicaId, ReplicaAddresses>,
 }
@@ -65,22 +68,16 @@
         ];
         section.refuse_unknown(&known, &mut file.problems);
         let replicas = read_replicas(&mut file);
+        let tokens = Tokens::read(
+            &path.display().to_string(),
+            &file.document,
+            &mut file.problems,
+        );
         let problems = &mut file.problems;
         let replica = section.read_required("replica", "1", problems);
         let metrics = section.read_optional("metrics", problems);
         let data_folder: Option<SmolStr> = section.read_required("data_folder", "data", problems);
-        let key_file: Option<SmolStr> =
-            section.read_required("site_key_file", "site.key", problems);
-        let secret = key_file.and_then(|key_file| {
-            let secret = std::fs::read(key_file.as_str());
-            secret
-                .map_err(|error| {
-                    let remedy =
-                        "write a random secret there, the same for every process of the site";
-                    problems.add(section.place("site_key_file"), format!("{error}"), remedy);
-                })
-                .ok()
-        });
+        let secret = settings::read_site_key(&section, problems);
         let replace_after_ms = section.read_or("replace_after_ms", REPLACE_AFTER_MS, problems);
         let own = replica.and_then(|replica| replicas.get(&replica).cloned());
         if let (Some(replica), None) = (replica, &own) {
@@ -94,7 +91,7 @@
         let (Some(replica), Some(own), Some(data_folder), Some(secret)) =
             (replica, own, data_folder, secret)
         else {
-            return Err(file.problems);
+            return file.finish(None);
         };
         let settings = Self {
             replica,
@@ -105,9 +102,10 @@
             metrics,
             site_key: SiteKey::new(&secret),
             replace_after_ms,
+            tokens,
             replicas,
         };
-        file.problems.into_result(settings)
+        file.finish(Some(settings))
     }
 }
 
@@ -117,7 +115,7 @@
     for section in file
         .document
         .sections()
-        .filter(|section| section.name() != "control")
+        .filter(|section| section.name() != "control" && !section.name().starts_with("token."))
     {
         let id = section
             .name()
@@ -127,7 +125,7 @@
             problems.add(
                 section.place(""),
                 "the section is unknown",
-                "use [control] or [replica.NUMBER]",
+                "use [control], [replica.NUMBER] or [token.NAME]",
             );
             continue;
         };
