--- a/crates/jasminefall-replica/examples/measure_commits.rs
+++ b/crates/jasminefall-replica/examples/measure_commits.rs
@@ -11,6 +11,8 @@
 use jasminefall_replica::prelude::*;
 
 const DELAY: Duration = Duration::from_millis(1);
+/// Long enough to form the group and elect; nothing is counted before.
+const WARM_UP: Duration = Duration::from_secs(1);
 const RUN: Duration = Duration::from_secs(2);
 const ROUNDS: usize = 3;
 const COMMAND_BYTES: usize = 200;
@@ -121,7 +123,9 @@
             .partition_point(|(index, _)| *index <= commit);
         for (_, proposed) in self.under_way.drain(..done) {
             let taken_us = u64::try_from(proposed.elapsed().as_micros()).unwrap_or(u64::MAX);
-            self.latencies_us.push(taken_us);
+            if self.start.elapsed() >= WARM_UP {
+                self.latencies_us.push(taken_us);
+            }
         }
     }
 
@@ -138,7 +142,7 @@
     let ids = [1, 2, 3].map(ReplicaId);
     let (senders, receivers): (Vec<_>, Vec<_>) = ids.iter().map(|_| channel()).unzip();
     let start = Instant::now();
-    let end = start + Duration::from_secs(1) + RUN;
+    let end = start + WARM_UP + RUN;
     let threads: Vec<_> = ids
         .into_iter()
         .zip(receivers)
