--- a/crates/jasminefall-testing/src/bin/measure-failover.rs
+++ b/crates/jasminefall-testing/src/bin/measure-failover.rs
@@ -18,7 +18,11 @@
         for position in positions {
             let url = format!("http://{}/v1/members", site.operators(*position));
             let client = awc::Client::builder().timeout(ANSWER_LIMIT).finish();
-            let answer = client.get(url).send().await;
+            let answer = client
+                .get(url)
+                .bearer_auth(site.operate_token())
+                .send()
+                .await;
             if answer.is_ok_and(|answer| answer.status().is_success()) {
                 return *position;
             }
--- a/crates/jasminefall-testing/tests/replica_faults.rs
+++ b/crates/jasminefall-testing/tests/replica_faults.rs
@@ -16,7 +16,12 @@
     let client = awc::Client::builder()
         .timeout(Duration::from_secs(1))
         .finish();
-    let mut response = client.get(url).send().await.ok()?;
+    let mut response = client
+        .get(url)
+        .bearer_auth(site.operate_token())
+        .send()
+        .await
+        .ok()?;
     let success = response.status().is_success();
     response.json().await.ok().filter(|_| success)
 }
