chore: merge main into fleet

Cause: configuration commands, tokens and the declared waves landed on main. Conclusion: both sides' meaning is kept.

--- a/crates/jasminefall-control/src/edge/fleet.rs
+++ b/crates/jasminefall-control/src/edge/fleet.rs
@@ -2,6 +2,7 @@
 
 use actix_web::{HttpResponse, web};
 use jasminefall_core::prelude::*;
+use jasminefall_runtime::tokens::Operator;
 use jasminefall_state::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -123,18 +124,19 @@
 #[derive(Debug, Deserialize)]
 #[serde(tag = "action", rename_all = "kebab-case")]
 enum ActBody {
-    Drain { operator: SmolStr },
+    Drain,
     Move { to: PoolId },
     Return,
 }
 
 async fn act(
     handle: web::Data<NodeHandle>,
+    operator: web::ReqData<Operator>,
     instance: web::Path<String>,
     body: web::Json<ActBody>,
 ) -> HttpResponse {
     let action = match body.into_inner() {
-        ActBody::Drain { operator } => Action::Cordon(Purpose::Held(operator)),
+        ActBody::Drain => Action::Cordon(Purpose::Held(operator.name.clone())),
         ActBody::Move { to } => Action::Cordon(Purpose::Move(to)),
         ActBody::Return => Action::Return,
     };
@@ -182,20 +184,19 @@
 /// Asks for something of a wave.
 #[derive(Debug, Deserialize)]
 struct WaveActionBody {
-    operator: SmolStr,
     action: WaveAction,
 }
 
 async fn wave(
     handle: web::Data<NodeHandle>,
+    operator: web::ReqData<Operator>,
     wave: web::Path<String>,
     body: web::Json<WaveActionBody>,
 ) -> HttpResponse {
-    let WaveActionBody { operator, action } = body.into_inner();
     let request = WaveRequest {
         wave: WaveId::new(wave.as_str()),
-        operator,
-        action,
+        operator: operator.name.clone(),
+        action: body.action,
     };
     answer(handle.propose(Command::Wave(request)).await)
 }
--- a/crates/jasminefall-control/src/edge/service_levels.rs
+++ b/crates/jasminefall-control/src/edge/service_levels.rs
@@ -78,11 +78,7 @@
         fresh,
         now_ms: state.now_ms,
         version: state.configuration.version(),
-        published_at_ms: state
-            .configuration
-            .history()
-            .first()
-            .map_or(0, |first| first.at_ms),
+        published_at_ms: state.configuration.first_published_at_ms(),
         entries: desired.entries.keys().cloned().collect(),
         objectives_ppm: objectives
             .map(|(name, service)| (name.clone(), service.objective_ppm))
--- a/crates/jasminefall-core/src/desired.rs
+++ b/crates/jasminefall-core/src/desired.rs
@@ -5,6 +5,8 @@
 //! once.
 
 mod check;
+pub mod difference;
+pub mod in_use;
 mod read;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,6 +14,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use difference::{KeyChange, ObjectChange, ObjectChangeKind, differences};
+pub use in_use::InUse;
+
 use crate::ids::{DataCentreId, EntryId, InstanceId, PoolId, RackId, ServiceId, TeamId, WaveId};
 use crate::problem::Problems;
 use crate::units::{Bytes, DurationMs, MilliCores};
@@ -89,6 +94,8 @@
     pub max_unavailable: u64,
     /// Whether the pool's buffer must outlast the loss of a whole data centre.
     pub survive_data_centre: bool,
+    /// Whether the budget must hold when a whole rack is lost.
+    pub survive_rack: bool,
 }
 
 /// Declares an instance.
@@ -120,16 +127,18 @@
 /// Declares a maintenance wave; an instance belongs to it where every list that is given has it.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct WaveDeclaration {
-    /// The pools whose instances are maintained; empty for all.
-    pub pools: BTreeSet<PoolId>,
+    /// The pools that the wave goes through, in this order.
+    pub pools: Vec<PoolId>,
+    /// The most instances that the wave stops at once.
+    pub max_parallel: u64,
+    /// The waves that must be complete before this one starts.
+    pub after: Vec<WaveId>,
     /// The racks whose instances are maintained; empty for all.
     pub racks: BTreeSet<RackId>,
     /// The instances that are maintained; empty for all.
     pub instances: BTreeSet<InstanceId>,
     /// In which order the instances are taken.
     pub order: WaveOrder,
-    /// The most instances that are out of service for the wave at once.
-    pub max_at_once: u64,
     /// How long an instance may take to come back from its reboot.
     pub reboot_timeout_ms: DurationMs,
     /// The longest task that a drain waits for; the wave goes around a longer one.
@@ -168,8 +177,31 @@
     ///
     /// Returns every fault at once, each with its place and remedy.
     pub fn parse(file: &str, text: &str) -> Result<Self, Problems> {
-        let (desired, mut problems, places) = read::read(file, text)?;
+        let (desired, mut problems, places) = read::read(file, text);
         check::check(&desired, &places, &mut problems);
+        problems.sort();
         problems.into_result(desired)
     }
+
+    /// Reads a desired state and judges it as the successor of what is used now.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault at once, those of removing what is in use included.
+    pub fn parse_successor(file: &str, text: &str, in_use: &InUse) -> Result<Self, Problems> {
+        let (desired, mut problems, places) = read::read(file, text);
+        check::check(&desired, &places, &mut problems);
+        in_use::check(&desired, in_use, file, &mut problems);
+        problems.sort();
+        problems.into_result(desired)
+    }
+
+    /// Reads the objects of a text that was judged when it was published, without judging it again.
+    ///
+    /// What cannot be read is left out, so that every replica gets the same objects from the same
+    /// text even where the rules of the whole have become stricter since.
+    #[must_use]
+    pub fn read_published(text: &str) -> Self {
+        read::read(DESIRED_STATE_FILE, text).0
+    }
 }
--- a/crates/jasminefall-core/src/desired/read.rs
+++ b/crates/jasminefall-core/src/desired/read.rs
@@ -20,7 +20,8 @@
 const DEFAULT_MAX_UNAVAILABLE: u64 = 1;
 const DEFAULT_CPU_MCORES: MilliCores = MilliCores::new(16_000);
 const DEFAULT_MEMORY_BYTES: Bytes = Bytes::new(32 << 30);
-const DEFAULT_MAX_AT_ONCE: u64 = 1_000;
+const DEFAULT_MAX_PARALLEL: u64 = 1;
+const MAX_NAME_BYTES: usize = 128;
 const DEFAULT_REBOOT_TIMEOUT_MS: DurationMs = DurationMs::new(15 * 60_000);
 const DEFAULT_LONGEST_TASK_MS: DurationMs = DurationMs::new(3_600_000);
 const KINDS: [&str; 7] = [
@@ -36,18 +37,29 @@
 impl Places {
     /// Returns the place of a key of the object `kind.name`.
     pub(super) fn of(&self, kind: &str, name: impl Display, key: &str) -> Place {
+        self.of_section(&format!("{kind}.{name}"), key)
+    }
+
+    /// Returns the place of a key of a section.
+    pub(super) fn of_section(&self, section: &str, key: &str) -> Place {
+        let section = self.sections.get(section);
+        section
+            .map(|section| section.place(key))
+            .unwrap_or_default()
+    }
+
+    /// Returns whether the object `kind.name` gives a key rather than leaving it to its default.
+    pub(super) fn gives(&self, kind: &str, name: impl Display, key: &str) -> bool {
         let section = format!("{kind}.{name}");
         self.sections
             .get(section.as_str())
-            .map(|section| section.place(key))
-            .unwrap_or_default()
+            .is_some_and(|section| section.text(key).is_some())
     }
 }
 
 /// Reads the objects; faults of form are returned beside what could be read.
-pub(super) fn read(file: &str, text: &str) -> Result<(DesiredState, Problems, Places), Problems> {
-    let document = Document::parse(file, text)?;
-    let mut problems = Problems::new();
+pub(super) fn read(file: &str, text: &str) -> (DesiredState, Problems, Places) {
+    let (document, mut problems) = Document::read(file, text);
     refuse_unknown_sections(&document, &mut problems);
     let desired = DesiredState {
         fleet: read_fleet(file, &document, &mut problems),
@@ -62,13 +74,8 @@
     let sections = document
         .sections()
         .map(|section| (section.name().into(), section.clone()));
-    Ok((
-        desired,
-        problems,
-        Places {
-            sections: sections.collect(),
-        },
-    ))
+    let sections = sections.collect();
+    (desired, problems, Places { sections })
 }
 
 fn refuse_unknown_sections(document: &Document, problems: &mut Problems) {
@@ -87,9 +94,25 @@
             );
             problems.add(section.place(""), "the section is unknown", remedy);
         }
+        refuse_bad_name(section, problems);
     }
 }
 
+fn refuse_bad_name(section: &Section, problems: &mut Problems) {
+    let (_, name) = section.name().split_once('.').unwrap_or_default();
+    let message = if name.len() > MAX_NAME_BYTES {
+        format!("the name is {} bytes long", name.len())
+    } else if name.trim() != name {
+        "the name has blanks around it".to_owned()
+    } else if name.contains([',', '/']) {
+        "the name holds a comma or a slash".to_owned()
+    } else {
+        return;
+    };
+    let remedy = format!("use at most {MAX_NAME_BYTES} bytes without comma, slash or outer blanks");
+    problems.add(section.place(""), message, remedy);
+}
+
 fn read_all<K, T>(
     document: &Document,
     kind: &str,
@@ -173,10 +196,14 @@
 }
 
 fn read_budget(section: &Section, problems: &mut Problems) -> Budget {
-    section.refuse_unknown(&["max_unavailable", "survive_data_centre"], problems);
+    section.refuse_unknown(
+        &["max_unavailable", "survive_data_centre", "survive_rack"],
+        problems,
+    );
     Budget {
         max_unavailable: section.read_or("max_unavailable", DEFAULT_MAX_UNAVAILABLE, problems),
         survive_data_centre: section.read_or("survive_data_centre", false, problems),
+        survive_rack: section.read_or("survive_rack", false, problems),
     }
 }
 
@@ -217,24 +244,26 @@
 fn read_wave(section: &Section, problems: &mut Problems) -> WaveDeclaration {
     let known = [
         "pools",
+        "max_parallel",
+        "after",
         "racks",
         "instances",
         "order",
-        "max_at_once",
         "reboot_timeout",
         "longest_task",
         "software",
     ];
     section.refuse_unknown(&known, problems);
     WaveDeclaration {
-        pools: section.read_list("pools", problems).into_iter().collect(),
+        pools: section.read_list("pools", problems),
+        max_parallel: section.read_or("max_parallel", DEFAULT_MAX_PARALLEL, problems),
+        after: section.read_list("after", problems),
         racks: section.read_list("racks", problems).into_iter().collect(),
         instances: section
             .read_list("instances", problems)
             .into_iter()
             .collect(),
         order: section.read_or("order", WaveOrder::default(), problems),
-        max_at_once: section.read_or("max_at_once", DEFAULT_MAX_AT_ONCE, problems),
         reboot_timeout_ms: section.read_or("reboot_timeout", DEFAULT_REBOOT_TIMEOUT_MS, problems),
         longest_task_ms: section.read_or("longest_task", DEFAULT_LONGEST_TASK_MS, problems),
         software: section
--- a/crates/jasminefall-entry/src/settings.rs
+++ b/crates/jasminefall-entry/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use jasminefall_core::prelude::*;
-use jasminefall_runtime::settings::SettingsFile;
+use jasminefall_runtime::settings::{self, SettingsFile};
 use jasminefall_wire::handshake::SiteKey;
 
 const KNOWN: [&str; 12] = [
@@ -77,18 +77,7 @@
                 remedy,
             );
         }
-        let key_file: Option<SmolStr> =
-            section.read_required("site_key_file", "site.key", problems);
-        let secret = key_file.and_then(|key_file| {
-            let secret = std::fs::read(key_file.as_str());
-            secret
-                .map_err(|error| {
-                    let remedy =
-                        "write a random secret there, the same for every process of the site";
-                    problems.add(section.place("site_key_file"), format!("{error}"), remedy);
-                })
-                .ok()
-        });
+        let secret = settings::read_site_key(&section, problems);
         let entries = section.read_list("entries", problems);
         let observation_interval_ms = section.read_or(
             "observation_interval",
@@ -102,7 +91,7 @@
         let (Some(name), Some(callers), Some(backends), Some(peer), Some(secret)) =
             (name, callers, backends, peer, secret)
         else {
-            return Err(file.problems);
+            return file.finish(None);
         };
         let site_key = SiteKey::new(&secret);
         let settings = Self {
@@ -119,6 +108,6 @@
             stop_limit_ms,
             claim_batch,
         };
-        file.problems.into_result(settings)
+        file.finish(Some(settings))
     }
 }
--- a/crates/jasminefall-runtime/src/settings.rs
+++ b/crates/jasminefall-runtime/src/settings.rs
@@ -4,6 +4,9 @@
 
 use jasminefall_core::prelude::*;
 
+const SITE_KEY: &str = "site_key_file";
+const MIN_SITE_KEY_BYTES: usize = 16;
+
 /// Holds a settings file that was read, with the faults found so far.
 #[derive(Debug)]
 pub struct SettingsFile {
@@ -15,29 +18,32 @@
 }
 
 impl SettingsFile {
-    /// Reads a settings text.
-    ///
-    /// # Errors
-    ///
-    /// Returns every fault of form.
-    pub fn parse(name: &str, text: &str) -> Result<Self, Problems> {
-        let document = Document::parse(name, text)?;
-        Ok(Self {
+    /// Reads what can be read of a settings text; faults of form are among its problems.
+    #[must_use]
+    pub fn parse(name: &str, text: &str) -> Self {
+        let (document, problems) = Document::read(name, text);
+        Self {
             document,
-            problems: Problems::new(),
+            problems,
             name: name.to_owned(),
-        })
+        }
     }
 
     /// Loads a settings file.
     ///
     /// # Errors
     ///
-    /// Returns every fault of form, or the one that the file cannot be read.
+    /// Returns the fault that the file cannot be read.
     pub fn load(path: &Path) -> Result<Self, Problems> {
         let name = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|error| unreadable(&name, &error))?;
-        Self::parse(&name, &text)
+        Ok(Self::parse(&name, &text))
+    }
+
+    /// Returns the name of the file.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
     }
 
     /// Returns a section; where it is missing, adds a fault and returns an empty one.
@@ -52,7 +58,20 @@
         };
         self.problems
             .add(place, "the section is missing", format!("add [{name}]"));
-        Section::default()
+        Section::new(&self.name, name, 0)
+    }
+
+    /// Returns what was read where no fault was found.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault in the order of the text.
+    pub fn finish<T>(mut self, read: Option<T>) -> Result<T, Problems> {
+        self.problems.sort();
+        match read {
+            Some(read) => self.problems.into_result(read),
+            None => Err(self.problems),
+        }
     }
 
     /// Adds a fault for every section that is not among `known`.
@@ -69,6 +88,24 @@
     }
 }
 
+/// Reads the secret that the processes of a site share from the file that `site_key_file` names.
+pub fn read_site_key(section: &Section, problems: &mut Problems) -> Option<Vec<u8>> {
+    let file: SmolStr = section.read_required(SITE_KEY, "site.key", problems)?;
+    let remedy = "write a random secret there, the same for every process of the site";
+    match std::fs::read(file.as_str()) {
+        Ok(secret) if secret.len() >= MIN_SITE_KEY_BYTES => Some(secret),
+        Ok(_) => {
+            let message = format!("the site key has fewer than {MIN_SITE_KEY_BYTES} bytes");
+            problems.add(section.place(SITE_KEY), message, remedy);
+            None
+        }
+        Err(error) => {
+            problems.add(section.place(SITE_KEY), format!("{error}"), remedy);
+            None
+        }
+    }
+}
+
 pub use jasminefall_core::document::Section;
 
 fn unreadable(name: &str, error: &std::io::Error) -> Problems {
--- a/crates/jasminefall-state/src/waves.rs
+++ b/crates/jasminefall-state/src/waves.rs
@@ -211,6 +211,7 @@
             );
             return Err(Refusal::Held(message.into()));
         };
+        self.require_complete(desired, &request.wave)?;
         let mut wave = Wave {
             operator: request.operator.clone(),
             state: WaveState::Running,
@@ -226,6 +227,24 @@
         Ok(())
     }
 
+    /// Refuses a wave while another that it comes after is not complete.
+    fn require_complete(&self, desired: &DesiredState, wave: &WaveId) -> Result<(), Refusal> {
+        let after = desired
+            .waves
+            .get(wave)
+            .into_iter()
+            .flat_map(|wave| &wave.after);
+        for other in after {
+            let state = self.by_id.get(other).map(|other| &other.state);
+            if state != Some(&WaveState::Completed) {
+                let message =
+                    format!("the wave `{wave}` comes after `{other}`; complete that first");
+                return Err(Refusal::Held(message.into()));
+            }
+        }
+        Ok(())
+    }
+
     /// Takes over a new desired state: instances that it adds are maintained, others dropped.
     pub fn declare(&mut self, now_ms: u64, desired: &DesiredState) {
         for (id, wave) in self.by_id.iter_mut().filter(|(_, wave)| !wave.has_ended()) {
--- a/crates/jasminefall-state/tests/waves_and_budgets.rs
+++ b/crates/jasminefall-state/tests/waves_and_budgets.rs
@@ -113,3 +113,20 @@
     let wave = state.waves.get(&"all".into()).expect("started");
     assert_eq!(wave.members, expected.into());
 }
+
+#[test]
+fn a_wave_starts_only_after_the_one_that_it_comes_after() {
+    let mut state = started();
+    let later = || WaveRequest {
+        wave: "later".into(),
+        operator: "ada".into(),
+        action: WaveAction::Start,
+    };
+    assert!(is_held(&apply(&mut state, Command::Wave(later()))));
+    wave(&mut state, "all", WaveAction::Start);
+    for instance in ["w1", "w2", "w3"] {
+        assert!(is_held(&apply(&mut state, Command::Wave(later()))));
+        maintain(&mut state, instance, 2);
+    }
+    assert_eq!(apply(&mut state, Command::Wave(later())), Outcome::Done);
+}
--- a/crates/jasminefallctl/src/command/fleet.rs
+++ b/crates/jasminefallctl/src/command/fleet.rs
@@ -13,7 +13,6 @@
 
 /// Carries out a command on the fleet; `words` begins with its name.
 pub(crate) async fn run(arguments: &Arguments, words: &[&str]) -> Result<(), Failure> {
-    let operator = arguments.operator.as_str();
     match words {
         ["jobs"] => show(arguments, "/v1/jobs").await,
         ["jobs", "cancel", ids @ ..] => cancel(arguments, ids).await,
@@ -26,11 +25,11 @@
             action @ ("start" | "pause" | "resume" | "abort"),
             wave,
         ] => {
-            let body = json!({"operator": operator, "action": action});
+            let body = json!({"action": action});
             act(arguments, &format!("/v1/waves/{wave}"), &body).await
         }
         ["drain", instance] => {
-            let body = json!({"action": "drain", "operator": operator});
+            let body = json!({"action": "drain"});
             act(arguments, &format!("/v1/instances/{instance}"), &body).await
         }
         ["return", instance] => {
