test: declare a worker for the job whose team is removed

Cause: a job is now refused at once where no declared instance is large enough, and this site declared none; what_is_in_use_is_neither_removed_nor_found_sound waited in vain for it to be accepted. Change: the site declares two workers; what is asserted is the same.

--- a/crates/jasminefall-testing/tests/config_operators.rs
+++ b/crates/jasminefall-testing/tests/config_operators.rs
@@ -171,10 +171,16 @@
     }
 }
 
+/// Declares a worker that is large enough for the job; without one the job could never run.
+const WORKER: &str = "\n[budget.of-worker]\n[pool.of-worker]\nbudget = of-worker\n\
+    [instance.w1]\npool = of-worker\ndata_centre = dc1\nrack = r1\n\
+    [instance.w2]\npool = of-worker\ndata_centre = dc1\nrack = r2\n";
+
 #[actix_rt::test]
 async fn what_is_in_use_is_neither_removed_nor_found_sound() {
     let site = Site::new(1, 1).started();
-    site.apply(0, &text(&site, "guild"));
+    let with_worker = |team: &str| text(&site, team) + WORKER;
+    site.apply(0, &with_worker("guild"));
     let body = json!({
         "key": "k", "team": "guild", "cpu_mcores": 1000, "memory_bytes": 1024, "command": "wait 1",
     });
@@ -184,7 +190,7 @@
         sent.is_ok_and(|answer| answer.status().is_success())
     })
     .await;
-    let without = file(&site, "without.ini", &text(&site, "schools"));
+    let without = file(&site, "without.ini", &with_worker("schools"));
     let (success, printed) = site.ctl(&["apply", &without, "--base", "1"]);
     assert!(!success, "{printed}");
     assert!(
