--- a/crates/jasminefall-control/src/planner/instances.rs
+++ b/crates/jasminefall-control/src/planner/instances.rs
@@ -245,7 +245,7 @@
         let (open_racks, busy) = open(view, wave);
         let limits = Limits {
             order: declared.order,
-            at_once: declared.max_at_once.saturating_sub(busy),
+            at_once: declared.max_parallel.saturating_sub(busy),
             headroom: headroom.clone(),
             open_racks,
         };
--- a/crates/jasminefall-core/src/desired.rs
+++ b/crates/jasminefall-core/src/desired.rs
@@ -127,8 +127,10 @@
 /// Declares a maintenance wave; an instance belongs to it where every list that is given has it.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct WaveDeclaration {
-    /// The pools whose instances are maintained; empty for all.
+    /// The pools that the wave goes through, in this order.
     pub pools: Vec<PoolId>,
+    /// The most instances that the wave stops at once.
+    pub max_parallel: u64,
     /// The waves that must be complete before this one starts.
     pub after: Vec<WaveId>,
     /// The racks whose instances are maintained; empty for all.
@@ -137,8 +139,6 @@
     pub instances: BTreeSet<InstanceId>,
     /// In which order the instances are taken.
     pub order: WaveOrder,
-    /// The most instances that are out of service for the wave at once.
-    pub max_at_once: u64,
     /// How long an instance may take to come back from its reboot.
     pub reboot_timeout_ms: DurationMs,
     /// The longest task that a drain waits for; the wave goes around a longer one.
--- a/crates/jasminefall-core/src/desired/check/waves.rs
+++ b/crates/jasminefall-core/src/desired/check/waves.rs
@@ -13,10 +13,10 @@
     for (name, wave) in &desired.waves {
         check_pools(desired, name, wave, places, problems);
         check_order(desired, name, wave, places, problems);
-        if wave.max_at_once == 0 {
+        if wave.max_parallel == 0 {
             let message = "a wave that stops no instance never finishes";
-            let remedy = "write `max_at_once = 1` or more";
-            problems.add(places.of("wave", name, "max_at_once"), message, remedy);
+            let remedy = "write `max_parallel = 1` or more";
+            problems.add(places.of("wave", name, "max_parallel"), message, remedy);
         }
     }
     for name in waiting_in_cycles(desired) {
@@ -34,6 +34,10 @@
     problems: &mut Problems,
 ) {
     let place = places.of("wave", name, "pools");
+    if wave.pools.is_empty() {
+        let remedy = "write `pools = ` with the pools to go through";
+        problems.add(place.clone(), "the wave names no pool", remedy);
+    }
     for pool in repeated(&wave.pools) {
         let message = format!("the pool `{pool}` is named twice");
         problems.add(place.clone(), message, "name each pool once");
--- a/crates/jasminefall-core/src/desired/read.rs
+++ b/crates/jasminefall-core/src/desired/read.rs
@@ -20,10 +20,10 @@
 const DEFAULT_MAX_UNAVAILABLE: u64 = 1;
 const DEFAULT_CPU_MCORES: MilliCores = MilliCores::new(16_000);
 const DEFAULT_MEMORY_BYTES: Bytes = Bytes::new(32 << 30);
-const DEFAULT_MAX_AT_ONCE: u64 = 1_000;
+const DEFAULT_MAX_PARALLEL: u64 = 1;
+const MAX_NAME_BYTES: usize = 128;
 const DEFAULT_REBOOT_TIMEOUT_MS: DurationMs = DurationMs::new(15 * 60_000);
 const DEFAULT_LONGEST_TASK_MS: DurationMs = DurationMs::new(3_600_000);
-const MAX_NAME_BYTES: usize = 128;
 const KINDS: [&str; 7] = [
     "entry", "service", "pool", "budget", "instance", "team", "wave",
 ];
@@ -244,11 +244,11 @@
 fn read_wave(section: &Section, problems: &mut Problems) -> WaveDeclaration {
     let known = [
         "pools",
+        "max_parallel",
         "after",
         "racks",
         "instances",
         "order",
-        "max_at_once",
         "reboot_timeout",
         "longest_task",
         "software",
@@ -256,6 +256,7 @@
     section.refuse_unknown(&known, problems);
     WaveDeclaration {
         pools: section.read_list("pools", problems),
+        max_parallel: section.read_or("max_parallel", DEFAULT_MAX_PARALLEL, problems),
         after: section.read_list("after", problems),
         racks: section.read_list("racks", problems).into_iter().collect(),
         instances: section
@@ -263,7 +264,6 @@
             .into_iter()
             .collect(),
         order: section.read_or("order", WaveOrder::default(), problems),
-        max_at_once: section.read_or("max_at_once", DEFAULT_MAX_AT_ONCE, problems),
         reboot_timeout_ms: section.read_or("reboot_timeout", DEFAULT_REBOOT_TIMEOUT_MS, problems),
         longest_task_ms: section.read_or("longest_task", DEFAULT_LONGEST_TASK_MS, problems),
         software: section
--- a/crates/jasminefall-core/tests/any_text.rs
+++ b/crates/jasminefall-core/tests/any_text.rs
@@ -9,7 +9,7 @@
     let line = prop_oneof![
         Just("[fleet]".to_owned()),
         "\\[(pool|budget|instance|team|wave|service|entry)\\.[a-zéم]{0,3}\\]?",
-        "(name|budget|pool|pools|after|max_unavailable|max_at_once|cpu|quota|rack) ?[=:] ?[a-c0-9,. %]{0,6}",
+        "(name|budget|pool|pools|after|max_unavailable|max_parallel|cpu|quota|rack) ?[=:] ?[a-c0-9,. %]{0,6}",
         "[ -~\t]{0,12}",
         "\\PC{0,8}",
     ];
--- a/crates/jasminefall-policy/src/waves.rs
+++ b/crates/jasminefall-policy/src/waves.rs
@@ -68,7 +68,7 @@
                 .into(),
             )
         } else if limits.at_once == 0 {
-            Some("max_at_once of the wave is reached; an instance that returns frees it".into())
+            Some("max_parallel of the wave is reached; an instance that returns frees it".into())
         } else if elsewhere {
             Some("the wave is in another rack; it comes here once that is done".into())
         } else {
--- a/crates/jasminefall-state/src/waves.rs
+++ b/crates/jasminefall-state/src/waves.rs
@@ -191,19 +191,6 @@
         Ok(())
     }
 
-    /// Returns the first wave that must be complete before this one starts and is not.
-    fn first_incomplete<'desired>(
-        &self,
-        desired: &'desired DesiredState,
-        wave: &WaveId,
-    ) -> Option<&'desired WaveId> {
-        let declared = desired.waves.get(wave)?;
-        declared.after.iter().find(|earlier| {
-            let known = self.by_id.get(*earlier);
-            known.is_none_or(|known| known.state != WaveState::Completed)
-        })
-    }
-
     fn start(
         &mut self,
         now_ms: u64,
@@ -224,12 +211,7 @@
             );
             return Err(Refusal::Held(message.into()));
         };
-        if let Some(earlier) = self.first_incomplete(desired, &request.wave) {
-            let message = format!(
-                "the wave waits for `{earlier}`, which is not complete; start that one first"
-            );
-            return Err(Refusal::Held(message.into()));
-        }
+        self.require_complete(desired, &request.wave)?;
         let mut wave = Wave {
             operator: request.operator.clone(),
             state: WaveState::Running,
@@ -245,6 +227,24 @@
         Ok(())
     }
 
+    /// Refuses a wave while another that it comes after is not complete.
+    fn require_complete(&self, desired: &DesiredState, wave: &WaveId) -> Result<(), Refusal> {
+        let after = desired
+            .waves
+            .get(wave)
+            .into_iter()
+            .flat_map(|wave| &wave.after);
+        for other in after {
+            let state = self.by_id.get(other).map(|other| &other.state);
+            if state != Some(&WaveState::Completed) {
+                let message =
+                    format!("the wave `{wave}` comes after `{other}`; complete that first");
+                return Err(Refusal::Held(message.into()));
+            }
+        }
+        Ok(())
+    }
+
     /// Takes over a new desired state: instances that it adds are maintained, others dropped.
     pub fn declare(&mut self, now_ms: u64, desired: &DesiredState) {
         for (id, wave) in self.by_id.iter_mut().filter(|(_, wave)| !wave.has_ended()) {
--- a/crates/jasminefall-state/tests/fleet_invariants.rs
+++ b/crates/jasminefall-state/tests/fleet_invariants.rs
@@ -37,7 +37,7 @@
     let mut text = "[fleet]\nname = test\n[budget.one]\nmax_unavailable = 1\n\
         [budget.two]\nmax_unavailable = 2\n[pool.red]\nbudget = one\n[pool.blue]\nbudget = two\n\
         [pool.spare]\nbudget = one\nspare = true\n[team.guild]\nquota = 20cores\n\
-        [team.school]\nquota = 6cores\n[wave.all]\n[wave.reds]\npools = red\n"
+        [team.school]\nquota = 6cores\n[wave.all]\npools = red, blue, spare\n[wave.reds]\npools = red\n"
         .to_owned();
     for number in 0..INSTANCES {
         let pool = ["red", "blue", "spare"][number / 5];
--- a/crates/jasminefall-state/tests/support/fleet_site.rs
+++ b/crates/jasminefall-state/tests/support/fleet_site.rs
@@ -5,7 +5,7 @@
 use jasminefall_state::prelude::*;
 
 pub const DESIRED: &str = "[fleet]\nname = test\n[budget.one]\n[pool.general]\nbudget = one\n\
-    [team.guild]\nquota = 8cores\n[wave.all]\n[wave.again]\n\
+    [team.guild]\nquota = 8cores\n[wave.all]\npools = general\n[wave.again]\npools = general\n[wave.later]\npools = general\nafter = all\n\
     [instance.w1]\npool = general\ndata_centre = dc1\nrack = r1\n\
     [instance.w2]\npool = general\ndata_centre = dc1\nrack = r1\n\
     [instance.w3]\npool = general\ndata_centre = dc1\nrack = r2\n";
@@ -114,16 +114,12 @@
 }
 
 pub fn wave(state: &mut ClusterState, wave: &str, action: WaveAction) {
-    assert_eq!(ask_wave(state, wave, action), Outcome::Done);
-}
-
-pub fn ask_wave(state: &mut ClusterState, wave: &str, action: WaveAction) -> Outcome {
     let request = WaveRequest {
         wave: wave.into(),
         operator: "ada".into(),
         action,
     };
-    apply(state, Command::Wave(request))
+    assert_eq!(apply(state, Command::Wave(request)), Outcome::Done);
 }
 
 pub fn maintain(state: &mut ClusterState, instance: &str, incarnation: u64) {
--- a/crates/jasminefall-state/tests/waves_and_budgets.rs
+++ b/crates/jasminefall-state/tests/waves_and_budgets.rs
@@ -115,19 +115,18 @@
 }
 
 #[test]
-fn a_wave_waits_for_the_waves_that_must_come_first() {
+fn a_wave_starts_only_after_the_one_that_it_comes_after() {
     let mut state = started();
-    let text = DESIRED.replace("[wave.again]", "[wave.again]\nafter = all");
-    publish(&mut state, "second", &text);
-    let refused = ask_wave(&mut state, "again", WaveAction::Start);
-    assert!(matches!(&refused, Outcome::Refused(refusal) if refusal.to_string().contains("`all`")));
+    let later = || WaveRequest {
+        wave: "later".into(),
+        operator: "ada".into(),
+        action: WaveAction::Start,
+    };
+    assert!(is_held(&apply(&mut state, Command::Wave(later()))));
     wave(&mut state, "all", WaveAction::Start);
-    assert!(is_held(&ask_wave(&mut state, "again", WaveAction::Start)));
-    for worker in ["w1", "w2", "w3"] {
-        maintain(&mut state, worker, 2);
+    for instance in ["w1", "w2", "w3"] {
+        assert!(is_held(&apply(&mut state, Command::Wave(later()))));
+        maintain(&mut state, instance, 2);
     }
-    assert_eq!(
-        ask_wave(&mut state, "again", WaveAction::Start),
-        Outcome::Done
-    );
+    assert_eq!(apply(&mut state, Command::Wave(later())), Outcome::Done);
 }
