refactor(runtime): one path from command line to exit code for both daemons

Cause: entry and control each held the same forty lines; a test's name said that idempotent requests go on without a quorum, which it does not check. Change: jasminefall_runtime::daemon serves both; the test is named for what it shows.

--- a/crates/jasminefall-control/src/main.rs
+++ b/crates/jasminefall-control/src/main.rs
@@ -31,8 +31,7 @@
 use actix::Actor;
 use actix_web::dev::Server;
 use anyhow::Context;
-use jasminefall_runtime::command_line::{self, Invocation};
-use jasminefall_runtime::logging;
+use jasminefall_runtime::daemon::Daemon;
 use jasminefall_runtime::metrics::serve as serve_registry;
 use jasminefall_runtime::supervisor::{Child, Supervisor};
 use jasminefall_wire::server::serve_control;
@@ -41,40 +40,14 @@
 use crate::node::NodeHandle;
 use crate::settings::Settings;
 
-const PROGRAM: &str = "jasminefall-control";
-const PURPOSE: &str = "Runs a control instance of jasminefall.";
-
 fn main() -> ExitCode {
-    match command_line::parse(PROGRAM, PURPOSE, std::env::args().skip(1)) {
-        Ok(Invocation::Print(text)) => print!("{text}"),
-        Ok(Invocation::Check(path)) => match Settings::load(&path) {
-            Ok(_) => println!("{}: the settings hold", path.display()),
-            Err(problems) => return fail(&problems.to_string()),
-        },
-        Ok(Invocation::Run(path)) => match Settings::load(&path) {
-            Ok(settings) => return run(settings),
-            Err(problems) => return fail(&problems.to_string()),
-        },
-        Err(message) => return fail(&message),
-    }
-    ExitCode::SUCCESS
-}
-
-fn fail(message: &str) -> ExitCode {
-    eprintln!("{message}");
-    ExitCode::from(2)
-}
-
-fn run(settings: Settings) -> ExitCode {
-    logging::start(PROGRAM, &settings.replica.to_string());
-    let system = actix::System::new();
-    match system.block_on(serve(settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=stopped cause=\"{error:#}\"");
-            ExitCode::FAILURE
-        }
-    }
+    let daemon = Daemon {
+        program: "jasminefall-control",
+        purpose: "Runs a control instance of jasminefall.",
+        load: Settings::load,
+        name: |settings: &Settings| settings.replica.to_string(),
+    };
+    daemon.run(serve)
 }
 
 /// Starts the supervisor tree and the edges, and serves until a stop is asked for.
--- a/crates/jasminefall-entry/src/main.rs
+++ b/crates/jasminefall-entry/src/main.rs
@@ -49,48 +49,21 @@
 use actix::Actor;
 use actix_web::dev::Server;
 use anyhow::Context;
-use jasminefall_runtime::command_line::{self, Invocation};
-use jasminefall_runtime::logging;
+use jasminefall_runtime::daemon::Daemon;
 use jasminefall_runtime::metrics::serve as serve_registry;
 use jasminefall_runtime::supervisor::{Child, Supervisor};
 
 use crate::settings::Settings;
 use crate::shared::Shared;
 
-const PROGRAM: &str = "jasminefall-entry";
-const PURPOSE: &str = "Runs an entry instance of jasminefall.";
-
 fn main() -> ExitCode {
-    match command_line::parse(PROGRAM, PURPOSE, std::env::args().skip(1)) {
-        Ok(Invocation::Print(text)) => print!("{text}"),
-        Ok(Invocation::Check(path)) => match Settings::load(&path) {
-            Ok(_) => println!("{}: the settings hold", path.display()),
-            Err(problems) => return fail(&problems.to_string()),
-        },
-        Ok(Invocation::Run(path)) => match Settings::load(&path) {
-            Ok(settings) => return run(settings),
-            Err(problems) => return fail(&problems.to_string()),
-        },
-        Err(message) => return fail(&message),
-    }
-    ExitCode::SUCCESS
-}
-
-fn fail(message: &str) -> ExitCode {
-    eprintln!("{message}");
-    ExitCode::from(2)
-}
-
-fn run(settings: Settings) -> ExitCode {
-    logging::start(PROGRAM, settings.name.as_str());
-    let system = actix::System::new();
-    match system.block_on(serve(settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=stopped cause=\"{error:#}\"");
-            ExitCode::FAILURE
-        }
-    }
+    let daemon = Daemon {
+        program: "jasminefall-entry",
+        purpose: "Runs an entry instance of jasminefall.",
+        load: Settings::load,
+        name: |settings: &Settings| settings.name.to_string(),
+    };
+    daemon.run(serve)
 }
 
 /// Starts the supervisor tree and the edges, and serves until a stop is asked for.
--- /dev/null
+++ b/crates/jasminefall-runtime/src/daemon.rs
@@ -0,0 +1,58 @@
+//! From the command line of a daemon to its exit code.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use jasminefall_core::prelude::*;
+
+use crate::command_line::{self, Invocation};
+use crate::logging;
+
+const USAGE_EXIT: u8 = 2;
+
+/// Describes a daemon whose settings are of type `S`.
+pub struct Daemon<S> {
+    /// The name of the program.
+    pub program: &'static str,
+    /// What the program is for, as its help says.
+    pub purpose: &'static str,
+    /// Loads and checks the settings.
+    pub load: fn(&Path) -> Result<S, Problems>,
+    /// Names this process in log lines.
+    pub name: fn(&S) -> String,
+}
+
+impl<S> Daemon<S> {
+    /// Does what the command line asks; `serve` runs until a stop is asked for.
+    pub fn run(&self, serve: impl AsyncFnOnce(S) -> anyhow::Result<()>) -> ExitCode {
+        match command_line::parse(self.program, self.purpose, std::env::args().skip(1)) {
+            Ok(Invocation::Print(text)) => print!("{text}"),
+            Ok(Invocation::Check(path)) => match (self.load)(&path) {
+                Ok(_) => println!("{}: the settings hold", path.display()),
+                Err(problems) => return refuse(&problems.to_string()),
+            },
+            Ok(Invocation::Run(path)) => match (self.load)(&path) {
+                Ok(settings) => return self.start(settings, serve),
+                Err(problems) => return refuse(&problems.to_string()),
+            },
+            Err(message) => return refuse(&message),
+        }
+        ExitCode::SUCCESS
+    }
+
+    fn start(&self, settings: S, serve: impl AsyncFnOnce(S) -> anyhow::Result<()>) -> ExitCode {
+        logging::start(self.program, &(self.name)(&settings));
+        match actix::System::new().block_on(serve(settings)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                log::error!("event=stopped cause=\"{error:#}\"");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
+fn refuse(message: &str) -> ExitCode {
+    eprintln!("{message}");
+    ExitCode::from(USAGE_EXIT)
+}
--- a/crates/jasminefall-runtime/src/lib.rs
+++ b/crates/jasminefall-runtime/src/lib.rs
@@ -10,6 +10,7 @@
 //! # Module map
 //!
 //! - [`command_line`]: the options that every daemon takes
+//! - [`daemon`]: from the command line of a daemon to its exit code
 //! - [`settings`]: settings files
 //! - [`logging`]: one line of key=value pairs an event
 //! - [`metrics`]: the page that a metrics collector scrapes
@@ -20,6 +21,7 @@
 
 pub mod clock;
 pub mod command_line;
+pub mod daemon;
 pub mod logging;
 pub mod metrics;
 pub mod settings;
--- a/crates/jasminefall-testing/tests/requests_at_most_once.rs
+++ b/crates/jasminefall-testing/tests/requests_at_most_once.rs
@@ -200,7 +200,7 @@
 }
 
 #[actix_rt::test]
-async fn without_a_quorum_a_claim_is_refused_as_not_run_and_idempotent_requests_go_on() {
+async fn without_a_quorum_a_claim_is_refused_as_not_run_and_its_key_can_still_run_once() {
     let mut site = site(3, 1);
     let backend = backend(&site, 0);
     wait_until_answered(&site, 0).await;
