--- a/crates/jasminefall-report/src/main.rs
+++ b/crates/jasminefall-report/src/main.rs
@@ -1,5 +1,6 @@
 //! Prints the report on service-level burn, or writes it as an HTML page.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use getopts::{Matches, Options};
@@ -52,6 +53,16 @@
         .split(',')
         .map(|address| address.trim().to_owned())
         .collect();
+    if let Some(wrong) = addresses
+        .iter()
+        .find(|address| address.parse::<SocketAddr>().is_err())
+    {
+        return usage(&format!("`{wrong}` is no address; write IP:PORT"));
+    }
+    if matches.opt_present("check") {
+        println!("the options hold");
+        return ExitCode::SUCCESS;
+    }
     let fetched = actix_rt::System::new().block_on(fetch::fetch(&addresses, token.as_deref()));
     print!("{}", text::render(&fetched));
     if let Some(file) = matches.opt_str("html") {
@@ -87,6 +98,7 @@
         "FILE",
     );
     options.optopt("", "html", "also write the report as an HTML page", "FILE");
+    options.optflag("", "check", "check the options and stop");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
     options
--- a/crates/jasminefallctl/src/arguments.rs
+++ b/crates/jasminefallctl/src/arguments.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use getopts::Options;
@@ -95,7 +96,8 @@
             .opt_str("token-file")
             .or_else(|| std::env::var(TOKEN_VARIABLE).ok());
         let split = |list: String| list.split(',').map(|word| word.trim().to_owned()).collect();
-        Ok(Some(Self {
+        let is_check = matches.opt_present("check");
+        let arguments = Self {
             control: control.map(split).unwrap_or_default(),
             json: matches.opt_present("json"),
             ca: matches
@@ -106,7 +108,32 @@
             change: matches.opt_str("change"),
             base,
             words: matches.free,
-        }))
+        };
+        if is_check {
+            arguments.check()?;
+            println!("the options hold");
+            return Ok(None);
+        }
+        Ok(Some(arguments))
+    }
+
+    /// Returns a failure unless a control instance is named.
+    pub(crate) fn require_control(&self) -> Result<(), Failure> {
+        if self.control.is_empty() {
+            return Err(usage("no control instance is named; add --control IP:PORT"));
+        }
+        Ok(())
+    }
+
+    /// Judges the options without any call.
+    fn check(&self) -> Result<(), Failure> {
+        self.require_control()?;
+        for address in &self.control {
+            if address.parse::<SocketAddr>().is_err() {
+                return Err(usage(&format!("`{address}` is no address; write IP:PORT")));
+            }
+        }
+        Ok(())
     }
 }
 
@@ -156,6 +183,7 @@
         "VERSION",
     );
     options.optflag("", "json", "print JSON");
+    options.optflag("", "check", "check the options and stop");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
     options
--- a/crates/jasminefallctl/src/client.rs
+++ b/crates/jasminefallctl/src/client.rs
@@ -57,9 +57,7 @@
 impl ControlCalls {
     /// Creates the client of the addresses on the command line.
     pub(crate) fn new(arguments: &Arguments) -> Result<Self, Failure> {
-        if arguments.control.is_empty() {
-            return Err(usage("no control instance is named; add --control IP:PORT"));
-        }
+        arguments.require_control()?;
         let connector = Connector::new();
         let (connector, scheme) = match &arguments.ca {
             Some(ca) => (connector.rustls_0_23(tls::client_config(ca)?), "https"),
--- a/crates/jasminefallctl/tests/command_line.rs
+++ b/crates/jasminefallctl/tests/command_line.rs
@@ -114,3 +114,28 @@
         assert!(printed.contains("(6 pools, 50 instances)"), "{printed}");
     }
 }
+
+#[test]
+fn options_are_checked_without_any_call() {
+    let folder = folder();
+    let cases: [(&[&str], bool); 4] = [
+        (&["--check", "--control", "127.0.0.1:1,127.0.0.1:2"], true),
+        (&["--check"], false),
+        (&["--check", "--control", "nowhere"], false),
+        (
+            &[
+                "--check",
+                "--control",
+                "127.0.0.1:1",
+                "--token-file",
+                "empty-token",
+            ],
+            false,
+        ),
+    ];
+    for (words, holds) in cases {
+        let output = run(&folder, words);
+        assert_eq!(output.status.success(), holds, "{words:?}");
+        assert_eq!(output.stderr.is_empty(), holds, "{words:?}");
+    }
+}
