--- a/crates/jasminefallctl/src/client.rs
+++ b/crates/jasminefallctl/src/client.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::arguments::{Arguments, usage};
+use crate::arguments::Arguments;
 use crate::failure::Failure;
 use crate::tls;
 
