refactor: one way to note an answer, to read the state in force, to start a test's site

Cause: found in a read-through. Change: Replica::note_answer serves both replies; a request borrows from the desired state in force; Site::with_desired and caller::wait_until_answered serve both test files, whose assertions are as before. Conclusion: behaviour as before.

--- a/crates/jasminefall-entry/src/edge/callers.rs
+++ b/crates/jasminefall-entry/src/edge/callers.rs
@@ -135,12 +135,16 @@
     payload: web::Payload,
 ) -> Result<Outcome, NotRun> {
     let arrived = Instant::now();
-    let declared = preparing::declared(&thread.shared, &service)?;
-    let deadline = preparing::deadline(request, &declared, arrived)?;
+    let desired = preparing::in_force(&thread.shared)?;
+    let declared = desired
+        .services
+        .get(&service)
+        .ok_or(NotRun::UnknownService)?;
+    let deadline = preparing::deadline(request, declared, arrived)?;
     let body = read_body(payload, deadline).await?;
     let shared = &thread.shared;
     let prepared = preparing::prepare(
-        shared, request, &declared, service, operation, body, deadline,
+        shared, request, declared, service, operation, body, deadline,
     )?;
     if prepared.claim.is_none() {
         // Dropping the future, as happens when the caller hangs up, leaves nothing undone.
--- a/crates/jasminefall-entry/src/edge/preparing.rs
+++ b/crates/jasminefall-entry/src/edge/preparing.rs
@@ -35,12 +35,10 @@
 const UUID_LENGTH: usize = 36;
 const UUID_VERSION_POSITION: usize = 14;
 
-/// Returns the declaration of a service that is in force.
-pub(super) fn declared(shared: &Shared, service: &ServiceId) -> Result<ServiceDeclaration, NotRun> {
+/// Returns the desired state that the entry may act on.
+pub(super) fn in_force(shared: &Shared) -> Result<Arc<DesiredState>, NotRun> {
     let desired = shared.configuration().in_force(monotonic_ms());
-    let desired = desired.ok_or(NotRun::NoConfiguration)?;
-    let declared = desired.services.get(service);
-    declared.cloned().ok_or(NotRun::UnknownService)
+    desired.ok_or(NotRun::NoConfiguration)
 }
 
 /// Returns the team that a request names, declared or not.
--- a/crates/jasminefall-replica/src/replica/replication.rs
+++ b/crates/jasminefall-replica/src/replica/replication.rs
@@ -165,6 +165,20 @@
         }
     }
 
+    /// Notes that a replica has answered and returns how far it is, if this one leads and knows it.
+    pub(super) fn note_answer(
+        &mut self,
+        from: ReplicaId,
+        sent_at_ms: u64,
+    ) -> Option<&mut Progress> {
+        let Role::Leader(progress) = &mut self.role else {
+            return None;
+        };
+        let known = progress.get_mut(&from)?;
+        known.answered_at_ms = known.answered_at_ms.max(sent_at_ms);
+        Some(known)
+    }
+
     pub(super) fn note_progress(
         &mut self,
         from: ReplicaId,
@@ -172,13 +186,9 @@
         match_index: LogIndex,
         sent_at_ms: u64,
     ) {
-        let Role::Leader(progress) = &mut self.role else {
+        let Some(known) = self.note_answer(from, sent_at_ms) else {
             return;
         };
-        let Some(known) = progress.get_mut(&from) else {
-            return;
-        };
-        known.answered_at_ms = known.answered_at_ms.max(sent_at_ms);
         if accepted {
             known.installing = None;
             known.match_index = known.match_index.max(match_index);
--- a/crates/jasminefall-replica/src/replica/snapshots.rs
+++ b/crates/jasminefall-replica/src/replica/snapshots.rs
@@ -1,6 +1,6 @@
 //! Snapshots, sent in parts so that none holds up a heartbeat.
 
-use super::{Progress, Replica, Role};
+use super::{Progress, Replica};
 use crate::entry::Snapshot;
 use crate::message::Body;
 use crate::types::{LogIndex, ReplicaId};
@@ -123,13 +123,9 @@
         received_bytes: u64,
         sent_at_ms: u64,
     ) {
-        let Role::Leader(progress) = &mut self.role else {
+        let Some(known) = self.note_answer(from, sent_at_ms) else {
             return;
         };
-        let Some(known) = progress.get_mut(&from) else {
-            return;
-        };
-        known.answered_at_ms = known.answered_at_ms.max(sent_at_ms);
         let asked = known.installing;
         if asked.is_none_or(|(installing, _)| installing != index) {
             return;
--- a/crates/jasminefall-testing/src/caller.rs
+++ b/crates/jasminefall-testing/src/caller.rs
@@ -7,6 +7,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::site::wait_for;
+
 const ANSWER_LIMIT: Duration = Duration::from_secs(60);
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
@@ -153,3 +155,16 @@
         Ok(told)
     }
 }
+
+/// Waits until a request for the service `render` is answered through an entry.
+///
+/// # Panics
+///
+/// Panics where that takes too long.
+pub async fn wait_until_answered(entry: SocketAddr) {
+    wait_for("the entry answers", || async {
+        let told = Call::get(entry, "/call/render/warm-up").send();
+        told.await.is_ok_and(|told| told.outcome == "answered")
+    })
+    .await;
+}
--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -370,6 +370,13 @@
         command
     }
 
+    /// Publishes the first desired state, to which the sections of the site's entries are added.
+    #[must_use]
+    pub fn with_desired(self, text: &str) -> Self {
+        self.apply(0, &(text.to_owned() + &self.entry_sections()));
+        self
+    }
+
     /// Returns the sections that declare the site's entries.
     #[must_use]
     pub fn entry_sections(&self) -> String {
--- a/crates/jasminefall-testing/tests/requests_at_most_once.rs
+++ b/crates/jasminefall-testing/tests/requests_at_most_once.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jasminefall_testing::backend::FakeBackend;
-use jasminefall_testing::caller::{Call, Told};
+use jasminefall_testing::caller::{Call, Told, wait_until_answered};
 use jasminefall_testing::proxy::Proxy;
 use jasminefall_testing::site::{Site, wait_for};
 use tokio::time::timeout;
@@ -19,9 +19,7 @@
 ";
 
 fn site(controls: usize, entries: usize) -> Site {
-    let site = Site::new(controls, entries).started();
-    site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
-    site
+    Site::new(controls, entries).started().with_desired(DESIRED)
 }
 
 fn backend(site: &Site, entry: usize) -> FakeBackend {
@@ -29,14 +27,6 @@
     backend.with_announcements(site.backends(entry), "render")
 }
 
-async fn wait_until_answered(site: &Site, entry: usize) {
-    wait_for("the entry answers", || async {
-        let told = Call::get(site.callers(entry), "/call/render/warm-up").send();
-        told.await.is_ok_and(|told| told.outcome == "answered")
-    })
-    .await;
-}
-
 fn publish(site: &Site, entry: usize, key: &str, query: &str) -> Call {
     Call::post(
         site.callers(entry),
@@ -53,8 +43,8 @@
 async fn the_same_key_through_two_entries_at_once_runs_once_and_both_get_the_answer() {
     let site = site(1, 2);
     let backend = backend(&site, 0);
-    wait_until_answered(&site, 0).await;
-    wait_until_answered(&site, 1).await;
+    wait_until_answered(site.callers(0)).await;
+    wait_until_answered(site.callers(1)).await;
     let sends = (0..6).map(|number| told(publish(&site, number % 2, "a", "delay_ms=300")));
     let answers = futures::future::join_all(sends).await;
     for answer in &answers {
@@ -91,7 +81,7 @@
 async fn a_request_whose_caller_hung_up_is_recorded_if_it_left_and_gives_way_if_it_did_not() {
     let site = site(1, 1);
     let backend = backend(&site, 0);
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let sent = publish(&site, 0, "sent", "delay_ms=400").send();
     assert!(timeout(Duration::from_millis(150), sent).await.is_err());
     let busy: Vec<_> = (0..8)
@@ -137,7 +127,7 @@
     })
     .await;
     let backend = backend(&site, 0);
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let again = told(publish(&site, 0, "a", "")).await;
     assert_eq!(again.outcome, "answered");
     assert_eq!(backend.runs.count("a"), 1);
@@ -147,8 +137,8 @@
 async fn a_key_whose_entry_crashed_or_was_paused_is_not_run_again() {
     let mut site = site(1, 2);
     let backend = backend(&site, 1);
-    wait_until_answered(&site, 0).await;
-    wait_until_answered(&site, 1).await;
+    wait_until_answered(site.callers(0)).await;
+    wait_until_answered(site.callers(1)).await;
     let crashed = |site: &Site| publish(site, 0, "crashed", "delay_ms=600");
     let lost = actix_rt::spawn(crashed(&site).with_timeout_ms(700).send());
     wait_for("the request runs", || async {
@@ -170,7 +160,7 @@
     }
     assert_eq!(backend.runs.count("crashed"), 1);
 
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     // Every slot is taken, so that the claimed request waits while its entry is paused.
     let busy = (0..16).map(|number| {
         let path = format!("/call/render/busy?delay_ms=1500&n={number}");
@@ -194,7 +184,7 @@
     site.signal_entry(0, "CONT");
     let late = waiting.await.unwrap().unwrap();
     assert_ne!(late.outcome, "answered");
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     assert_eq!(backend.runs.count("crashed"), 1);
     assert_eq!(backend.runs.count("paused"), 0);
 }
@@ -203,7 +193,7 @@
 async fn without_a_quorum_a_claim_is_refused_as_not_run_and_its_key_can_still_run_once() {
     let mut site = site(3, 1);
     let backend = backend(&site, 0);
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     site.kill_control(1);
     site.kill_control(2);
     let refused = told(publish(&site, 0, "a", "")).await;
@@ -226,7 +216,7 @@
     site = site.started();
     site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
     let backend = backend(&site, 0);
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let before = actix_rt::spawn(publish(&site, 0, "before", "delay_ms=1500").send());
     wait_for("the request runs", || async {
         backend.runs.count("before") == 1
@@ -254,7 +244,7 @@
     }
     assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
     site.start_entry(0);
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let resent = told(publish(&site, 0, "before", "delay_ms=1500")).await;
     assert_eq!(resent.outcome, "answered");
     assert_eq!(backend.runs.count("before"), 1);
@@ -285,8 +275,8 @@
     site = site.started();
     site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
     let first = backend(&site, 0);
-    wait_until_answered(&site, 0).await;
-    wait_until_answered(&site, 1).await;
+    wait_until_answered(site.callers(0)).await;
+    wait_until_answered(site.callers(1)).await;
     assert_eq!(
         told(publish(&site, 0, "before", "")).await.outcome,
         "answered"
--- a/crates/jasminefall-testing/tests/requests_outcomes.rs
+++ b/crates/jasminefall-testing/tests/requests_outcomes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jasminefall_testing::backend::{FakeBackend, announce};
-use jasminefall_testing::caller::{Call, Method, Told, send_raw};
+use jasminefall_testing::caller::{Call, Method, Told, send_raw, wait_until_answered};
 use jasminefall_testing::proxy::Proxy;
 use jasminefall_testing::raw_backend::RawBackend;
 use jasminefall_testing::site::{Site, wait_for};
@@ -21,17 +21,7 @@
 ";
 
 fn site(controls: usize, entries: usize) -> Site {
-    let site = Site::new(controls, entries).started();
-    site.apply(0, &(DESIRED.to_owned() + &site.entry_sections()));
-    site
-}
-
-async fn wait_until_answered(site: &Site, entry: usize) {
-    wait_for("the entry answers", || async {
-        let told = Call::get(site.callers(entry), "/call/render/warm-up").send();
-        told.await.is_ok_and(|told| told.outcome == "answered")
-    })
-    .await;
+    Site::new(controls, entries).started().with_desired(DESIRED)
 }
 
 async fn wait_until_ready(site: &Site, entry: usize) {
@@ -55,7 +45,7 @@
     let site = site(1, 1);
     let backend = FakeBackend::start(site.any_port()).unwrap();
     let backend = backend.with_announcements(site.backends(0), "render");
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let told = Call::get(site.callers(0), "/call/render/page?status=418");
     let told = told.send().await.unwrap();
     assert_eq!((told.status, told.outcome.as_str()), (418, "answered"));
@@ -116,7 +106,7 @@
         let text = send_raw(site.callers(0), head.as_bytes(), told).await;
         assert!(text.is_ok(), "{head}: {text:?}");
     }
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
 }
 
 #[actix_rt::test]
@@ -134,7 +124,7 @@
             tokio::time::sleep(Duration::from_millis(500)).await;
         }
     });
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let call = || Call::get(site.callers(0), "/call/render/page").with_timeout_ms(1_000);
     let oversized = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 9 << 20);
     let broken: [(&str, &[u8]); 9] = [
@@ -223,7 +213,7 @@
     let site = site(1, 1);
     let backend = FakeBackend::start(site.any_port()).unwrap();
     let backend = backend.with_announcements(site.backends(0), "render");
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let entry = site.callers(0);
     let slow = (0..24).map(|number| {
         let path = format!("/call/render/slow?delay_ms=1500&n={number}");
@@ -258,7 +248,7 @@
         .await
         .unwrap();
     let backend = backend.with_announcements_of(proxy.address, site.backends(0), "render");
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let entry = site.callers(0);
     for _ in 0..20 {
         let told = Call::get(entry, "/call/render/page").send().await.unwrap();
@@ -294,7 +284,7 @@
         .await
         .unwrap();
     let backend = backend.with_announcements_of(proxy.address, site.backends(0), "render");
-    wait_until_answered(&site, 0).await;
+    wait_until_answered(site.callers(0)).await;
     let post = |key: &str| {
         let path = "/call/render/publish?bytes=4000";
         Call::post(site.callers(0), path, key).with_timeout_ms(400)
