--- a/crates/jasminefall-control/src/main.rs
+++ b/crates/jasminefall-control/src/main.rs
@@ -4,8 +4,6 @@
 //!
 //! - [`settings`]: what the settings file says
 //! - [`node`]: the replica with its state, and the handle by which others reach it
-//! - [`disk`]: the thread that syncs
-//! - [`peers`]: messages to the other replicas
 //! - [`service`]: calls of entries and other replicas
 //! - [`entry_leases`]: which entry holds which configuration
 //! - [`planner`]: placing jobs on workers
@@ -13,12 +11,10 @@
 //! - [`metrics`]: what a metrics collector sees
 //! - [`edge`]: what operators and workers speak
 
-mod disk;
 mod edge;
 mod entry_leases;
 mod metrics;
 mod node;
-mod peers;
 mod planner;
 mod service;
 mod settings;
--- a/crates/jasminefall-control/src/node.rs
+++ b/crates/jasminefall-control/src/node.rs
@@ -18,17 +18,17 @@
 
 use actix::prelude::*;
 use anyhow::Context as _;
+use jasminefall_replica::disk::{self, DiskDone, DiskJob};
 use jasminefall_replica::prelude::*;
 use jasminefall_runtime::clock::{monotonic_ms, wall_ms};
 use jasminefall_state::prelude::*;
 use jasminefall_wire::message::{ControlError, ProposeAnswer};
+use jasminefall_wire::peers::Peers;
 use tokio::sync::oneshot;
 
 pub(crate) use self::handle::NodeHandle;
 use self::messages::Synced;
-use crate::disk::{self, DiskDone, DiskJob};
 use crate::entry_leases::EntryLeases;
-use crate::peers::Peers;
 use crate::settings::{ReplicaAddresses, Settings};
 use crate::worker_book::WorkerBook;
 
@@ -157,7 +157,7 @@
         let applied = recovered.snapshot.index;
         let addresses = settings.replicas.clone();
         let others = addresses.iter().filter(|(id, _)| **id != settings.replica);
-        let others = others.map(|(id, replica)| (*id, replica.peer)).collect();
+        let others: BTreeMap<_, _> = others.map(|(id, replica)| (*id, replica.peer)).collect();
         let first_voters = addresses.iter().filter(|(_, replica)| replica.first_voter);
         let first_voters: Vec<_> = first_voters.map(|(id, _)| *id).collect();
         let places = addresses.iter();
@@ -180,7 +180,7 @@
             was_leader: false,
             disk,
             disk_jobs: 0,
-            peers: Peers::start(others, &settings.site_key),
+            peers: Peers::new(&settings.site_key, move |id| others.get(&id).copied()),
             addresses,
             plan,
             waiting: BTreeMap::new(),
--- a/crates/jasminefall-control/src/node/messages.rs
+++ b/crates/jasminefall-control/src/node/messages.rs
@@ -1,6 +1,7 @@
 //! What the actor is asked.
 
 use actix::prelude::*;
+use jasminefall_replica::disk::DiskDone;
 use jasminefall_replica::prelude::Change;
 use jasminefall_runtime::clock::{monotonic_ms, wall_ms};
 use jasminefall_state::prelude::*;
@@ -9,7 +10,6 @@
 
 use super::members::MembersBody;
 use super::{MAX_WAITING, MAX_WAITING_BYTES, Node, ReplicaStatus, View, Waiter};
-use crate::disk::DiskDone;
 
 /// Reports what the disk thread has done.
 #[derive(Message)]
--- a/crates/jasminefall-control/src/service.rs
+++ b/crates/jasminefall-control/src/service.rs
@@ -16,6 +16,10 @@
             Box::pin(async move { handle.propose(command).await })
         }),
         renew: Box::new(move |request| Box::pin(renew(renewed.clone(), request))),
+        forward: Box::new(|_| {
+            let refusal = "this program forwards no calls; call its listeners";
+            Box::pin(async move { Err(capnp::Error::unimplemented(refusal.to_owned())) })
+        }),
     }
 }
 
--- /dev/null
+++ b/crates/jasminefall-dispatch/src/bin/jasminefall-dispatch-entry.rs
@@ -0,0 +1,17 @@
+//! Entry of a site that runs jobs of steps.
+
+use std::process::ExitCode;
+
+use jasminefall_dispatch::{entry, settings};
+use jasminefall_platform::settings::PlatformSettings;
+use jasminefall_runtime::daemon::Daemon;
+
+fn main() -> ExitCode {
+    let daemon = Daemon {
+        program: "jasminefall-dispatch-entry",
+        purpose: "Takes clients' calls and forwards them to the control leader.",
+        load: settings::load_entry,
+        name: |settings: &PlatformSettings| settings.name.to_string(),
+    };
+    daemon.run(entry::serve)
+}
--- /dev/null
+++ b/crates/jasminefall-dispatch/src/control.rs
@@ -0,0 +1,118 @@
+//! The control program.
+//!
+//! - [`node`]: the replica, its state and, where it leads, the leader's knowledge
+//! - [`edge`]: what workers and operators call, and what entries forward
+//! - [`lines`]: orders to workers, one after the other on kept connections
+//! - [`instances`]: calls to the platform
+
+mod edge;
+mod instances;
+mod lines;
+mod node;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jasminefall_platform::settings::PlatformSettings;
+use jasminefall_runtime::supervisor::{Child, Supervisor};
+use jasminefall_wire::server::{ControlService, serve_control};
+
+use self::node::Node;
+use crate::http::server::{listen, serve as serve_http};
+use crate::settings::{peer_address, site_key};
+use crate::stop::{Activity, asked_to_stop, follow_settings};
+
+/// The largest body of a worker or an operator; the limit of the platform's page.
+const MAX_BODY_BYTES: usize = 4 << 20;
+const STOP_CHECK: Duration = Duration::from_millis(20);
+/// How long calls under way are waited for at a stop, as a part of the grace.
+const STOP_WAIT_PART: f64 = 0.3;
+
+/// Runs a control instance until it is asked to stop.
+///
+/// # Errors
+///
+/// Returns an error where a listener or the data folder cannot be opened.
+pub async fn serve(settings: PlatformSettings) -> anyhow::Result<()> {
+    let Some(control) = settings.control else {
+        anyhow::bail!("the settings name no listener for a control instance");
+    };
+    let node = Node::open(&settings)?;
+    log::info!(
+        "event=started zone={} replica={} first_start={} seeds={:?}",
+        settings.data_centre,
+        node.id(),
+        settings.first_start,
+        settings.seeds
+    );
+    let supervisor = Supervisor::new(vec![peers_child(settings.clone(), node.clone())]);
+    let activity: Rc<Activity> = Rc::default();
+    let answer = {
+        let node = node.clone();
+        move |call| edge::answer(node.clone(), call)
+    };
+    let edge = serve_http(listen(control)?, MAX_BODY_BYTES, activity.clone(), answer);
+    let metrics = crate::metrics::serve(&settings, node.metrics());
+    let reload = {
+        let node = node.clone();
+        move |read: &PlatformSettings| node.set_seeds(read)
+    };
+    let settings_followed = follow_settings(crate::settings_path(), settings.clone(), reload);
+    tokio::select! {
+        ended = edge => ended?,
+        ended = metrics => ended?,
+        ended = settings_followed => ended?,
+        () = supervisor.run() => {}
+        ended = node.clone().run() => ended?,
+        ended = stop(&activity, &settings) => ended?,
+    }
+    log::info!("event=stopped under_way={}", activity.under_way());
+    Ok(())
+}
+
+fn peers_child(settings: PlatformSettings, node: Node) -> Child {
+    Child::new("peer-listener", move || {
+        let (settings, node) = (settings.clone(), node.clone());
+        async move {
+            let listener = listen(peer_address(&settings, settings.address))?;
+            serve_control(listener, site_key(&settings), service(node)).await?;
+            Ok(())
+        }
+    })
+}
+
+fn service(node: Node) -> ControlService {
+    let (stepped, forwarded) = (node.clone(), node);
+    let refused = || capnp::Error::unimplemented("this program agrees on jobs only".to_owned());
+    ControlService {
+        step: Box::new(move |messages| stepped.step(messages)),
+        propose: Box::new(move |_| {
+            Box::pin(async { Err(jasminefall_wire::message::ControlError::NotLeader(None)) })
+        }),
+        renew: Box::new(move |_| {
+            Box::pin(async { Err(jasminefall_wire::message::ControlError::NotLeader(None)) })
+        }),
+        forward: Box::new(move |body| {
+            let node = forwarded.clone();
+            Box::pin(async move {
+                let request = jasminefall_wire::codec::decode(&body).map_err(|_| refused())?;
+                let answer = edge::decide(&node, request).await;
+                Ok(jasminefall_wire::codec::encode(&answer))
+            })
+        }),
+    }
+}
+
+/// Waits to be asked to stop, and finishes the calls under way.
+async fn stop(activity: &Activity, settings: &PlatformSettings) -> anyhow::Result<()> {
+    asked_to_stop().await?;
+    activity.begin_stop();
+    log::info!("event=stopping under_way={}", activity.under_way());
+    let grace = Duration::from_millis(settings.stop_grace_ms).mul_f64(STOP_WAIT_PART);
+    let until = tokio::time::Instant::now() + grace;
+    while activity.under_way() > 0 && tokio::time::Instant::now() < until {
+        tokio::time::sleep(STOP_CHECK).await;
+    }
+    tokio::time::sleep(STOP_CHECK).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/jasminefall-dispatch/src/control/lines.rs
@@ -0,0 +1,132 @@
+//! Orders to workers, one after the other on kept connections.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jasminefall_jobs::leader::{LookOrder, StartOrder, WorkerHandle};
+use jasminefall_jobs::prelude::*;
+use jasminefall_platform::orders::{
+    EncodedOrder, MEANT_WORKER_HEADER, decode_list, decode_order_answer, encode_look, encode_pace,
+    encode_start, encode_stop,
+};
+use smol_str::SmolStr;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use super::node::Node;
+use crate::http::client::{CallError, Connection};
+
+/// How long a worker may take to answer an order; it answers within a few milliseconds.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Carries an order to a worker's line.
+#[derive(Debug)]
+pub(super) enum Order {
+    Start(StartOrder),
+    Stop(TaskId, u64),
+    Pace(TaskId, u64, u64),
+    Look(LookOrder),
+}
+
+/// Holds the two lines to a worker: one for orders, one for looks, which may stay open for long.
+#[derive(Debug)]
+struct Lines {
+    orders: UnboundedSender<Order>,
+    looks: UnboundedSender<Order>,
+}
+
+/// Holds the lines to every worker of one leadership.
+#[derive(Debug, Default)]
+pub(super) struct AllLines(HashMap<WorkerHandle, Lines>);
+
+impl AllLines {
+    /// Queues an order; the number of orders is bounded by what runs on a worker.
+    pub(super) fn send(&mut self, node: &Node, worker: &Target, order: Order) {
+        let lines = self.0.entry(worker.handle).or_insert_with(|| {
+            let start = || {
+                let (sender, receiver) = unbounded_channel();
+                actix_rt::spawn(run_line(node.clone(), worker.clone(), receiver));
+                sender
+            };
+            Lines {
+                orders: start(),
+                looks: start(),
+            }
+        });
+        let line = match order {
+            Order::Look(_) => &lines.looks,
+            _ => &lines.orders,
+        };
+        if line.send(order).is_err() {
+            log::warn!("event=line_closed worker={}", worker.name);
+        }
+    }
+
+    /// Closes the lines to workers that are no longer known.
+    pub(super) fn keep(&mut self, known: impl Fn(WorkerHandle) -> bool) {
+        self.0.retain(|handle, _| known(*handle));
+    }
+}
+
+/// Names a worker and how it is reached.
+#[derive(Debug, Clone)]
+pub(super) struct Target {
+    pub(super) handle: WorkerHandle,
+    pub(super) name: SmolStr,
+    pub(super) address: std::net::SocketAddr,
+    pub(super) fencing_token: u64,
+}
+
+async fn run_line(node: Node, target: Target, mut orders: UnboundedReceiver<Order>) {
+    let mut connection = Connection::new(target.address);
+    while let Some(order) = orders.recv().await {
+        let token = target.fencing_token;
+        let (encoded, limit) = match &order {
+            Order::Start(start) => (encode_start(start, token), ORDER_TIMEOUT),
+            Order::Stop(task, run) => (encode_stop(*task, *run, token), ORDER_TIMEOUT),
+            Order::Pace(task, run, percent) => {
+                (encode_pace(*task, *run, *percent, token), ORDER_TIMEOUT)
+            }
+            Order::Look(look) => {
+                let wait = Duration::from_millis(look.wait_ms);
+                (encode_look(look, token), wait + ORDER_TIMEOUT)
+            }
+        };
+        let answer = send(&mut connection, &target, &encoded, limit).await;
+        report(&node, &target, &order, &answer);
+    }
+}
+
+async fn send(
+    connection: &mut Connection,
+    target: &Target,
+    order: &EncodedOrder,
+    limit: Duration,
+) -> Result<(u16, bytes::Bytes), CallError> {
+    let headers = [(MEANT_WORKER_HEADER, target.name.as_str())];
+    connection.call(limit, "POST", order.path, &headers, &order.body).await
+}
+
+fn report(
+    node: &Node,
+    target: &Target,
+    order: &Order,
+    answer: &Result<(u16, bytes::Bytes), CallError>,
+) {
+    let worker = target.handle;
+    let order_answer = match answer {
+        Ok((status, body)) => decode_order_answer(*status, body),
+        Err(CallError::NotSent) => OrderAnswer::NotSent,
+        Err(CallError::NoAnswer) => OrderAnswer::Unknown,
+    };
+    node.turn_for(target.fencing_token, |leader, state| match order {
+        Order::Start(start) => leader.take_start_answer(start, &order_answer, state),
+        Order::Stop(..) | Order::Pace(..) => leader.take_order_answer(worker, &order_answer, state),
+        Order::Look(_) => {
+            let list = match answer {
+                Ok((status, body)) => decode_list(*status, body),
+                Err(_) => Err(order_answer.clone()),
+            };
+            leader.take_look(worker, list, state);
+        }
+    });
+}
--- /dev/null
+++ b/crates/jasminefall-dispatch/src/entry.rs
@@ -0,0 +1,210 @@
+//! The entry program.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jasminefall_platform::client_calls::{
+    CLIENT_WAIT_HEADER, decode_job, encode_status, encode_waiting,
+};
+use jasminefall_platform::settings::PlatformSettings;
+use smol_str::SmolStr;
+
+use crate::forwarding::{ForwardError, Forwarder};
+use crate::http::server::{Call, Reply, listen, serve as serve_http};
+use crate::message::{Answer, ClientCall, Request};
+use crate::metrics::Metrics;
+use crate::settings::{peer_address, site_key};
+use crate::stop::{Activity, asked_to_stop, follow_settings};
+
+/// The longest that a call may wait for the leader; the default time-out of a queue.
+const CALL_LIMIT: Duration = Duration::from_millis(2_800);
+/// The part of a client's own limit that is kept for the answer's way back, in milliseconds.
+const ANSWER_RESERVE_MS: u64 = 100;
+/// The largest body of a client; the default of the platform's configuration.
+const MAX_BODY_BYTES: usize = 256 << 10;
+/// How long clients stay away after a call that no leader took, in seconds; an election takes one.
+const NO_LEADER_RETRY_S: u64 = 1;
+/// How often it is checked that a leader can be found.
+const LEADER_CHECK: Duration = Duration::from_millis(500);
+/// How long the balancer takes to notice that this entry is not ready: two misses, a second apart.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_300);
+const STOP_CHECK: Duration = Duration::from_millis(20);
+
+/// Holds what the tasks of an entry share.
+struct Entry {
+    forwarder: Forwarder,
+    activity: Rc<Activity>,
+    metrics: Metrics,
+}
+
+/// Runs an entry until it is asked to stop.
+///
+/// # Errors
+///
+/// Returns an error where a listener cannot be opened.
+pub async fn serve(settings: PlatformSettings) -> anyhow::Result<()> {
+    let seeds = peers_of(&settings);
+    log::info!("event=started zone={} seeds={seeds:?}", settings.data_centre);
+    let entry = Rc::new(Entry {
+        forwarder: Forwarder::new(site_key(&settings), seeds),
+        activity: Rc::default(),
+        metrics: Metrics::new(),
+    });
+    let (Some(clients), Some(readiness)) = (settings.clients, settings.readiness) else {
+        anyhow::bail!("the settings name no listeners for an entry");
+    };
+    let answer = {
+        let entry = entry.clone();
+        move |call| answer_client(entry.clone(), call)
+    };
+    let clients = serve_http(listen(clients)?, MAX_BODY_BYTES, entry.activity.clone(), answer);
+    let ready = {
+        let entry = entry.clone();
+        move |_| {
+            let is_ready = !entry.activity.is_stopping() && entry.forwarder.leader().is_some();
+            std::future::ready(Reply::new(if is_ready { 200 } else { 503 }))
+        }
+    };
+    // Asking whether the entry is ready must not hold up its stop.
+    let readiness = serve_http(listen(readiness)?, 0, Rc::default(), ready);
+    let metrics = crate::metrics::serve(&settings, entry.metrics.clone());
+    let path = crate::settings_path();
+    let reload = {
+        let entry = entry.clone();
+        move |read: &PlatformSettings| entry.forwarder.set_seeds(peers_of(read))
+    };
+    let settings_followed = follow_settings(path, settings.clone(), reload);
+    tokio::select! {
+        ended = clients => ended?,
+        ended = readiness => ended?,
+        ended = metrics => ended?,
+        ended = settings_followed => ended?,
+        () = look_for_leader(&entry) => {}
+        ended = stop(&entry, &settings) => ended?,
+    }
+    log::info!("event=stopped under_way={}", entry.activity.under_way());
+    Ok(())
+}
+
+fn peers_of(settings: &PlatformSettings) -> Vec<std::net::SocketAddr> {
+    let seeds = settings.seeds.iter();
+    seeds.map(|seed| peer_address(settings, seed.ip())).collect()
+}
+
+/// Keeps knowing a leader, also while no client calls.
+async fn look_for_leader(entry: &Entry) {
+    loop {
+        if entry.forwarder.leader().is_none() {
+            let asked = Request::WaveState(0);
+            if let Err(error) = entry.forwarder.forward(LEADER_CHECK, &asked).await {
+                log::debug!("event=no_leader error={error:?}");
+            }
+        }
+        tokio::time::sleep(LEADER_CHECK).await;
+    }
+}
+
+/// Waits to be asked to stop, lets the balancer notice, and finishes the calls under way.
+async fn stop(entry: &Entry, settings: &PlatformSettings) -> anyhow::Result<()> {
+    asked_to_stop().await?;
+    let activity = &entry.activity;
+    activity.begin_stop();
+    log::info!("event=stopping under_way={}", activity.under_way());
+    tokio::time::sleep(BALANCER_NOTICE).await;
+    let grace = Duration::from_millis(settings.stop_grace_ms).mul_f64(0.8);
+    let until = tokio::time::Instant::now() + grace.saturating_sub(BALANCER_NOTICE);
+    while activity.under_way() > 0 && tokio::time::Instant::now() < until {
+        tokio::time::sleep(STOP_CHECK).await;
+    }
+    // The last answers have been handed over; they leave before the process does.
+    tokio::time::sleep(STOP_CHECK).await;
+    Ok(())
+}
+
+async fn answer_client(entry: Rc<Entry>, call: Call) -> Reply {
+    let started = tokio::time::Instant::now();
+    let (method, path, host) = (call.method.clone(), call.path.clone(), call.host.clone());
+    let (reply, cause) = decide(&entry, call).await;
+    let took = started.elapsed();
+    entry.metrics.note_call(&method, reply.status, took);
+    let is_read = method == "GET" && reply.status == 200;
+    if !is_read {
+        log::info!(
+            "event=client_answered method={method} host={host} path={path} status={} cause={cause} \
+             took_ms={} retry_after_s={:?} leader={:?}",
+            reply.status,
+            took.as_millis(),
+            reply.retry_after_s,
+            entry.forwarder.leader()
+        );
+    }
+    reply
+}
+
+/// Forwards a call and returns the answer with its cause for the log.
+async fn decide(entry: &Entry, call: Call) -> (Reply, &'static str) {
+    let asked = match call.method.as_str() {
+        "POST" => match decode_job(&call.body) {
+            Ok(job) => ClientCall::Submit(Box::new(job)),
+            Err(error) => return (Reply::new(400).with_error(error), "invalid-job"),
+        },
+        "GET" => ClientCall::Read,
+        "DELETE" => ClientCall::Cancel,
+        _ => {
+            let reply = Reply::new(405).with_error("use POST, GET or DELETE");
+            return (reply, "unknown-method");
+        }
+    };
+    let waits_ms = call.number(CLIENT_WAIT_HEADER);
+    let waits_ms = waits_ms.map(|limit| limit.saturating_sub(ANSWER_RESERVE_MS));
+    let limit = waits_ms.map_or(CALL_LIMIT, |limit| CALL_LIMIT.min(Duration::from_millis(limit)));
+    let request = Request::Client {
+        host: SmolStr::new(&call.host),
+        path: SmolStr::new(&call.path),
+        call: asked,
+    };
+    match entry.forwarder.forward(limit, &request).await {
+        Ok(answer) => encode(answer),
+        Err(ForwardError::NotTaken) => {
+            let reply = Reply::new(503).with_error("no control leader; nothing was done");
+            (reply.with_retry_after_s(NO_LEADER_RETRY_S), "no-leader")
+        }
+        Err(ForwardError::Unknown) => {
+            let what = "control gave no answer in time; send the same call again";
+            (Reply::new(504).with_error(what), "unanswered")
+        }
+    }
+}
+
+fn encode(answer: Answer) -> (Reply, &'static str) {
+    match answer {
+        Answer::Accepted => (Reply::new(200).with_body("{}"), "accepted"),
+        Answer::Status(status) => {
+            (Reply::new(200).with_body(encode_status(status)), "status")
+        }
+        Answer::Waiting(count) => {
+            let count = usize::try_from(count).unwrap_or(usize::MAX);
+            (Reply::new(200).with_body(encode_waiting(count)), "waiting")
+        }
+        Answer::ComeBack { after_ms } => {
+            let what = "the queue is full for now; the job was not accepted";
+            let seconds = after_ms.div_ceil(1_000).max(1);
+            (Reply::new(429).with_error(what).with_retry_after_s(seconds), "overload")
+        }
+        Answer::NoConfiguration => {
+            let reply = Reply::new(503).with_error("no configuration yet; nothing was done");
+            (reply.with_retry_after_s(NO_LEADER_RETRY_S), "no-configuration")
+        }
+        Answer::NoQueue => (Reply::new(404).with_error("no such queue"), "no-queue"),
+        Answer::NotFound => (Reply::new(410).with_error("no such job"), "no-job"),
+        Answer::Invalid(what) => (Reply::new(400).with_error(what), "invalid"),
+        Answer::Unknown
+        | Answer::NotLeader { .. }
+        | Answer::HeartbeatNoted { .. }
+        | Answer::Document(_)
+        | Answer::Wave { .. } => {
+            let what = "control gave no clear answer; send the same call again";
+            (Reply::new(504).with_error(what), "unclear")
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -0,0 +1,159 @@
+//! Finding the leader, and forwarding calls to it.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use jasminefall_wire::client::ControlLink;
+use jasminefall_wire::handshake::SiteKey;
+use jasminefall_wire::link::LinkError;
+
+use crate::message::{Answer, Request};
+
+/// The pause after every known control instance has been asked in vain; an election takes a second.
+const ROUND_PAUSE: Duration = Duration::from_millis(60);
+/// How long one instance may take to answer; a commit on slow disks takes a few hundred milliseconds.
+const TRY_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Says why a call was not answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardError {
+    /// No leader has taken the call: nothing has been done, and nothing will be.
+    NotTaken,
+    /// A control instance may have taken the call.
+    Unknown,
+}
+
+/// Forwards calls to whichever control instance leads.
+pub struct Forwarder {
+    key: SiteKey,
+    known: RefCell<Known>,
+}
+
+#[derive(Default)]
+struct Known {
+    seeds: Vec<SocketAddr>,
+    members: BTreeSet<SocketAddr>,
+    leader: Option<SocketAddr>,
+    links: BTreeMap<SocketAddr, Rc<ControlLink>>,
+}
+
+impl Forwarder {
+    /// Creates a forwarder that finds control through the peer addresses of some instances.
+    #[must_use]
+    pub fn new(key: SiteKey, seeds: Vec<SocketAddr>) -> Self {
+        let known = Known {
+            seeds,
+            ..Known::default()
+        };
+        Self {
+            key,
+            known: RefCell::new(known),
+        }
+    }
+
+    /// Exchanges the seeds for others.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.known.borrow_mut().seeds = seeds;
+    }
+
+    /// Returns the instance that was last known to lead.
+    #[must_use]
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.known.borrow().leader
+    }
+
+    /// Forwards a call and returns the leader's answer.
+    ///
+    /// Calls carry keys of their own, so one that may have been taken is sent again as it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ForwardError`] where no leader answered within `limit`.
+    pub async fn forward(&self, limit: Duration, request: &Request) -> Result<Answer, ForwardError> {
+        let deadline = Instant::now() + limit;
+        let mut may_be_taken = false;
+        let mut tried = BTreeSet::new();
+        loop {
+            let Some(address) = self.next_to_try(&tried) else {
+                tried.clear();
+                if Instant::now() + ROUND_PAUSE >= deadline {
+                    break;
+                }
+                tokio::time::sleep(ROUND_PAUSE).await;
+                continue;
+            };
+            tried.insert(address);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let link = self.link(address);
+            match link.forward(left.min(TRY_TIMEOUT), request).await {
+                Ok(Answer::NotLeader { leader, members }) => {
+                    self.learn(leader, &members, address);
+                    if let Some(leader) = leader {
+                        tried.remove(&leader);
+                        tried.insert(address);
+                    }
+                }
+                Ok(Answer::Unknown) => may_be_taken = true,
+                Ok(answer) => {
+                    self.known.borrow_mut().leader = Some(address);
+                    return Ok(answer);
+                }
+                Err(LinkError::NotSent(error)) => {
+                    log::debug!("event=forward_failed to={address} error=\"{error}\"");
+                    self.forget_leader(address);
+                }
+                Err(LinkError::Unknown(error)) => {
+                    log::warn!("event=forward_unanswered to={address} error=\"{error}\"");
+                    may_be_taken = true;
+                    self.forget_leader(address);
+                }
+            }
+        }
+        Err(if may_be_taken {
+            ForwardError::Unknown
+        } else {
+            ForwardError::NotTaken
+        })
+    }
+
+    fn next_to_try(&self, tried: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
+        let known = self.known.borrow();
+        let members = known.members.iter().copied();
+        let order = known.leader.into_iter().chain(members).chain(known.seeds.iter().copied());
+        order.into_iter().find(|address| !tried.contains(address))
+    }
+
+    fn link(&self, address: SocketAddr) -> Rc<ControlLink> {
+        let mut known = self.known.borrow_mut();
+        let create = || Rc::new(ControlLink::new(address, self.key.clone()));
+        known.links.entry(address).or_insert_with(create).clone()
+    }
+
+    fn learn(&self, leader: Option<SocketAddr>, members: &[SocketAddr], asked: SocketAddr) {
+        let mut known = self.known.borrow_mut();
+        if !members.is_empty() {
+            known.members = members.iter().copied().collect();
+        }
+        let led = known.leader;
+        if leader.is_some() && leader != led {
+            log::info!("event=leader_found leader={leader:?} before={led:?} told_by={asked}");
+        }
+        if leader.is_some() || led == Some(asked) {
+            known.leader = leader;
+        }
+    }
+
+    fn forget_leader(&self, address: SocketAddr) {
+        let mut known = self.known.borrow_mut();
+        if known.leader == Some(address) {
+            log::warn!("event=leader_lost leader={address}");
+            known.leader = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-dispatch/src/http.rs
@@ -0,0 +1,4 @@
+//! HTTP listeners and connections.
+
+pub mod client;
+pub mod server;
--- /dev/null
+++ b/crates/jasminefall-dispatch/src/stop.rs
@@ -0,0 +1,103 @@
+//! Signals to stop and to reload.
+
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use jasminefall_platform::settings::PlatformSettings;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::settings::load;
+
+/// How often the settings file is looked at without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(2);
+
+/// Counts the calls that are being answered, and says whether the process is about to stop.
+#[derive(Debug, Default)]
+pub struct Activity {
+    under_way: Cell<usize>,
+    stopping: Cell<bool>,
+}
+
+impl Activity {
+    /// Notes that a call is being answered, until the guard is dropped.
+    #[must_use]
+    pub fn begin(self: &std::rc::Rc<Self>) -> UnderWay {
+        self.under_way.set(self.under_way.get() + 1);
+        UnderWay(self.clone())
+    }
+
+    /// Returns how many calls are being answered.
+    #[must_use]
+    pub const fn under_way(&self) -> usize {
+        self.under_way.get()
+    }
+
+    /// Returns whether the process is about to stop.
+    #[must_use]
+    pub const fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Says that the process is about to stop.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+    }
+}
+
+/// Holds a call open for as long as it lives.
+#[derive(Debug)]
+pub struct UnderWay(std::rc::Rc<Activity>);
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.under_way.set(self.0.under_way.get().saturating_sub(1));
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns the system's error where signals cannot be listened for.
+pub async fn asked_to_stop() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Calls `changed` with the settings whenever the file says something new, on SIGHUP or without.
+///
+/// A file that does not hold is passed over with a log line; the settings in force stay.
+pub async fn follow_settings(
+    path: PathBuf,
+    mut held: PlatformSettings,
+    changed: impl Fn(&PlatformSettings),
+) -> anyhow::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        let signalled = wait(&mut hangup).await;
+        match load(&path) {
+            Ok(read) => {
+                if signalled || read != held {
+                    let seeds = &read.seeds;
+                    log::info!("event=reloaded changed={} seeds={seeds:?}", read != held);
+                    changed(&read);
+                }
+                held = read;
+            }
+            Err(problems) => log::error!("event=reload_refused cause=\"{problems}\""),
+        }
+    }
+}
+
+async fn wait(hangup: &mut Signal) -> bool {
+    tokio::select! {
+        _ = hangup.recv() => true,
+        () = tokio::time::sleep(SETTINGS_CHECK) => false,
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -0,0 +1,373 @@
+//! What the leader knows and decides.
+//!
+//! [`Leader`] performs no I/O. Clients, workers and the replicated log are its inputs; each input is
+//! followed by [`Leader::settle`], which places what can be placed and hands over the [`Effect`]s.
+//! What the leader knows beyond the replicated state is rebuilt by a new leader from the lists that
+//! workers keep, so that a start need not wait for a commit.
+//!
+//! - [`clients`]: submissions, states and cancels
+//! - [`workers`]: heartbeats, lives and leases
+//! - [`orders`]: answers of workers to orders, and their lists of runs
+//! - [`steps`]: which steps are open and what waits in them
+//! - [`placing`]: starting what waits
+//! - [`upkeep`]: maintenance waves
+//! - [`filling`]: the pace of tasks that fill beside others
+
+mod clients;
+mod filling;
+mod orders;
+mod placing;
+mod pools;
+mod steps;
+mod upkeep;
+mod workers;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+
+pub use self::clients::{Reply, SubmitDecision};
+pub use self::upkeep::{InstanceAnswer, ListedInstance};
+pub use self::workers::{Worker, WorkerHandle};
+use self::filling::Pacing;
+use self::pools::PoolPlans;
+use self::steps::StepRun;
+use self::upkeep::Upkeep;
+use crate::ids::{LifeId, StepId, TaskId};
+use crate::job::JobSpec;
+use crate::policy::durations::Durations;
+use crate::state::{Command, JobsState};
+
+/// Runs of one leadership are numbered from a multiple of this, so that they are above earlier ones.
+const RUNS_PER_LEADERSHIP: u64 = 1 << 16;
+
+/// Sets the times that the leader goes by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaderSettings {
+    /// The longest lease that a worker grants, in milliseconds; from the platform's settings.
+    pub max_lease_ms: u64,
+    /// The longest that a worker takes to stop a run, in milliseconds; from the platform's settings.
+    pub stop_ms: u64,
+    /// The time between two heartbeats of a worker, in milliseconds; from the platform's settings.
+    pub heartbeat_ms: u64,
+    /// The time in which a task that is off counts as away, in milliseconds; from the platform's
+    /// settings.
+    pub away_notice_ms: u64,
+    /// How long an instance is away for its maintenance, in milliseconds; from the platform's
+    /// settings.
+    pub maintenance_ms: u64,
+    /// How long an instance is away when it changes its pool, in milliseconds; from the platform's
+    /// settings.
+    pub move_ms: u64,
+    /// By how much a task is slower away from its data, in thousandths; from the platform's settings.
+    pub far_millis: u64,
+    /// How long a job that has ended is remembered, in milliseconds.
+    pub remember_ms: u64,
+}
+
+impl Default for LeaderSettings {
+    fn default() -> Self {
+        Self {
+            max_lease_ms: 6_000,
+            stop_ms: 900,
+            heartbeat_ms: 1_500,
+            away_notice_ms: 4_500,
+            maintenance_ms: 2_000,
+            move_ms: 1_500,
+            far_millis: 2_000,
+            remember_ms: 600_000,
+        }
+    }
+}
+
+/// Holds both clocks at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Now {
+    /// A steady clock that counts suspension, in milliseconds.
+    pub steady_ms: u64,
+    /// The time of day, in milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
+/// Asks the program to do something.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Proposes a command to the replicated log.
+    Propose(Command),
+    /// Orders a worker to start a task.
+    Start(StartOrder),
+    /// Orders a worker to stop a run.
+    Stop {
+        /// The worker.
+        worker: WorkerHandle,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u64,
+    },
+    /// Orders a worker to let a run work at a share of its speed.
+    Pace {
+        /// The worker.
+        worker: WorkerHandle,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u64,
+        /// The share in per cent.
+        percent: u64,
+    },
+    /// Asks a worker for its runs, acknowledges ends and extends the lease.
+    Look(LookOrder),
+    /// Asks for which workers a step is permitted.
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers to ask about.
+        workers: Vec<SmolStr>,
+    },
+    /// Reads the list of instances.
+    ListInstances,
+    /// Sends an instance into maintenance.
+    Maintain {
+        /// The instance.
+        instance: SmolStr,
+        /// The wave that it belongs to.
+        wave: u64,
+    },
+    /// Moves an instance to another pool.
+    Move {
+        /// The instance.
+        instance: SmolStr,
+        /// The pool to move it to.
+        pool: SmolStr,
+    },
+}
+
+/// Describes the start of a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartOrder {
+    /// The worker.
+    pub worker: WorkerHandle,
+    /// The task.
+    pub task: TaskId,
+    /// The run of the task.
+    pub run: u64,
+    /// The job, for the text that the task is given.
+    pub spec: Arc<JobSpec>,
+    /// Until when the start may take effect, and the lease granted with it, on the worker's clock.
+    pub deadline_ms: u64,
+    /// The checkpoint to resume from; empty where there is none.
+    pub checkpoint: SmolStr,
+    /// The permit of the advice service, where the queue needs one.
+    pub ticket: Option<SmolStr>,
+}
+
+/// Describes a look at a worker's runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LookOrder {
+    /// The worker.
+    pub worker: WorkerHandle,
+    /// The lease granted, on the worker's clock; none where nothing is to be held.
+    pub deadline_ms: Option<u64>,
+    /// The number of the last end that may be forgotten.
+    pub seen_upto: u64,
+    /// How long the worker may wait for an end before it answers.
+    pub wait_ms: u64,
+}
+
+/// Says what is known of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunState {
+    /// The start has been ordered; there is no answer yet.
+    Sending,
+    /// The start got no answer: it may have taken effect, or may until its deadline.
+    Unsure,
+    /// The run is under way.
+    Running,
+    /// The run has been told to stop.
+    Stopping {
+        /// When the latest order to stop was sent.
+        ordered_at_ms: u64,
+    },
+}
+
+/// Holds a run that takes up room on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Run {
+    pub(crate) task: TaskId,
+    pub(crate) number: u64,
+    pub(crate) worker: WorkerHandle,
+    pub(crate) state: RunState,
+    pub(crate) counted: crate::job::Resources,
+    /// Until when the start could take effect, on the worker's clock.
+    pub(crate) start_deadline_ms: u64,
+    pub(crate) ordered_at_ms: u64,
+    pub(crate) checkpoint: SmolStr,
+    pub(crate) percent: u64,
+    pub(crate) gauge: Option<u64>,
+    /// When the percentage last moved.
+    pub(crate) moved_at_ms: u64,
+    pub(crate) pace_percent: u64,
+    /// Whether the run must not go on: its task is done, cancelled or runs elsewhere.
+    pub(crate) unwanted: bool,
+}
+
+/// Counts what the leader decided, for metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counts {
+    /// Starts ordered.
+    pub starts: u64,
+    /// Starts that a worker refused.
+    pub starts_refused: u64,
+    /// Starts without an answer.
+    pub starts_unsure: u64,
+    /// Runs told to stop.
+    pub stops: u64,
+    /// Looks at workers.
+    pub looks: u64,
+    /// Jobs accepted.
+    pub jobs_accepted: u64,
+    /// Jobs refused at once.
+    pub jobs_refused: u64,
+    /// Instances sent into maintenance.
+    pub maintained: u64,
+    /// Instances moved to another pool.
+    pub moved: u64,
+}
+
+/// Knows and decides what the leader of the control replicas does for jobs and workers.
+#[derive(Debug)]
+pub struct Leader {
+    settings: LeaderSettings,
+    now: Now,
+    leads_since_ms: u64,
+    first_run: u64,
+    next_handle: u32,
+    workers: BTreeMap<WorkerHandle, Worker>,
+    by_life: HashMap<LifeId, WorkerHandle>,
+    /// Lives on which an earlier leader may have started tasks and that have not answered yet.
+    unsettled: BTreeMap<LifeId, SmolStr>,
+    steps: BTreeMap<StepId, StepRun>,
+    open_steps: BTreeMap<SmolStr, BTreeSet<(steps::Order, StepId)>>,
+    not_due: BTreeSet<(u64, StepId)>,
+    runs: HashMap<TaskId, Vec<Run>>,
+    last_runs: HashMap<TaskId, u64>,
+    durations: Durations,
+    upkeep: Upkeep,
+    pool_plans: PoolPlans,
+    pacing: Pacing,
+    dirty_pools: BTreeSet<SmolStr>,
+    stamp_at_ms: u64,
+    counts: Counts,
+    effects: Vec<Effect>,
+    log: Vec<String>,
+}
+
+impl Leader {
+    /// Creates what a new leader knows from the replicated state, once its first command is applied.
+    #[must_use]
+    pub fn new(settings: LeaderSettings, now: Now, state: &JobsState) -> Self {
+        let mut leader = Self {
+            settings,
+            now,
+            leads_since_ms: now.steady_ms,
+            first_run: state.leaderships.saturating_sub(1) * RUNS_PER_LEADERSHIP,
+            next_handle: 0,
+            workers: BTreeMap::new(),
+            by_life: HashMap::new(),
+            unsettled: BTreeMap::new(),
+            steps: BTreeMap::new(),
+            open_steps: BTreeMap::new(),
+            not_due: BTreeSet::new(),
+            runs: HashMap::new(),
+            last_runs: HashMap::new(),
+            durations: Durations::default(),
+            upkeep: Upkeep::default(),
+            pool_plans: PoolPlans::default(),
+            pacing: Pacing::default(),
+            dirty_pools: BTreeSet::new(),
+            stamp_at_ms: now.steady_ms,
+            counts: Counts::default(),
+            effects: Vec::new(),
+            log: Vec::new(),
+        };
+        for (life, note) in &state.lives {
+            leader.unsettled.insert(life.clone(), note.heartbeat.pool.clone());
+            leader.add_worker(note.heartbeat.clone(), true);
+        }
+        for (key, job) in &state.jobs {
+            if job.ended.is_none() {
+                leader.open_job(*key, job, state);
+            }
+        }
+        leader
+    }
+
+    /// Moves the clocks on; to be called before any other input.
+    pub const fn set_now(&mut self, now: Now) {
+        self.now = now;
+    }
+
+    /// Does what is due by the clock, such as leases that lapse and looks that are to be repeated.
+    pub fn tick(&mut self, state: &JobsState) {
+        self.check_workers(state);
+        self.open_due_steps(state);
+        self.repeat_stops();
+        self.tend_upkeep(state);
+        self.tend_pools(state);
+        self.stamp_ended_jobs(state);
+    }
+
+    /// Places what can be placed and hands over what the program has to do.
+    pub fn settle(&mut self, state: &JobsState) -> Vec<Effect> {
+        self.place_all(state);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Hands over the log lines of the decisions made since the last call.
+    pub fn take_log(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.log)
+    }
+
+    /// Returns what has been counted so far.
+    #[must_use]
+    pub const fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Returns the worker behind a handle.
+    #[must_use]
+    pub fn worker(&self, handle: WorkerHandle) -> Option<&Worker> {
+        self.workers.get(&handle)
+    }
+
+    /// Returns how many tasks run, and how many wait, in every pool.
+    #[must_use]
+    pub fn load(&self) -> (usize, usize) {
+        let running = self.runs.values().map(Vec::len).sum();
+        let waiting = self.steps.values().map(|step| step.waiting.len()).sum();
+        (running, waiting)
+    }
+
+    fn propose(&mut self, command: Command) {
+        self.effects.push(Effect::Propose(command));
+    }
+
+    fn note(&mut self, line: String) {
+        self.log.push(line);
+    }
+
+    /// Returns a run number above every one that the task has had.
+    fn next_run(&mut self, task: TaskId) -> u64 {
+        let last = self.last_runs.entry(task).or_insert(self.first_run);
+        *last += 1;
+        *last
+    }
+
+    /// Notes a run number that an earlier leader or an unknown order has used.
+    fn note_run(&mut self, task: TaskId, run: u64) {
+        let last = self.last_runs.entry(task).or_insert(self.first_run);
+        *last = (*last).max(run);
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -0,0 +1,145 @@
+//! Submissions, states and cancels.
+
+use super::Leader;
+use crate::configuration::Queue;
+use crate::ids::{JobKey, QueueKey};
+use crate::job::JobSpec;
+use crate::policy::admission::{self, Admission, Asked, PoolLoad};
+use crate::policy::order;
+use crate::state::{JobStatus, JobsState};
+
+/// Says what is done with a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SubmitDecision {
+    /// The job is known already; the client is told so.
+    Known,
+    /// The job is to be proposed.
+    Propose,
+    /// The job is refused and never runs; it may come back after this.
+    ComeBack {
+        /// The time to wait.
+        after_ms: u64,
+    },
+}
+
+/// Answers a client about a job or a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// There is no such queue.
+    NoQueue,
+    /// There is no such job.
+    NoJob,
+    /// Where the job stands.
+    Status(JobStatus),
+    /// How many accepted jobs of the queue have not begun.
+    Waiting(usize),
+}
+
+impl Leader {
+    /// Decides what is done with a submission.
+    pub fn decide_submission(
+        &mut self,
+        key: JobKey,
+        queue: &Queue,
+        spec: &JobSpec,
+        state: &JobsState,
+    ) -> SubmitDecision {
+        if state.jobs.contains_key(&key) {
+            return SubmitDecision::Known;
+        }
+        let (load, asked) = (self.pool_load(&queue.pool), self.asked(queue, spec));
+        let admission = if spec.schedule.is_some() || spec.is_long_running() {
+            Admission::Accept
+        } else {
+            admission::admit(&load, &asked)
+        };
+        match admission {
+            Admission::Accept => {
+                self.counts.jobs_accepted += 1;
+                self.note(format!(
+                    "event=job_admitted job={key} queue={} backlog_core_ms={} work_core_ms={} slack_ms={}",
+                    queue.name, load.backlog_core_ms, asked.work_core_ms, asked.slack_ms
+                ));
+                SubmitDecision::Propose
+            }
+            Admission::ComeBack { after_ms } => {
+                self.counts.jobs_refused += 1;
+                self.note(format!(
+                    "event=job_refused job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
+                     slack_ms={} come_back_ms={after_ms}",
+                    queue.name, load.backlog_core_ms, load.capacity_cpu_millis, asked.slack_ms
+                ));
+                SubmitDecision::ComeBack { after_ms }
+            }
+        }
+    }
+
+    fn asked(&self, queue: &Queue, spec: &JobSpec) -> Asked {
+        let work = spec.steps.iter().map(|step| {
+            u64::from(step.tasks) * step.counted().cpu_millis * step.estimated_ms / 1_000
+        });
+        let chain_ms = order::longest_chain_ms(spec);
+        let stretched_ms = chain_ms.saturating_mul(queue.stretch_millis) / 1_000;
+        Asked {
+            work_core_ms: work.sum(),
+            slack_ms: (stretched_ms + queue.latency_target_ms).saturating_sub(chain_ms),
+        }
+    }
+
+    /// Returns what a pool holds and what has been accepted for it.
+    fn pool_load(&self, pool: &str) -> PoolLoad {
+        let of_pool = self.workers.values().filter(|worker| worker.heartbeat.pool == pool);
+        let usable = of_pool.filter(|worker| !worker.heartbeat.draining && !worker.doubtful);
+        let mut capacity_cpu_millis = 0;
+        for worker in usable {
+            let lasting = worker.runs.keys().filter_map(|task| {
+                let step = self.steps.get(&task.step_id())?;
+                step.step().long_running.then(|| step.step().counted().cpu_millis)
+            });
+            let lasting: u64 = lasting.sum();
+            capacity_cpu_millis += worker.heartbeat.capacity.cpu_millis.saturating_sub(lasting);
+        }
+        let of_pool = self.steps.values().filter(|step| step.pool == pool);
+        let backlog = of_pool.filter(|step| !step.step().long_running).map(|step| {
+            let left = u64::from(step.step().tasks.saturating_sub(step.done_count));
+            let each_ms = self.durations.expect_ms(&step.kind, step.step().estimated_ms);
+            left * each_ms * step.step().counted().cpu_millis / 1_000
+        });
+        PoolLoad {
+            capacity_cpu_millis,
+            backlog_core_ms: backlog.sum(),
+        }
+    }
+
+    /// Returns where a job stands.
+    #[must_use]
+    pub fn status(&self, queue: &QueueKey, key: JobKey, state: &JobsState) -> Reply {
+        let Some(job) = state.jobs.get(&key).filter(|job| job.queue == *queue) else {
+            return Reply::NoJob;
+        };
+        let status = match job.status() {
+            JobStatus::Queued if self.has_begun(key) => JobStatus::Running,
+            status => status,
+        };
+        Reply::Status(status)
+    }
+
+    /// Returns how many accepted jobs of a queue have not begun.
+    #[must_use]
+    pub fn waiting_jobs(&self, queue: &QueueKey, state: &JobsState) -> Reply {
+        let jobs = state.jobs.iter().filter(|(_, job)| job.queue == *queue);
+        let waiting = jobs.filter(|(key, job)| {
+            job.ended.is_none() && !job.has_run && !self.has_begun(**key)
+        });
+        Reply::Waiting(waiting.count())
+    }
+
+    fn has_begun(&self, key: JobKey) -> bool {
+        let has_run = |id: &crate::ids::StepId| {
+            self.steps.get(id).is_some_and(|step| {
+                step.done_count > 0 || step.waiting.len() < step.done.len()
+            })
+        };
+        self.step_ids(key).iter().any(has_run)
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -0,0 +1,219 @@
+//! Starting what waits.
+
+use smol_str::SmolStr;
+
+use super::steps::StepRun;
+use super::{Effect, Leader, Run, RunState, StartOrder, Worker, WorkerHandle};
+use crate::ids::StepId;
+use crate::job::{Resources, StepSpec};
+use crate::policy::placement::{self, Candidate};
+use crate::state::JobsState;
+
+/// How long an order to start may take until it has effect, in milliseconds on the worker's clock;
+/// bounds how long an unanswered order holds up its task.
+const START_WINDOW_MS: u64 = 1_500;
+
+/// Holds a worker that may be given tasks, while a pool is placed.
+struct Place {
+    handle: WorkerHandle,
+    worker: SmolStr,
+    free: Resources,
+    recent_failures: u32,
+}
+
+impl Leader {
+    /// Places what waits in every pool where something has changed.
+    pub(super) fn place_all(&mut self, state: &JobsState) {
+        for pool in std::mem::take(&mut self.dirty_pools) {
+            let standby = state.configuration.pool(&pool).is_none_or(|known| known.standby);
+            if !standby {
+                self.place_pool(&pool);
+            }
+        }
+    }
+
+    fn place_pool(&mut self, pool: &SmolStr) {
+        let ids: Vec<StepId> = match self.open_steps.get(pool) {
+            Some(open) => open.iter().map(|(_, id)| *id).collect(),
+            None => return,
+        };
+        let mut places = self.places(pool);
+        let unsettled = self.is_unsettled(pool);
+        for id in ids {
+            if places.is_empty() {
+                return;
+            }
+            let Some(step) = self.steps.get(&id) else {
+                continue;
+            };
+            if step.waiting.is_empty() || (step.inherited && unsettled) {
+                continue;
+            }
+            if step.step().gang {
+                self.place_gang(id, &mut places);
+            } else {
+                self.place_step(id, &mut places);
+            }
+        }
+    }
+
+    /// Returns the workers of a pool that may be given tasks.
+    fn places(&self, pool: &SmolStr) -> Vec<Place> {
+        let now_ms = self.now.steady_ms;
+        let may_start = |worker: &Worker| {
+            worker.heartbeat.pool == *pool
+                && worker.registered
+                && worker.adopted
+                && !worker.heartbeat.draining
+                && !worker.doubtful
+                && !worker.emptying
+                && now_ms >= worker.full_until_ms
+                && !worker.health.is_aside(now_ms)
+                && !self.is_silent(worker)
+        };
+        let fit = self.workers.iter().filter(|(_, worker)| may_start(worker));
+        fit.map(|(handle, worker)| Place {
+            handle: *handle,
+            worker: worker.life().worker.clone(),
+            free: worker.free(),
+            recent_failures: worker.health.failures_in_a_row(),
+        })
+        .collect()
+    }
+
+    fn place_step(&mut self, id: StepId, places: &mut [Place]) {
+        loop {
+            let Some(step) = self.steps.get(&id) else {
+                return;
+            };
+            let Some(index) = step.waiting.first().copied() else {
+                return;
+            };
+            let Some(position) = self.choose(step, places) else {
+                return;
+            };
+            let counted = step.step().counted();
+            let place = &mut places[position];
+            place.free = place.free.minus(&counted);
+            let handle = place.handle;
+            let run = self.next_run(id.task(index));
+            self.start(id, index, run, handle);
+        }
+    }
+
+    /// Places all members of a gang at once, or none.
+    fn place_gang(&mut self, id: StepId, places: &mut Vec<Place>) {
+        let Some(step) = self.steps.get(&id) else {
+            return;
+        };
+        let tasks = step.step().tasks;
+        if step.waiting.len() != tasks as usize {
+            return;
+        }
+        let counted = step.step().counted();
+        let mut left: Vec<Resources> = places.iter().map(|place| place.free).collect();
+        let mut chosen = Vec::new();
+        let mut trial = step.clone();
+        for index in 0..tasks {
+            let Some(position) = self.choose(&trial, places) else {
+                break;
+            };
+            places[position].free = places[position].free.minus(&counted);
+            *trial.per_worker.entry(places[position].handle).or_default() += 1;
+            chosen.push((index, places[position].handle));
+        }
+        if chosen.len() < tasks as usize {
+            for (place, free) in places.iter_mut().zip(left.drain(..)) {
+                place.free = free;
+            }
+            return;
+        }
+        // The members share one run number, above all that any of them has had.
+        let numbers = (0..tasks).map(|index| self.next_run(id.task(index)));
+        let run = numbers.collect::<Vec<_>>().into_iter().max().unwrap_or(1);
+        for (index, handle) in chosen {
+            self.note_run(id.task(index), run);
+            self.start(id, index, run, handle);
+        }
+    }
+
+    fn choose(&self, step: &StepRun, places: &[Place]) -> Option<usize> {
+        let spec = step.step();
+        let mut positions = Vec::with_capacity(places.len());
+        let mut candidates = Vec::with_capacity(places.len());
+        for (position, place) in places.iter().enumerate() {
+            let Some(worker) = self.workers.get(&place.handle) else {
+                continue;
+            };
+            if let Some(candidate) = candidate(step, spec, place, worker) {
+                positions.push(position);
+                candidates.push(candidate);
+            }
+        }
+        let spread = spec.long_running || spec.max_per_worker.is_some();
+        let best = placement::choose(&candidates, &spec.counted(), spread)?;
+        Some(positions[best])
+    }
+
+    fn start(&mut self, id: StepId, index: u32, number: u64, handle: WorkerHandle) {
+        let now_ms = self.now.steady_ms;
+        let task = id.task(index);
+        let checkpoint = self.checkpoint(task);
+        let Some(step) = self.steps.get(&id) else {
+            return;
+        };
+        let (spec, counted) = (step.spec.clone(), step.step().counted());
+        let Some(worker) = self.workers.get_mut(&handle) else {
+            return;
+        };
+        let deadline_ms = worker.clock_now(now_ms) + START_WINDOW_MS;
+        worker.lease_until_ms = worker.lease_until_ms.max(deadline_ms);
+        let life = worker.life().clone();
+        let ticket = step.tickets.get(&life.worker).map(|(ticket, _)| ticket.clone());
+        self.counts.starts += 1;
+        self.note(format!(
+            "event=start_ordered task={task} run={number} worker={life} deadline_ms={deadline_ms} checkpoint={checkpoint:?}"
+        ));
+        self.add_run(Run {
+            task,
+            number,
+            worker: handle,
+            state: RunState::Sending,
+            counted,
+            start_deadline_ms: deadline_ms,
+            ordered_at_ms: now_ms,
+            checkpoint: checkpoint.clone(),
+            percent: 0,
+            gauge: None,
+            moved_at_ms: now_ms,
+            pace_percent: 100,
+            unwanted: false,
+        });
+        self.effects.push(Effect::Start(StartOrder {
+            worker: handle,
+            task,
+            run: number,
+            spec,
+            deadline_ms,
+            checkpoint,
+            ticket,
+        }));
+    }
+}
+
+/// Describes a worker for the choice, or nothing where the step must not run there.
+fn candidate(step: &StepRun, spec: &StepSpec, place: &Place, worker: &Worker) -> Option<Candidate> {
+    let has = |label: &Option<SmolStr>| label.as_ref().is_none_or(|label| worker.has_label(label));
+    let same_step = step.per_worker.get(&place.handle).copied().unwrap_or(0);
+    let is_full = spec.max_per_worker.is_some_and(|most| same_step >= most);
+    if is_full || !has(&spec.required_label) {
+        return None;
+    }
+    let lacks_ticket = step.needs_advice && !step.tickets.contains_key(&place.worker);
+    (!lacks_ticket).then_some(Candidate {
+        free: place.free,
+        near: has(&spec.rack_affinity),
+        recent_failures: place.recent_failures,
+        same_step,
+    })
+}
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -0,0 +1,293 @@
+//! Which steps are open, and what waits in them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+
+use super::Leader;
+use crate::ids::{JobKey, QueueKey, StepId, TaskId};
+use crate::job::{JobSpec, StepSpec};
+use crate::policy::durations::StepKind;
+use crate::policy::order::{self, Urgency};
+use crate::state::{Command, Job, JobsState, Occurrence};
+
+/// How often ended jobs are stamped with a time, in milliseconds; far below the time for which they
+/// are remembered.
+const STAMP_INTERVAL_MS: u64 = 10_000;
+
+/// Sorts the open steps of a pool; the first is placed first.
+pub(crate) type Order = order::Order;
+
+/// Holds what the leader knows of a step that is not done.
+#[derive(Debug, Clone)]
+pub(crate) struct StepRun {
+    pub(crate) queue: QueueKey,
+    pub(crate) pool: SmolStr,
+    pub(crate) spec: Arc<JobSpec>,
+    pub(crate) position: usize,
+    pub(crate) order: Order,
+    pub(crate) kind: StepKind,
+    /// Whether an earlier leader may have started tasks of it.
+    pub(crate) inherited: bool,
+    pub(crate) open: bool,
+    /// When it is due, in milliseconds since 1970; zero where it is due at once.
+    pub(crate) due_ms: u64,
+    pub(crate) waiting: BTreeSet<u32>,
+    pub(crate) done: Vec<bool>,
+    pub(crate) done_count: u32,
+    pub(crate) checkpoints: HashMap<u32, SmolStr>,
+    /// How many tasks run on each worker, where the step bounds that.
+    pub(crate) per_worker: HashMap<super::WorkerHandle, u32>,
+    /// The permits of the advice service and when they lapse, by worker.
+    pub(crate) tickets: HashMap<SmolStr, (SmolStr, u64)>,
+    pub(crate) advice_asked_at_ms: Option<u64>,
+    /// Whether the queue's policy permits the step on some workers only.
+    pub(crate) needs_advice: bool,
+}
+
+impl StepRun {
+    /// Returns the step as submitted.
+    pub(crate) fn step(&self) -> &StepSpec {
+        &self.spec.steps[self.position]
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.done_count as usize == self.done.len()
+    }
+}
+
+impl Leader {
+    /// Takes up the steps of a job that has not ended.
+    pub(super) fn open_job(&mut self, key: JobKey, job: &Job, state: &JobsState) {
+        let inherited = self.now.steady_ms == self.leads_since_ms;
+        for (number, occurrence) in job.occurrences.iter().enumerate() {
+            let number = u32::try_from(number).unwrap_or(u32::MAX);
+            for position in 0..job.spec.steps.len() {
+                let id = StepId {
+                    job: key,
+                    occurrence: number,
+                    step: u16::try_from(position).unwrap_or(u16::MAX),
+                };
+                let step = self.step_run(job, (number, occurrence), position, state);
+                self.steps.insert(id, StepRun { inherited, ..step });
+            }
+            for position in 0..job.spec.steps.len() {
+                let step = u16::try_from(position).unwrap_or(u16::MAX);
+                self.open_if_ready(StepId {
+                    job: key,
+                    occurrence: number,
+                    step,
+                });
+            }
+        }
+    }
+
+    fn step_run(
+        &self,
+        job: &Job,
+        (number, occurrence): (u32, &Occurrence),
+        position: usize,
+        state: &JobsState,
+    ) -> StepRun {
+        let queue = state.configuration.queue(&job.queue);
+        let spec = &job.spec.steps[position];
+        let progress = &occurrence.steps[position];
+        let due_ms = job.spec.due_ms(number).unwrap_or(0);
+        let urgency = Urgency {
+            rank: queue.map_or(u64::MAX, |queue| queue.rank),
+            arrived_at_ms: job.accepted_at_ms.max(due_ms),
+            latency_target_ms: queue.map_or(0, |queue| queue.latency_target_ms),
+            stretch_millis: queue.map_or(1_000, |queue| queue.stretch_millis),
+        };
+        let checkpoints = progress.tasks.iter().zip(0..).filter_map(|(task, index)| {
+            (!task.checkpoint.is_empty()).then(|| (index, task.checkpoint.clone()))
+        });
+        let done: Vec<bool> = progress.tasks.iter().map(|task| task.done).collect();
+        let waiting = done.iter().zip(0..).filter(|(done, _)| !**done);
+        StepRun {
+            queue: job.queue.clone(),
+            pool: queue.map_or_else(SmolStr::default, |queue| queue.pool.clone()),
+            position,
+            order: order::order(&urgency, &job.spec, position),
+            kind: StepKind::new(&job.queue, spec, position),
+            spec: job.spec.clone(),
+            inherited: false,
+            open: false,
+            due_ms,
+            waiting: waiting.map(|(_, index)| index).collect(),
+            done_count: progress.done,
+            done,
+            checkpoints: checkpoints.collect(),
+            per_worker: HashMap::new(),
+            tickets: HashMap::new(),
+            advice_asked_at_ms: None,
+            needs_advice: queue.is_some_and(|queue| queue.needs_advice),
+        }
+    }
+
+    /// Opens a step once it is due and every step before it is done.
+    fn open_if_ready(&mut self, id: StepId) {
+        let Some(step) = self.steps.get(&id) else {
+            return;
+        };
+        if step.open || step.is_done() {
+            return;
+        }
+        let is_done = |before: &u16| {
+            let before = StepId { step: *before, ..id };
+            self.steps.get(&before).is_none_or(StepRun::is_done)
+        };
+        if !step.step().after.iter().all(is_done) {
+            return;
+        }
+        if step.due_ms > self.now.wall_ms {
+            self.not_due.insert((step.due_ms, id));
+            return;
+        }
+        let (pool, order) = (step.pool.clone(), step.order);
+        if let Some(step) = self.steps.get_mut(&id) {
+            step.open = true;
+        }
+        self.dirty_pools.insert(pool.clone());
+        self.open_steps.entry(pool).or_default().insert((order, id));
+    }
+
+    /// Opens the steps whose time has come.
+    pub(super) fn open_due_steps(&mut self, _state: &JobsState) {
+        while let Some((due_ms, id)) = self.not_due.first().copied() {
+            if due_ms > self.now.wall_ms {
+                break;
+            }
+            self.not_due.pop_first();
+            self.open_if_ready(id);
+        }
+    }
+
+    /// Notes that a task is done and opens what waited for its step.
+    pub(super) fn finish_task(&mut self, task: TaskId) {
+        let id = task.step_id();
+        let Some(step) = self.steps.get_mut(&id) else {
+            return;
+        };
+        let is_gang = step.step().gang;
+        let indexes = if is_gang { 0..step.step().tasks } else { task.index..task.index + 1 };
+        for index in indexes {
+            step.waiting.remove(&index);
+            if let Some(done) = step.done.get_mut(index as usize)
+                && !std::mem::replace(done, true)
+            {
+                step.done_count += 1;
+            }
+        }
+        if !step.is_done() {
+            return;
+        }
+        let (pool, order) = (step.pool.clone(), step.order);
+        let spec = step.spec.clone();
+        if let Some(open) = self.open_steps.get_mut(&pool) {
+            open.remove(&(order, id));
+        }
+        for (position, later) in spec.steps.iter().enumerate() {
+            if later.after.contains(&id.step) {
+                let step = u16::try_from(position).unwrap_or(u16::MAX);
+                self.open_if_ready(StepId { step, ..id });
+            }
+        }
+    }
+
+    /// Lets a task wait for a place again, unless it is done or its job has ended.
+    pub(super) fn requeue(&mut self, task: TaskId) {
+        let Some(step) = self.steps.get_mut(&task.step_id()) else {
+            return;
+        };
+        let is_done = step.done.get(task.index as usize).copied().unwrap_or(true);
+        if is_done || self.runs.get(&task).is_some_and(|runs| !runs.is_empty()) {
+            return;
+        }
+        step.waiting.insert(task.index);
+        self.dirty_pools.insert(step.pool.clone());
+    }
+
+    /// Drops the steps of a job that has ended and stops what still runs of it.
+    pub(super) fn close_job(&mut self, job: JobKey) {
+        let mut orders = Vec::new();
+        for id in self.step_ids(job) {
+            let Some(step) = self.steps.remove(&id) else {
+                continue;
+            };
+            self.not_due.remove(&(step.due_ms, id));
+            if let Some(open) = self.open_steps.get_mut(&step.pool) {
+                open.remove(&(step.order, id));
+            }
+            for index in 0..step.step().tasks {
+                let task = id.task(index);
+                let runs = self.runs.get(&task).into_iter().flatten();
+                orders.extend(runs.map(|run| (task, run.number)));
+                if !self.runs.contains_key(&task) {
+                    self.last_runs.remove(&task);
+                }
+            }
+        }
+        for (task, run) in orders {
+            self.stop_run(task, run, true);
+        }
+    }
+
+    pub(super) fn step_ids(&self, job: JobKey) -> Vec<StepId> {
+        let first = StepId {
+            job,
+            occurrence: 0,
+            step: 0,
+        };
+        let of_job = self.steps.range(first..).take_while(|(id, _)| id.job == job);
+        of_job.map(|(id, _)| *id).collect()
+    }
+
+    /// Follows a new configuration: queues that moved to another pool, or changed their rank.
+    pub(super) fn follow_configuration(&mut self, state: &JobsState) {
+        for (id, step) in &mut self.steps {
+            let queue = state.configuration.queue(&step.queue);
+            let pool = queue.map_or_else(SmolStr::default, |queue| queue.pool.clone());
+            let rank = queue.map_or(u64::MAX, |queue| queue.rank);
+            if pool == step.pool && rank == step.order.rank {
+                continue;
+            }
+            let held = self.open_steps.entry(step.pool.clone()).or_default();
+            let was_open = held.remove(&(step.order, *id));
+            step.pool = pool.clone();
+            step.order.rank = rank;
+            if was_open {
+                let open = self.open_steps.entry(pool.clone()).or_default();
+                open.insert((step.order, *id));
+                self.dirty_pools.insert(pool);
+            }
+        }
+    }
+
+    /// Stamps jobs that have ended with a time, and forgets those that ended long ago.
+    pub(super) fn stamp_ended_jobs(&mut self, state: &JobsState) {
+        if self.now.steady_ms < self.stamp_at_ms {
+            return;
+        }
+        self.stamp_at_ms = self.now.steady_ms + STAMP_INTERVAL_MS;
+        let at_ms = self.now.wall_ms;
+        let forget_before_ms = at_ms.saturating_sub(self.settings.remember_ms);
+        let is_unstamped = |job: &Job| job.ended.is_some() && job.ended_at_ms.is_none();
+        let is_old = |job: &Job| job.ended_at_ms.is_some_and(|ended| ended < forget_before_ms);
+        let keys = |wanted: &dyn Fn(&Job) -> bool| -> Vec<JobKey> {
+            let jobs = state.jobs.iter().filter(|(_, job)| wanted(job));
+            jobs.map(|(key, _)| *key).collect()
+        };
+        let (unstamped, old) = (keys(&is_unstamped), keys(&is_old));
+        if !unstamped.is_empty() {
+            self.propose(Command::NoteEnded {
+                jobs: unstamped,
+                at_ms,
+            });
+        }
+        if !old.is_empty() {
+            self.propose(Command::Forget(old));
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -0,0 +1,386 @@
+//! Heartbeats, lives of workers and their leases.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol_str::SmolStr;
+
+use super::{Effect, Leader, LookOrder};
+use crate::ids::{LifeId, TaskId};
+use crate::job::Resources;
+use crate::policy::health::Health;
+use crate::state::{Command, JobsState};
+use crate::worker::Heartbeat;
+
+/// The part of time that a worker's clock may lose against ours, in thousandths; the platform
+/// promises 2 %, and a half is added.
+const CLOCK_DRIFT_MILLIS: u64 = 30;
+/// How long after a failed look the next one goes out, in milliseconds.
+const LOOK_RETRY_MS: u64 = 300;
+/// How long a worker may keep a look open, in milliseconds; a lease is renewed as often.
+const LOOK_WAIT_MS: u64 = 1_000;
+/// The silence after which a worker without runs is forgotten, in heartbeats.
+const FORGET_AFTER_HEARTBEATS: u64 = 4;
+/// The silence after which nothing new is started on a worker, in heartbeats.
+const DOUBT_AFTER_HEARTBEATS: u64 = 3;
+
+/// Names a worker within one leadership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerHandle(pub u32);
+
+/// Says where the exchange of looks with a worker stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LookState {
+    /// None is under way.
+    Idle,
+    /// One is under way.
+    UnderWay,
+    /// The ends of the last one are being made durable.
+    Noting,
+    /// The last one failed; the next goes out at this time.
+    RetryAt(u64),
+}
+
+/// Holds what the leader knows of one life of a worker.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// The latest heartbeat.
+    pub(crate) heartbeat: Heartbeat,
+    pub(crate) heard_at_ms: u64,
+    /// Whether the life is noted in the replicated state, which a start has to wait for.
+    pub(crate) registered: bool,
+    /// Whether this leader has read the worker's list of runs, which fences earlier leaders.
+    pub(crate) adopted: bool,
+    /// A reading of the worker's clock, and when it came.
+    pub(crate) clock: (u64, u64),
+    /// The latest lease that may have been granted, on the worker's clock.
+    pub(crate) lease_until_ms: u64,
+    pub(crate) look: LookState,
+    /// The number of the last end that has been dealt with.
+    pub(crate) ends_seen: u64,
+    /// Whether an end has been noted that the worker has not been told of.
+    pub(crate) owes_acknowledgement: bool,
+    pub(crate) runs: BTreeMap<TaskId, u64>,
+    pub(crate) used: Resources,
+    /// Whether the last order or look got no answer.
+    pub(crate) doubtful: bool,
+    pub(crate) full_until_ms: u64,
+    pub(crate) health: Health,
+    /// Whether the worker is being emptied for maintenance or a move.
+    pub(crate) emptying: bool,
+}
+
+impl Worker {
+    /// Returns the life that the worker is in.
+    #[must_use]
+    pub const fn life(&self) -> &LifeId {
+        &self.heartbeat.life
+    }
+
+    /// Returns where the worker takes orders, as IP:PORT.
+    #[must_use]
+    pub const fn address(&self) -> &SmolStr {
+        &self.heartbeat.address
+    }
+
+    /// Returns the least that the worker's clock can show by now.
+    const fn clock_at_least(&self, now_ms: u64) -> u64 {
+        let (clock_ms, read_at_ms) = self.clock;
+        let passed_ms = now_ms.saturating_sub(read_at_ms);
+        clock_ms + passed_ms - passed_ms * CLOCK_DRIFT_MILLIS / 1_000
+    }
+
+    /// Returns what the worker's clock should show by now.
+    pub(crate) const fn clock_now(&self, now_ms: u64) -> u64 {
+        let (clock_ms, read_at_ms) = self.clock;
+        clock_ms + now_ms.saturating_sub(read_at_ms)
+    }
+
+    pub(crate) const fn read_clock(&mut self, clock_ms: u64, now_ms: u64) {
+        if clock_ms >= self.clock_at_least(now_ms) {
+            self.clock = (clock_ms, now_ms);
+        }
+    }
+
+    /// Returns what is left of the worker's capacity.
+    #[must_use]
+    pub const fn free(&self) -> Resources {
+        self.heartbeat.capacity.minus(&self.used)
+    }
+
+    /// Returns whether the worker has a label.
+    #[must_use]
+    pub fn has_label(&self, label: &str) -> bool {
+        self.heartbeat.labels.iter().any(|known| known == label)
+    }
+}
+
+impl Leader {
+    pub(super) fn add_worker(&mut self, heartbeat: Heartbeat, registered: bool) -> WorkerHandle {
+        let handle = WorkerHandle(self.next_handle);
+        self.next_handle += 1;
+        self.by_life.insert(heartbeat.life.clone(), handle);
+        let now_ms = self.now.steady_ms;
+        let worker = Worker {
+            // The clock of a life that only an earlier leader heard is not known yet.
+            clock: (if registered { 0 } else { heartbeat.clock_ms }, now_ms),
+            heartbeat,
+            heard_at_ms: now_ms,
+            registered,
+            adopted: false,
+            lease_until_ms: 0,
+            look: LookState::RetryAt(now_ms),
+            ends_seen: 0,
+            owes_acknowledgement: false,
+            runs: BTreeMap::new(),
+            used: Resources::default(),
+            doubtful: false,
+            full_until_ms: 0,
+            health: Health::default(),
+            emptying: false,
+        };
+        self.workers.insert(handle, worker);
+        handle
+    }
+
+    /// Takes a heartbeat; returns whether it is from the life that is known, or a new one.
+    pub fn take_heartbeat(&mut self, heartbeat: Heartbeat, state: &JobsState) -> bool {
+        self.end_earlier_lives(&heartbeat, state);
+        let known = self.by_life.get(&heartbeat.life).copied();
+        let Some(handle) = known else {
+            if self.has_later_life(&heartbeat.life, &heartbeat.address) {
+                return false;
+            }
+            self.note(format!(
+                "event=worker_joined worker={} pool={} address={} sequence={}",
+                heartbeat.life, heartbeat.pool, heartbeat.address, heartbeat.sequence
+            ));
+            self.propose(Command::Register(Box::new(heartbeat.clone())));
+            let pool = heartbeat.pool.clone();
+            self.add_worker(heartbeat, false);
+            self.dirty_pools.insert(pool);
+            return true;
+        };
+        let now_ms = self.now.steady_ms;
+        let Some(worker) = self.workers.get_mut(&handle) else {
+            return false;
+        };
+        worker.heard_at_ms = now_ms;
+        worker.read_clock(heartbeat.clock_ms, now_ms);
+        if heartbeat.sequence < worker.heartbeat.sequence {
+            return true;
+        }
+        let starts_draining = heartbeat.draining && !worker.heartbeat.draining;
+        let (life, pool) = (heartbeat.life.clone(), heartbeat.pool.clone());
+        worker.heartbeat = heartbeat.clone();
+        if starts_draining {
+            self.note(format!("event=worker_drains worker={life} pool={pool}"));
+            self.propose(Command::Register(Box::new(heartbeat)));
+        }
+        self.dirty_pools.insert(pool);
+        true
+    }
+
+    /// Takes the word of a worker that it ends; nothing runs on it afterwards.
+    pub fn take_departure(&mut self, worker: &str, state: &JobsState) {
+        let leaving = |known: &Worker| known.life().worker == worker;
+        let handles: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, known)| leaving(known) && known.heartbeat.draining)
+            .map(|(handle, _)| *handle)
+            .collect();
+        for handle in handles {
+            self.end_life(handle, "left", state);
+        }
+    }
+
+    /// Ends the lives of a worker that the one speaking now has replaced.
+    fn end_earlier_lives(&mut self, heartbeat: &Heartbeat, state: &JobsState) {
+        let replaced = |known: &Worker| {
+            let life = known.life();
+            let same_worker =
+                life.worker == heartbeat.life.worker && life.born_ms < heartbeat.life.born_ms;
+            let same_address =
+                life.born_ms < heartbeat.life.born_ms && *known.address() == heartbeat.address;
+            same_worker || (same_address && life.worker != heartbeat.life.worker)
+        };
+        let handles: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, known)| replaced(known))
+            .map(|(handle, _)| *handle)
+            .collect();
+        for handle in handles {
+            self.end_life(handle, "replaced", state);
+        }
+    }
+
+    fn has_later_life(&self, life: &LifeId, address: &SmolStr) -> bool {
+        let is_later = |known: &Worker| {
+            let same = known.life().worker == life.worker || known.address() == address;
+            same && known.life().born_ms > life.born_ms
+        };
+        self.workers.values().any(is_later)
+    }
+
+    /// Forgets a life on which nothing can run any more; what ran there waits again.
+    pub(super) fn end_life(&mut self, handle: WorkerHandle, cause: &str, state: &JobsState) {
+        let Some(worker) = self.workers.remove(&handle) else {
+            return;
+        };
+        let life = worker.life().clone();
+        self.by_life.remove(&life);
+        self.note(format!(
+            "event=worker_gone worker={life} cause={cause} runs={} heard_ms_ago={}",
+            worker.runs.len(),
+            self.now.steady_ms.saturating_sub(worker.heard_at_ms)
+        ));
+        for (task, run) in worker.runs {
+            self.drop_run(task, run, state);
+        }
+        self.settle_life(&life);
+        self.dirty_pools.insert(worker.heartbeat.pool);
+        if state.lives.contains_key(&life) || worker.registered {
+            self.propose(Command::Retire(life));
+        }
+    }
+
+    /// Notes that it is known what an earlier leader left on a life.
+    pub(super) fn settle_life(&mut self, life: &LifeId) {
+        if let Some(pool) = self.unsettled.remove(life) {
+            self.dirty_pools.insert(pool);
+        }
+    }
+
+    /// Returns whether an earlier leader may have left something unknown in a pool.
+    pub(super) fn is_unsettled(&self, pool: &str) -> bool {
+        self.unsettled.values().any(|unsettled| unsettled == pool)
+    }
+
+    /// Returns how long a lease that nobody renews can last by our clock.
+    const fn longest_lapse_ms(&self) -> u64 {
+        let lease_ms = self.settings.max_lease_ms;
+        lease_ms + lease_ms * CLOCK_DRIFT_MILLIS / 1_000
+    }
+
+    /// Looks after every worker: leases that have lapsed, silence, and looks that are due.
+    pub(super) fn check_workers(&mut self, state: &JobsState) {
+        let now_ms = self.now.steady_ms;
+        let lapsed_since_lead = now_ms >= self.leads_since_ms + self.longest_lapse_ms();
+        let forget_after_ms = self.settings.heartbeat_ms * FORGET_AFTER_HEARTBEATS;
+        let mut gone = Vec::new();
+        for (handle, worker) in &self.workers {
+            let silent_ms = now_ms.saturating_sub(worker.heard_at_ms);
+            let lapsed = if worker.adopted {
+                worker.clock_at_least(now_ms) > worker.lease_until_ms
+            } else {
+                lapsed_since_lead
+            };
+            if lapsed && silent_ms >= forget_after_ms {
+                gone.push(*handle);
+            }
+        }
+        for handle in gone {
+            self.end_life(handle, "silent", state);
+        }
+        if lapsed_since_lead && !self.unsettled.is_empty() {
+            let pools: BTreeSet<_> = std::mem::take(&mut self.unsettled).into_values().collect();
+            self.dirty_pools.extend(pools);
+        }
+        self.drop_lapsed_runs(state);
+        let handles: Vec<_> = self.workers.keys().copied().collect();
+        for handle in handles {
+            self.look_if_due(handle, state);
+        }
+    }
+
+    /// Drops the runs of workers that do not answer, once their lease has lapsed for certain.
+    fn drop_lapsed_runs(&mut self, state: &JobsState) {
+        let now_ms = self.now.steady_ms;
+        let mut lapsed = Vec::new();
+        for (handle, worker) in &self.workers {
+            if worker.doubtful
+                && worker.adopted
+                && !worker.runs.is_empty()
+                && worker.clock_at_least(now_ms) > worker.lease_until_ms
+            {
+                lapsed.push(*handle);
+            }
+        }
+        for handle in lapsed {
+            let Some(worker) = self.workers.get(&handle) else {
+                continue;
+            };
+            let life = worker.life().clone();
+            let runs: Vec<_> = worker.runs.iter().map(|(task, run)| (*task, *run)).collect();
+            self.note(format!(
+                "event=lease_lapsed worker={life} runs={} lease_until_ms={} clock_ms={}",
+                runs.len(),
+                worker.lease_until_ms,
+                worker.clock_at_least(now_ms)
+            ));
+            for (task, run) in runs {
+                self.remove_run(task, run);
+                self.drop_run(task, run, state);
+            }
+        }
+    }
+
+    /// Sends a look where one is due.
+    pub(super) fn look_if_due(&mut self, handle: WorkerHandle, state: &JobsState) {
+        let now_ms = self.now.steady_ms;
+        let max_lease_ms = self.settings.max_lease_ms;
+        let Some(worker) = self.workers.get_mut(&handle) else {
+            return;
+        };
+        let is_due = match worker.look {
+            LookState::Idle => true,
+            LookState::RetryAt(at_ms) => now_ms >= at_ms,
+            LookState::UnderWay | LookState::Noting => false,
+        };
+        let is_needed = !worker.adopted
+            || !worker.runs.is_empty()
+            || worker.owes_acknowledgement
+            || worker.doubtful;
+        if !is_due || !is_needed {
+            return;
+        }
+        let holds = !worker.runs.is_empty() && worker.adopted;
+        let deadline_ms = holds.then(|| worker.clock_now(now_ms) + max_lease_ms);
+        if let Some(deadline_ms) = deadline_ms {
+            worker.lease_until_ms = worker.lease_until_ms.max(deadline_ms);
+        }
+        let noted_upto = state.lives.get(worker.life()).map_or(0, |note| note.noted_upto);
+        let wait_ms = if holds && !worker.doubtful { LOOK_WAIT_MS } else { 0 };
+        worker.owes_acknowledgement = false;
+        worker.look = LookState::UnderWay;
+        self.counts.looks += 1;
+        self.effects.push(Effect::Look(LookOrder {
+            worker: handle,
+            deadline_ms,
+            seen_upto: noted_upto,
+            wait_ms,
+        }));
+    }
+
+    /// Notes that a look got no answer.
+    pub(super) fn fail_look(&mut self, handle: WorkerHandle) {
+        let retry_at_ms = self.now.steady_ms + LOOK_RETRY_MS;
+        let Some(worker) = self.workers.get_mut(&handle) else {
+            return;
+        };
+        worker.look = LookState::RetryAt(retry_at_ms);
+        worker.owes_acknowledgement = true;
+        let was_doubtful = std::mem::replace(&mut worker.doubtful, true);
+        if !was_doubtful {
+            let line = format!("event=worker_lost worker={} cause=no-answer", worker.life());
+            self.note(line);
+        }
+    }
+
+    /// Returns whether a worker has been silent for so long that nothing new goes there.
+    pub(super) const fn is_silent(&self, worker: &Worker) -> bool {
+        let silent_ms = self.now.steady_ms.saturating_sub(worker.heard_at_ms);
+        silent_ms > self.settings.heartbeat_ms * DOUBT_AFTER_HEARTBEATS
+    }
+}
--- /dev/null
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -0,0 +1,13 @@
+//! The leader's decisions as pure functions.
+//!
+//! - [`order`]: which step is placed first
+//! - [`durations`]: how long tasks of a kind take, learnt from runs
+//! - [`health`]: whether a worker fails what it is given
+//! - [`placement`]: which worker gets a task
+//! - [`admission`]: which jobs are refused at once, and when their clients may come back
+
+pub mod admission;
+pub mod durations;
+pub mod health;
+pub mod order;
+pub mod placement;
--- /dev/null
+++ b/crates/jasminefall-jobs/src/policy/order.rs
@@ -0,0 +1,56 @@
+//! Which step is placed first.
+//!
+//! The load that this answers: a pool is asked for several times what it holds for some seconds.
+//! Within a rank, jobs are taken in the order in which they stop being worth their full value, so
+//! that what can still be in time is not held up by what came earlier and has longer to go.
+
+use crate::job::JobSpec;
+
+/// Sorts steps; the least is placed first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Order {
+    /// The rank of the queue; lower ranks come first.
+    pub rank: u64,
+    /// Whether the tasks fill what others leave, which comes last.
+    pub fills: bool,
+    /// When the job stops being in time, in milliseconds since 1970.
+    pub in_time_until_ms: u64,
+}
+
+/// Says how urgent a job is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Urgency {
+    /// The rank of its queue.
+    pub rank: u64,
+    /// When it arrived or became due, in milliseconds since 1970.
+    pub arrived_at_ms: u64,
+    /// The time beyond its stretched chain of work in which it is still in time.
+    pub latency_target_ms: u64,
+    /// By how much its chain of work may be exceeded, in thousandths.
+    pub stretch_millis: u64,
+}
+
+/// Returns the place of a step among those of its pool.
+#[must_use]
+pub fn order(urgency: &Urgency, spec: &JobSpec, position: usize) -> Order {
+    let chain_ms = longest_chain_ms(spec);
+    let stretched_ms = chain_ms.saturating_mul(urgency.stretch_millis) / 1_000;
+    let allowed_ms = stretched_ms + urgency.latency_target_ms;
+    Order {
+        rank: urgency.rank,
+        fills: spec.steps[position].fills,
+        in_time_until_ms: urgency.arrived_at_ms.saturating_add(allowed_ms),
+    }
+}
+
+/// Returns the longest chain of steps that wait for each other, by their estimates.
+#[must_use]
+pub fn longest_chain_ms(spec: &JobSpec) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for step in &spec.steps {
+        let before = step.after.iter().filter_map(|before| ends.get(usize::from(*before)));
+        let begins_ms = before.copied().max().unwrap_or(0);
+        ends.push(begins_ms.saturating_add(step.estimated_ms));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
--- a/crates/jasminefall-control/src/disk.rs
+++ b/crates/jasminefall-replica/src/disk.rs
@@ -3,36 +3,46 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread::JoinHandle;
 
-use jasminefall_replica::prelude::*;
+use crate::entry::{Entry, Snapshot};
+use crate::error::StorageError;
+use crate::message::Message;
+use crate::replica::HardState;
+use crate::storage::Storage;
+use crate::types::{LogIndex, Term};
 
 /// The most jobs that wait for the disk; the replica waits when there are more.
 const QUEUE_LENGTH: usize = 4_096;
 
 /// Asks for something to be stored, then for messages to be sent.
-pub(crate) struct DiskJob {
+#[derive(Debug)]
+pub struct DiskJob {
     /// The term and vote to store first.
-    pub(crate) hard_state: Option<HardState>,
+    pub hard_state: Option<HardState>,
     /// The snapshot to store; `append` then holds all entries that follow it.
-    pub(crate) snapshot: Option<Snapshot>,
+    pub snapshot: Option<Snapshot>,
     /// The entries to store.
-    pub(crate) append: Vec<Entry>,
+    pub append: Vec<Entry>,
     /// The messages that may leave afterwards.
-    pub(crate) messages: Vec<Message>,
+    pub messages: Vec<Message>,
 }
 
 /// Says what has been stored and which messages may leave.
 #[derive(Debug, Default)]
-pub(crate) struct DiskDone {
+pub struct DiskDone {
     /// The last entry stored.
-    pub(crate) last: Option<(LogIndex, Term)>,
+    pub last: Option<(LogIndex, Term)>,
     /// How many jobs are done.
-    pub(crate) jobs: usize,
+    pub jobs: usize,
     /// The messages that may leave now.
-    pub(crate) messages: Vec<Message>,
+    pub messages: Vec<Message>,
 }
 
 /// Starts the thread; `done` is called on it after each sync.
-pub(crate) fn start(
+///
+/// # Errors
+///
+/// Returns the system's error where no thread can be started.
+pub fn start(
     storage: Storage,
     done: impl Fn(DiskDone) + Send + 'static,
 ) -> std::io::Result<(SyncSender<DiskJob>, JoinHandle<()>)> {
--- a/crates/jasminefall-replica/src/lib.rs
+++ b/crates/jasminefall-replica/src/lib.rs
@@ -23,8 +23,10 @@
 //! - [`replica`]: the algorithm
 //! - [`repair`]: which change of the membership a group needs next
 //! - [`storage`]: the files
+//! - [`disk`]: the thread that syncs them
 //! - [`error`]: what can go wrong with the files
 
+pub mod disk;
 pub mod entry;
 pub mod error;
 pub mod log;
--- a/crates/jasminefall-replica/src/replica.rs
+++ b/crates/jasminefall-replica/src/replica.rs
@@ -125,6 +125,11 @@
         self
     }
 
+    /// Exchanges the further replicas that are asked for a place in the group.
+    pub fn set_others(&mut self, others: impl IntoIterator<Item = ReplicaId>) {
+        self.others = others.into_iter().collect();
+    }
+
     /// Returns the replica's own identifier.
     #[must_use]
     pub const fn id(&self) -> ReplicaId {
--- a/crates/jasminefall-runtime/src/clock.rs
+++ b/crates/jasminefall-runtime/src/clock.rs
@@ -1,7 +1,9 @@
 //! Wall and monotonic time in milliseconds.
 
 use std::sync::OnceLock;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 
 /// Returns the wall clock in milliseconds since 1970.
 #[must_use]
@@ -13,9 +15,19 @@
 }
 
 /// Returns the milliseconds that have passed since the process first asked.
+///
+/// The time for which the machine was suspended counts, so that a lease ends during it.
 #[must_use]
 pub fn monotonic_ms() -> u64 {
-    static START: OnceLock<Instant> = OnceLock::new();
-    let start = START.get_or_init(Instant::now);
-    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    static START: OnceLock<u64> = OnceLock::new();
+    let now_ms = boot_ms();
+    now_ms.saturating_sub(*START.get_or_init(|| now_ms))
+}
+
+/// Returns the milliseconds since the machine started, suspension included.
+fn boot_ms() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let millis = u64::try_from(now.tv_nsec / 1_000_000).unwrap_or_default();
+    seconds * 1_000 + millis
 }
--- a/crates/jasminefall-wire/schema/node.capnp
+++ b/crates/jasminefall-wire/schema/node.capnp
@@ -12,6 +12,9 @@
 
   # Renews the lease of an entry and brings it the configuration it lacks.
   renew @2 (request :Data) -> (answer :Data);
+
+  # Carries a call that an entry or another control replica has taken and only the leader answers.
+  forward @3 (request :Data) -> (answer :Data);
 }
 
 interface EntryNode {
--- a/crates/jasminefall-wire/src/client.rs
+++ b/crates/jasminefall-wire/src/client.rs
@@ -7,6 +7,8 @@
 use jasminefall_replica::message::Message;
 use jasminefall_state::Command;
 use jasminefall_state::Outcome;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::codec::{decode, encode};
 use crate::handshake::SiteKey;
@@ -63,6 +65,27 @@
             .await
     }
 
+    /// Forwards a call that only the leader answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LinkError`] where no answer came.
+    pub async fn forward<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        limit: Duration,
+        asked: &Q,
+    ) -> Result<A, LinkError> {
+        let body = encode(asked);
+        self.0
+            .call(limit, |client| async move {
+                let mut request = client.forward_request();
+                request.get().set_request(&body);
+                let response = request.send().promise.await?;
+                decode(response.get()?.get_answer()?)
+            })
+            .await
+    }
+
     /// Renews the lease of an entry.
     ///
     /// # Errors
--- a/crates/jasminefall-wire/src/lib.rs
+++ b/crates/jasminefall-wire/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`handshake`]: the proof of the site key
 //! - [`link`]: a connection to another process that is replaced when it goes silent
 //! - [`client`]: typed calls on links
+//! - [`peers`]: messages to the other replicas
 //! - [`server`]: accepting connections
 
 pub mod client;
@@ -25,6 +26,7 @@
 pub mod handshake;
 pub mod link;
 pub mod message;
+pub mod peers;
 pub mod server;
 
 #[allow(
--- a/crates/jasminefall-wire/src/node_capnp.rs
+++ b/crates/jasminefall-wire/src/node_capnp.rs
@@ -14,6 +14,8 @@
     pub type ProposeResults<> = ::capnp::capability::Results<crate::node_capnp::control_node::propose_results::Owned>;
     pub type RenewParams<> = ::capnp::capability::Params<crate::node_capnp::control_node::renew_params::Owned>;
     pub type RenewResults<> = ::capnp::capability::Results<crate::node_capnp::control_node::renew_results::Owned>;
+    pub type ForwardParams<> = ::capnp::capability::Params<crate::node_capnp::control_node::forward_params::Owned>;
+    pub type ForwardResults<> = ::capnp::capability::Results<crate::node_capnp::control_node::forward_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -72,11 +74,15 @@
         pub fn renew_request(&self) -> ::capnp::capability::Request<crate::node_capnp::control_node::renew_params::Owned,crate::node_capnp::control_node::renew_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
+        pub fn forward_request(&self) -> ::capnp::capability::Request<crate::node_capnp::control_node::forward_params::Owned,crate::node_capnp::control_node::forward_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn step(self: ::capnp::capability::Rc<Self>, _: StepParams<>, _: StepResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control_node::Server::step not implemented".to_string()))) }
         fn propose(self: ::capnp::capability::Rc<Self>, _: ProposeParams<>, _: ProposeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control_node::Server::propose not implemented".to_string()))) }
         fn renew(self: ::capnp::capability::Rc<Self>, _: RenewParams<>, _: RenewResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control_node::Server::renew not implemented".to_string()))) }
+        fn forward(self: ::capnp::capability::Rc<Self>, _: ForwardParams<>, _: ForwardResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control_node::Server::forward not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -109,6 +115,7 @@
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::step(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::propose(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::renew(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::forward(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -1322,6 +1329,422 @@
             pub(crate) const TYPE_ID: u64 = 0xe7c4_e046_3c27_9f4f;
         }
     }
+
+    pub mod forward_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_request(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(226, 37, 154, 119, 102, 57, 32, 154),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 78, 111, 100, 101, 46, 102),
+                ::capnp::word(111, 114, 119, 97, 114, 100, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9a20_3966_779a_25e2;
+        }
+    }
+
+    pub mod forward_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_answer(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_answer(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_answer(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_answer(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_answer(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_answer(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(56, 187, 249, 89, 28, 86, 118, 159),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 78, 111, 100, 101, 46, 102),
+                ::capnp::word(111, 114, 119, 97, 114, 100, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 110, 115, 119, 101, 114, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9f76_561c_59f9_bb38;
+        }
+    }
 }
 
 
--- a/crates/jasminefall-control/src/peers.rs
+++ b/crates/jasminefall-wire/src/peers.rs
@@ -1,5 +1,6 @@
 //! Messages to the other replicas.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,9 +8,11 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use jasminefall_replica::prelude::*;
-use jasminefall_wire::client::ControlLink;
-use jasminefall_wire::handshake::SiteKey;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::task::spawn_local;
+
+use crate::client::ControlLink;
+use crate::handshake::SiteKey;
 
 const QUEUE_LENGTH: usize = 1_024;
 const BATCH_LENGTH: usize = 64;
@@ -18,26 +21,38 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Sends messages to the other replicas, dropping what a silent one cannot take.
-pub(crate) struct Peers {
-    senders: BTreeMap<ReplicaId, Sender<Message>>,
+pub struct Peers {
+    key: SiteKey,
+    address_of: Box<dyn Fn(ReplicaId) -> Option<SocketAddr>>,
+    senders: RefCell<BTreeMap<ReplicaId, Sender<Message>>>,
 }
 
 impl Peers {
-    /// Starts a sending task for each address.
-    pub(crate) fn start(addresses: BTreeMap<ReplicaId, SocketAddr>, key: &SiteKey) -> Self {
-        let start = |(id, address)| {
-            let (sender, receiver) = channel(QUEUE_LENGTH);
-            actix_rt::spawn(send_all(ControlLink::new(address, key.clone()), receiver));
-            (id, sender)
-        };
+    /// Creates the sender; a replica is connected when the first message to it is sent.
+    #[must_use]
+    pub fn new(
+        key: &SiteKey,
+        address_of: impl Fn(ReplicaId) -> Option<SocketAddr> + 'static,
+    ) -> Self {
         Self {
-            senders: addresses.into_iter().map(start).collect(),
+            key: key.clone(),
+            address_of: Box::new(address_of),
+            senders: RefCell::default(),
         }
     }
 
     /// Queues a message; the algorithm sends again whatever is dropped here.
-    pub(crate) fn send(&self, message: Message) {
-        if let Some(sender) = self.senders.get(&message.to) {
+    pub fn send(&self, message: Message) {
+        let mut senders = self.senders.borrow_mut();
+        if !senders.contains_key(&message.to) {
+            let Some(address) = (self.address_of)(message.to) else {
+                return;
+            };
+            let (sender, receiver) = channel(QUEUE_LENGTH);
+            spawn_local(send_all(ControlLink::new(address, self.key.clone()), receiver));
+            senders.insert(message.to, sender);
+        }
+        if let Some(sender) = senders.get(&message.to) {
             let _ = sender.try_send(message);
         }
     }
--- a/crates/jasminefall-wire/src/server.rs
+++ b/crates/jasminefall-wire/src/server.rs
@@ -38,6 +38,8 @@
     pub propose: Box<dyn Fn(Command) -> LocalFuture<ProposeAnswer>>,
     /// Renews the lease of an entry.
     pub renew: Box<dyn Fn(RenewRequest) -> LocalFuture<RenewAnswer>>,
+    /// Answers a call that another process has forwarded.
+    pub forward: Box<dyn Fn(Vec<u8>) -> LocalFuture<Result<Vec<u8>, capnp::Error>>>,
 }
 
 impl control_node::Server for ControlService {
@@ -69,6 +71,16 @@
         results.get().set_answer(&encode(&answer));
         Ok(())
     }
+
+    async fn forward(
+        self: Rc<Self>,
+        params: control_node::ForwardParams,
+        mut results: control_node::ForwardResults,
+    ) -> Result<(), capnp::Error> {
+        let answer = (self.forward)(params.get()?.get_request()?.to_vec()).await?;
+        results.get().set_answer(&answer);
+        Ok(())
+    }
 }
 
 /// Carries out the calls that an entry accepts from other entries.
--- a/crates/jasminefall-wire/tests/handshake.rs
+++ b/crates/jasminefall-wire/tests/handshake.rs
@@ -55,6 +55,7 @@
             };
             Box::pin(async { Ok(renewal) })
         }),
+        forward: Box::new(|asked| Box::pin(async { Ok(asked) })),
     }
 }
 
