feat(jobs): move instances between pools by demand; admit by what can be had

Ruled out: processor time (0.04 of a core at the most on the leader). Change: policy::pools sizes each pool by what runs, waits and arrives, and instances move through the standby pool; durations are learnt per queue; a job is refused only when a forecast with everything that can be lent says that it would be late.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -11,10 +11,13 @@
 //! - [`steps`]: which steps are open and what waits in them
 //! - [`placing`]: starting what waits
 //! - [`upkeep`]: maintenance waves
+//! - [`fleet`]: where every instance is
+//! - [`pools`]: which instances change their pool
 //! - [`filling`]: the pace of tasks that fill beside others
 
 mod clients;
 mod filling;
+mod fleet;
 mod orders;
 mod placing;
 mod pools;
@@ -28,9 +31,10 @@
 use smol_str::SmolStr;
 
 pub use self::clients::{Reply, SubmitDecision};
-pub use self::upkeep::{InstanceAnswer, ListedInstance};
+pub use self::fleet::{InstanceAnswer, ListedInstance};
 pub use self::workers::{Worker, WorkerHandle};
 use self::filling::Pacing;
+use self::fleet::Fleet;
 use self::pools::PoolPlans;
 use self::steps::StepRun;
 use self::upkeep::Upkeep;
@@ -254,6 +258,7 @@
     runs: HashMap<TaskId, Vec<Run>>,
     last_runs: HashMap<TaskId, u64>,
     durations: Durations,
+    fleet: Fleet,
     upkeep: Upkeep,
     pool_plans: PoolPlans,
     pacing: Pacing,
@@ -283,6 +288,7 @@
             runs: HashMap::new(),
             last_runs: HashMap::new(),
             durations: Durations::default(),
+            fleet: Fleet::default(),
             upkeep: Upkeep::default(),
             pool_plans: PoolPlans::default(),
             pacing: Pacing::default(),
@@ -314,6 +320,7 @@
         self.check_workers(state);
         self.open_due_steps(state);
         self.repeat_stops();
+        self.tend_fleet();
         self.tend_upkeep(state);
         self.tend_pools(state);
         self.stamp_ended_jobs(state);
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -1,10 +1,13 @@
 //! Submissions, states and cancels.
 
+use smol_str::SmolStr;
+
 use super::Leader;
 use crate::configuration::Queue;
 use crate::ids::{JobKey, QueueKey};
-use crate::job::JobSpec;
+use crate::job::{JobSpec, StepSpec};
 use crate::policy::admission::{self, Admission, Asked, PoolLoad};
+use crate::policy::durations::StepKind;
 use crate::policy::order;
 use crate::state::{JobStatus, JobsState};
 
@@ -47,7 +50,10 @@
         if state.jobs.contains_key(&key) {
             return SubmitDecision::Known;
         }
-        let (load, asked) = (self.pool_load(&queue.pool), self.asked(queue, spec));
+        let (load, asked) = (self.pool_load(&queue.pool, state), self.asked(queue, spec));
+        if !spec.is_long_running() {
+            self.pool_plans.note_arrival(&queue.pool, asked.work_core_ms);
+        }
         let admission = if spec.schedule.is_some() || spec.is_long_running() {
             Admission::Accept
         } else {
@@ -57,8 +63,13 @@
             Admission::Accept => {
                 self.counts.jobs_accepted += 1;
                 self.note(format!(
-                    "event=job_admitted job={key} queue={} backlog_core_ms={} work_core_ms={} slack_ms={}",
-                    queue.name, load.backlog_core_ms, asked.work_core_ms, asked.slack_ms
+                    "event=job_admitted job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
+                     work_core_ms={} slack_ms={}",
+                    queue.name,
+                    load.backlog_core_ms,
+                    load.capacity_cpu_millis,
+                    asked.work_core_ms,
+                    asked.slack_ms
                 ));
                 SubmitDecision::Propose
             }
@@ -66,49 +77,81 @@
                 self.counts.jobs_refused += 1;
                 self.note(format!(
                     "event=job_refused job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
-                     slack_ms={} come_back_ms={after_ms}",
-                    queue.name, load.backlog_core_ms, load.capacity_cpu_millis, asked.slack_ms
+                     free_cpu_millis={} reserve_cpu_millis={} slack_ms={} come_back_ms={after_ms}",
+                    queue.name,
+                    load.backlog_core_ms,
+                    load.capacity_cpu_millis,
+                    load.free_cpu_millis,
+                    load.reserve_cpu_millis,
+                    asked.slack_ms
                 ));
                 SubmitDecision::ComeBack { after_ms }
             }
         }
     }
 
+    /// Returns what a job asks of its pool, by what runs of its queue have taken.
     fn asked(&self, queue: &Queue, spec: &JobSpec) -> Asked {
+        let expect_ms = |step: &StepSpec| {
+            let kind = StepKind::new(&queue.key, step);
+            self.durations.expect_ms(&kind, step.estimated_ms)
+        };
         let work = spec.steps.iter().map(|step| {
-            u64::from(step.tasks) * step.counted().cpu_millis * step.estimated_ms / 1_000
+            u64::from(step.tasks) * step.counted().cpu_millis * expect_ms(step) / 1_000
         });
-        let chain_ms = order::longest_chain_ms(spec);
+        let first = spec.steps.iter().filter(|step| step.after.is_empty());
+        let first = first.map(|step| u64::from(step.tasks) * step.counted().cpu_millis);
+        let chain_ms = order::longest_chain_ms(spec, expect_ms);
         let stretched_ms = chain_ms.saturating_mul(queue.stretch_millis) / 1_000;
         Asked {
             work_core_ms: work.sum(),
+            first_cpu_millis: first.sum(),
             slack_ms: (stretched_ms + queue.latency_target_ms).saturating_sub(chain_ms),
         }
     }
 
     /// Returns what a pool holds and what has been accepted for it.
-    fn pool_load(&self, pool: &str) -> PoolLoad {
-        let of_pool = self.workers.values().filter(|worker| worker.heartbeat.pool == pool);
-        let usable = of_pool.filter(|worker| !worker.heartbeat.draining && !worker.doubtful);
-        let mut capacity_cpu_millis = 0;
-        for worker in usable {
+    fn pool_load(&self, pool: &SmolStr, state: &JobsState) -> PoolLoad {
+        let mut load = PoolLoad::default();
+        let mut instance_cpu_millis = 0;
+        for worker in self.workers.values() {
+            let capacity = worker.heartbeat.capacity.cpu_millis;
+            instance_cpu_millis = instance_cpu_millis.max(capacity);
+            if worker.heartbeat.pool != *pool || worker.heartbeat.draining || worker.doubtful {
+                continue;
+            }
             let lasting = worker.runs.keys().filter_map(|task| {
                 let step = self.steps.get(&task.step_id())?;
                 step.step().long_running.then(|| step.step().counted().cpu_millis)
             });
-            let lasting: u64 = lasting.sum();
-            capacity_cpu_millis += worker.heartbeat.capacity.cpu_millis.saturating_sub(lasting);
+            load.capacity_cpu_millis += capacity.saturating_sub(lasting.sum());
+            if !worker.emptying {
+                load.free_cpu_millis += worker.free().cpu_millis;
+            }
         }
-        let of_pool = self.steps.values().filter(|step| step.pool == pool);
-        let backlog = of_pool.filter(|step| !step.step().long_running).map(|step| {
-            let left = u64::from(step.step().tasks.saturating_sub(step.done_count));
-            let each_ms = self.durations.expect_ms(&step.kind, step.step().estimated_ms);
-            left * each_ms * step.step().counted().cpu_millis / 1_000
-        });
-        PoolLoad {
-            capacity_cpu_millis,
-            backlog_core_ms: backlog.sum(),
+        load.capacity_cpu_millis += self.pool_plans.coming(pool) as u64 * instance_cpu_millis;
+        load.reserve_cpu_millis = self.standby_instances(state) as u64 * instance_cpu_millis;
+        load.reserve_after_ms = self.settings.move_ms;
+        let mut waiting_cpu_millis = 0;
+        for (id, step) in self.steps.iter().filter(|(_, step)| step.pool == *pool) {
+            let spec = step.step();
+            if spec.long_running {
+                continue;
+            }
+            let cpu_millis = spec.counted().cpu_millis;
+            let waiting = step.waiting.len() as u64;
+            if step.open && step.due_ms <= self.now.wall_ms {
+                waiting_cpu_millis += waiting * cpu_millis;
+            }
+            let left = u64::from(spec.tasks.saturating_sub(step.done_count));
+            let running = left.saturating_sub(waiting);
+            let each_ms = self.durations.expect_ms(&step.kind, spec.estimated_ms);
+            // A task that runs is half done on average.
+            load.backlog_core_ms += (waiting * 2 + running) * each_ms * cpu_millis / 2_000;
+            debug_assert!(id.step as usize == step.position, "steps are kept under their numbers");
         }
+        load.free_cpu_millis = load.free_cpu_millis.saturating_sub(waiting_cpu_millis);
+        load
     }
 
     /// Returns where a job stands.
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -0,0 +1,119 @@
+//! Where every instance is.
+//!
+//! The platform's list is read when a leader begins and from time to time after that; in between,
+//! orders and heartbeats keep it up to date.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use super::{Effect, Leader, WorkerHandle};
+use crate::state::{Command, JobsState};
+
+/// How often the list of instances is read, in milliseconds; instances come and go within seconds,
+/// and a reading costs little beside what an unused instance costs.
+const LIST_INTERVAL_MS: u64 = 8_000;
+/// How soon the list is read again where something does not fit, in milliseconds.
+const LIST_AGAIN_MS: u64 = 1_500;
+
+/// Describes an instance as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// The instance.
+    pub instance: SmolStr,
+    /// The pool that it belongs to.
+    pub pool: SmolStr,
+    /// The worker that it carries, if it is up and its pool is in use.
+    pub worker: Option<SmolStr>,
+    /// Whether it is up.
+    pub up: bool,
+}
+
+/// Says what the platform answered to an order about an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InstanceAnswer {
+    /// The order is carried out, or has been before.
+    Done,
+    /// The instance is not up, or leaving; the order may be given again.
+    Busy,
+    /// The order can never be carried out: no such instance, pool or wave.
+    Impossible,
+    /// Another holder has a later fencing token.
+    Fenced,
+    /// Nothing is known, or the platform asked to slow down.
+    Unknown,
+}
+
+/// Holds where every instance is.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Fleet {
+    pub(crate) instances: BTreeMap<SmolStr, ListedInstance>,
+    asked_at_ms: Option<u64>,
+    listed: bool,
+    wanted: bool,
+}
+
+impl Fleet {
+    /// Returns whether the list has been read since this leader began.
+    pub(crate) const fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Asks for another reading, since something does not fit.
+    pub(crate) const fn doubt(&mut self) {
+        self.wanted = true;
+    }
+}
+
+impl Leader {
+    /// Reads the list of instances where it is time.
+    pub(super) fn tend_fleet(&mut self) {
+        let now_ms = self.now.steady_ms;
+        let interval_ms = if self.fleet.wanted || !self.fleet.listed {
+            LIST_AGAIN_MS
+        } else {
+            LIST_INTERVAL_MS
+        };
+        let is_recent = |at_ms: u64| now_ms < at_ms + interval_ms;
+        if self.fleet.asked_at_ms.is_some_and(is_recent) {
+            return;
+        }
+        self.fleet.asked_at_ms = Some(now_ms);
+        self.fleet.wanted = false;
+        self.effects.push(Effect::ListInstances);
+    }
+
+    /// Returns the worker on an instance.
+    pub(super) fn worker_on(&self, instance: &str) -> Option<WorkerHandle> {
+        let listed = self.fleet.instances.get(instance);
+        let listed = listed.and_then(|known| known.worker.as_ref());
+        let is_there = |worker: &super::Worker| match &worker.heartbeat.instance {
+            Some(named) => named == instance,
+            None => listed.is_some_and(|id| *id == worker.life().worker),
+        };
+        let found = self.workers.iter().filter(|(_, worker)| is_there(worker));
+        let latest = found.max_by_key(|(_, worker)| worker.life().born_ms);
+        latest.map(|(handle, _)| *handle)
+    }
+
+    /// Takes the platform's list of instances.
+    pub fn take_instances(&mut self, listed: &[ListedInstance], state: &JobsState) {
+        self.fleet.listed = true;
+        let known = listed.iter().map(|known| (known.instance.clone(), known.clone()));
+        self.fleet.instances = known.collect();
+        let mut gone = Vec::new();
+        for (number, wave) in &state.waves {
+            for instance in &wave.instances {
+                let is_there = self.fleet.instances.contains_key(instance);
+                if !is_there && !wave.maintained.contains(instance) {
+                    gone.push((*number, instance.clone()));
+                }
+            }
+        }
+        for (wave, instance) in gone {
+            self.note(format!("event=instance_gone instance={instance} wave={wave}"));
+            self.upkeep.forget(wave, &instance);
+            self.propose(Command::NoteMaintained { wave, instance });
+        }
+    }
+}
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -110,7 +110,7 @@
             pool: queue.map_or_else(SmolStr::default, |queue| queue.pool.clone()),
             position,
             order: order::order(&urgency, &job.spec, position),
-            kind: StepKind::new(&job.queue, spec, position),
+            kind: StepKind::new(&job.queue, spec),
             spec: job.spec.clone(),
             inherited: false,
             open: false,
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -3,25 +3,22 @@
 //! An instance is emptied first: tasks that last are stopped within what their steps may miss and
 //! start elsewhere, the others are waited for. Then the instance is sent into maintenance.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
 
+use super::fleet::InstanceAnswer;
+use super::pools::FIRST_ORDER_AFTER_MS;
 use super::{Effect, Leader, RunState, WorkerHandle};
 use crate::ids::{StepId, TaskId};
 use crate::state::{Command, JobsState, Wave};
 
-/// How long a leader waits before its first order to an instance, in milliseconds: an earlier leader
-/// may have ordered just before, and two holders must not take turns within their lease.
-const FIRST_ORDER_AFTER_MS: u64 = 3_500;
 /// How long after an order without effect it is given again, in milliseconds.
 const ORDER_REPEAT_MS: u64 = 700;
 /// How long an instance counts as down beyond its maintenance, in milliseconds, unless it is heard.
 const RETURN_MARGIN_MS: u64 = 1_500;
 /// How long tasks that end by themselves are waited for, in milliseconds, before they are stopped.
 const EMPTYING_PATIENCE_MS: u64 = 4_000;
-/// How often the list of instances is read while an instance cannot be found, in milliseconds.
-const LIST_INTERVAL_MS: u64 = 3_000;
 
 /// Says how far the maintenance of an instance is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,38 +35,18 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Upkeep {
     phases: BTreeMap<(u64, SmolStr), Phase>,
-    /// Which worker an instance carries, from the list of instances.
-    listed: BTreeMap<SmolStr, SmolStr>,
-    listed_at_ms: Option<u64>,
-    list_asked_at_ms: Option<u64>,
 }
 
-/// Describes an instance as the platform lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ListedInstance {
-    /// The instance.
-    pub instance: SmolStr,
-    /// The pool that it belongs to.
-    pub pool: SmolStr,
-    /// The worker that it carries, if it is up.
-    pub worker: Option<SmolStr>,
-    /// Whether it is up.
-    pub up: bool,
-}
+impl Upkeep {
+    /// Returns whether an instance is being emptied or is down for its maintenance.
+    pub(crate) fn is_under_way(&self, instance: &str) -> bool {
+        self.phases.keys().any(|(_, known)| known == instance)
+    }
 
-/// Says what the platform answered to an order about an instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum InstanceAnswer {
-    /// The order is carried out, or has been before.
-    Done,
-    /// The instance is not up, or leaving; the order may be given again.
-    Busy,
-    /// The order can never be carried out: no such instance, pool or wave.
-    Impossible,
-    /// Another holder has a later fencing token.
-    Fenced,
-    /// Nothing is known, or the platform asked to slow down.
-    Unknown,
+    /// Forgets an instance that is gone.
+    pub(crate) fn forget(&mut self, wave: u64, instance: &SmolStr) {
+        self.phases.remove(&(wave, instance.clone()));
+    }
 }
 
 impl Leader {
@@ -92,17 +69,6 @@
         }
     }
 
-    /// Returns the worker on an instance.
-    pub(super) fn worker_on(&self, instance: &str) -> Option<WorkerHandle> {
-        let listed = self.upkeep.listed.get(instance);
-        let is_there = |worker: &super::Worker| match &worker.heartbeat.instance {
-            Some(named) => named == instance,
-            None => listed.is_some_and(|id| *id == worker.life().worker),
-        };
-        let found = self.workers.iter().find(|(_, worker)| is_there(worker));
-        found.map(|(handle, _)| *handle)
-    }
-
     /// Notes instances that are heard again, or have been away for as long as maintenance takes.
     fn note_returned(&mut self) {
         let now_ms = self.now.steady_ms;
@@ -132,47 +98,30 @@
         let room = (wave.max_down as usize).saturating_sub(under_way);
         let waits = |instance: &&SmolStr| {
             !wave.maintained.contains(*instance)
-                && !self.upkeep.phases.keys().any(|(_, known)| known == *instance)
+                && !self.upkeep.is_under_way(instance)
+                && !self.pool_plans.is_moving(instance)
+                && self.fleet.instances.get(*instance).is_some_and(|known| known.up)
         };
-        let mut waiting: Vec<(usize, SmolStr, Option<WorkerHandle>)> = wave
-            .instances
-            .iter()
-            .filter(waits)
-            .map(|instance| {
-                let handle = self.worker_on(instance);
-                let runs = handle.and_then(|handle| self.workers.get(&handle));
-                (runs.map_or(usize::MAX, |worker| worker.runs.len()), instance.clone(), handle)
-            })
-            .collect();
-        waiting.sort_by(|left, right| (left.0, &left.1).cmp(&(right.0, &right.1)));
-        if waiting.iter().any(|(_, _, handle)| handle.is_none()) {
-            self.list_instances();
-        }
-        let found = waiting.into_iter().filter_map(|(_, instance, handle)| Some((instance, handle?)));
-        for (instance, handle) in found.take(room) {
-            if let Some(worker) = self.workers.get_mut(&handle) {
+        let ranked = wave.instances.iter().filter(waits).map(|instance| {
+            let worker = self.worker_on(instance).and_then(|handle| self.workers.get(&handle));
+            let runs = worker.map_or(0, |worker| worker.runs.len());
+            (runs, instance.clone())
+        });
+        let mut ranked: Vec<(usize, SmolStr)> = ranked.collect();
+        ranked.sort();
+        for (runs, instance) in ranked.into_iter().take(room) {
+            let handle = self.worker_on(&instance);
+            if let Some(worker) = handle.and_then(|handle| self.workers.get_mut(&handle)) {
                 worker.emptying = true;
-                let line = format!(
-                    "event=instance_emptying instance={instance} wave={number} worker={} runs={}",
-                    worker.life(),
-                    worker.runs.len()
-                );
-                self.note(line);
             }
+            self.note(format!(
+                "event=instance_emptying instance={instance} wave={number} runs={runs}"
+            ));
             let phase = Phase::Emptying { since_ms: now_ms };
             self.upkeep.phases.insert((number, instance), phase);
         }
     }
 
-    fn list_instances(&mut self) {
-        let now_ms = self.now.steady_ms;
-        let is_recent = |at_ms: Option<u64>| at_ms.is_some_and(|at| now_ms < at + LIST_INTERVAL_MS);
-        if !is_recent(self.upkeep.list_asked_at_ms) {
-            self.upkeep.list_asked_at_ms = Some(now_ms);
-            self.effects.push(Effect::ListInstances);
-        }
-    }
-
     fn tend_instance(&mut self, wave: u64, instance: &SmolStr) {
         let now_ms = self.now.steady_ms;
         let key = (wave, instance.clone());
@@ -265,7 +214,9 @@
                 if let Some(handle) = self.worker_on(instance) {
                     self.end_life(handle, "maintenance", state);
                 }
-                self.upkeep.listed.remove(instance);
+                if let Some(known) = self.fleet.instances.get_mut(instance) {
+                    known.worker = None;
+                }
                 self.upkeep.phases.insert(key, Phase::Down { since_ms: now_ms });
                 self.propose(Command::NoteMaintained {
                     wave,
@@ -274,7 +225,7 @@
             }
             InstanceAnswer::Busy => {
                 self.upkeep.phases.insert(key, Phase::Ordered { at_ms: now_ms });
-                self.list_instances();
+                self.fleet.doubt();
             }
             InstanceAnswer::Impossible => {
                 self.upkeep.phases.remove(&key);
@@ -286,29 +237,4 @@
             InstanceAnswer::Fenced | InstanceAnswer::Unknown => {}
         }
     }
-
-    /// Takes the platform's list of instances.
-    pub fn take_instances(&mut self, listed: &[ListedInstance], state: &JobsState) {
-        self.upkeep.listed_at_ms = Some(self.now.steady_ms);
-        self.upkeep.listed.clear();
-        for known in listed {
-            if let Some(worker) = &known.worker {
-                self.upkeep.listed.insert(known.instance.clone(), worker.clone());
-            }
-        }
-        let there: BTreeSet<&SmolStr> = listed.iter().map(|known| &known.instance).collect();
-        let mut gone = Vec::new();
-        for (number, wave) in &state.waves {
-            for instance in &wave.instances {
-                if !there.contains(instance) && !wave.maintained.contains(instance) {
-                    gone.push((*number, instance.clone()));
-                }
-            }
-        }
-        for (wave, instance) in gone {
-            self.note(format!("event=instance_gone instance={instance} wave={wave}"));
-            self.upkeep.phases.remove(&(wave, instance.clone()));
-            self.propose(Command::NoteMaintained { wave, instance });
-        }
-    }
 }
--- a/crates/jasminefall-jobs/src/policy.rs
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -3,6 +3,7 @@
 //! - [`order`]: which step is placed first
 //! - [`durations`]: how long tasks of a kind take, learnt from runs
 //! - [`health`]: whether a worker fails what it is given
+//! - [`pools`]: how many instances a pool should have
 //! - [`placement`]: which worker gets a task
 //! - [`admission`]: which jobs are refused at once, and when their clients may come back
 
@@ -11,3 +12,4 @@
 pub mod health;
 pub mod order;
 pub mod placement;
+pub mod pools;
--- a/crates/jasminefall-jobs/src/policy/durations.rs
+++ b/crates/jasminefall-jobs/src/policy/durations.rs
@@ -1,7 +1,7 @@
 //! How long tasks of a kind take, learnt from runs.
 //!
-//! Clients' estimates are rough. Where runs of the same queue and position have ended, the ratio of
-//! what they took to what was estimated corrects the estimate.
+//! Clients' estimates are rough, some of them nearly worthless. For each kind a line is fitted to
+//! what runs took against what was estimated, so that an estimate counts for as much as it tells.
 
 use std::collections::HashMap;
 
@@ -10,58 +10,78 @@
 use crate::ids::QueueKey;
 use crate::job::StepSpec;
 
-/// The weight of the newest run in the running mean.
-const NEWEST_WEIGHT: f64 = 0.05;
+/// How many runs an unlearnt kind is taken to have had that took just what was estimated.
+const PRIOR_RUNS: f64 = 4.0;
+/// By how much every earlier run counts less with each new one.
+const KEPT: f64 = 0.995;
 
-/// Names what behaves alike: an image, or a position within the jobs of a queue.
+/// Names what behaves alike: an image, or the jobs of a queue.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct StepKind {
     queue: QueueKey,
     image: Option<SmolStr>,
-    position: usize,
 }
 
 impl StepKind {
     /// Creates the kind of a step.
     #[must_use]
-    pub fn new(queue: &QueueKey, step: &StepSpec, position: usize) -> Self {
+    pub fn new(queue: &QueueKey, step: &StepSpec) -> Self {
         Self {
             queue: queue.clone(),
             image: step.image.clone(),
-            position,
         }
     }
 }
 
-/// Learns by how much runs exceed their estimates.
+/// Sums over the runs of a kind: their weight, and the moments of estimates and durations.
+#[derive(Debug, Clone, Copy, Default)]
+struct Moments {
+    weight: f64,
+    estimated: f64,
+    took: f64,
+    estimated_squared: f64,
+    product: f64,
+}
+
+/// Learns how long runs take against their estimates.
 #[derive(Debug, Clone, Default)]
 pub struct Durations {
-    ratios: HashMap<StepKind, f64>,
+    kinds: HashMap<StepKind, Moments>,
 }
 
 impl Durations {
-    /// Notes that a run on a sound worker took this long.
+    /// Notes how long a run took.
+    #[expect(clippy::cast_precision_loss, reason = "milliseconds of one run")]
     pub fn note(&mut self, kind: &StepKind, estimated_ms: u64, took_ms: u64) {
-        if estimated_ms == 0 {
-            return;
-        }
-        #[expect(clippy::cast_precision_loss, reason = "milliseconds of one run")]
-        let ratio = took_ms as f64 / estimated_ms as f64;
-        let known = self.ratios.entry(kind.clone()).or_insert(ratio);
-        *known += NEWEST_WEIGHT * (ratio - *known);
+        let (estimated, took) = (estimated_ms as f64, took_ms as f64);
+        let known = self.kinds.entry(kind.clone()).or_default();
+        known.weight = known.weight * KEPT + 1.0;
+        known.estimated = known.estimated * KEPT + estimated;
+        known.took = known.took * KEPT + took;
+        known.estimated_squared = known.estimated_squared * KEPT + estimated * estimated;
+        known.product = known.product * KEPT + estimated * took;
     }
 
     /// Returns how long a task is expected to take.
     #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "milliseconds of one run"
+    )]
     pub fn expect_ms(&self, kind: &StepKind, estimated_ms: u64) -> u64 {
-        let ratio = self.ratios.get(kind).copied().unwrap_or(1.0);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            clippy::cast_precision_loss,
-            reason = "milliseconds of one run"
-        )]
-        let expected_ms = (estimated_ms as f64 * ratio).max(0.0) as u64;
-        expected_ms
+        let estimated = estimated_ms as f64;
+        let Some(known) = self.kinds.get(kind) else {
+            return estimated_ms;
+        };
+        let mean_estimated = known.estimated / known.weight;
+        let mean_took = known.took / known.weight;
+        let variance = known.estimated_squared / known.weight - mean_estimated * mean_estimated;
+        let covariance = known.product / known.weight - mean_estimated * mean_took;
+        let slope = if variance > 1.0 { (covariance / variance).clamp(0.0, 1.0) } else { 0.0 };
+        let learnt = mean_took + slope * (estimated - mean_estimated);
+        let trust = known.weight / (known.weight + PRIOR_RUNS);
+        (learnt * trust + estimated * (1.0 - trust)).max(0.0) as u64
     }
 }
--- a/crates/jasminefall-jobs/src/policy/order.rs
+++ b/crates/jasminefall-jobs/src/policy/order.rs
@@ -4,7 +4,7 @@
 //! Within a rank, jobs are taken in the order in which they stop being worth their full value, so
 //! that what can still be in time is not held up by what came earlier and has longer to go.
 
-use crate::job::JobSpec;
+use crate::job::{JobSpec, StepSpec};
 
 /// Sorts steps; the least is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,7 +33,7 @@
 /// Returns the place of a step among those of its pool.
 #[must_use]
 pub fn order(urgency: &Urgency, spec: &JobSpec, position: usize) -> Order {
-    let chain_ms = longest_chain_ms(spec);
+    let chain_ms = longest_chain_ms(spec, |step| step.estimated_ms);
     let stretched_ms = chain_ms.saturating_mul(urgency.stretch_millis) / 1_000;
     let allowed_ms = stretched_ms + urgency.latency_target_ms;
     Order {
@@ -43,14 +43,13 @@
     }
 }
 
-/// Returns the longest chain of steps that wait for each other, by their estimates.
-#[must_use]
-pub fn longest_chain_ms(spec: &JobSpec) -> u64 {
+/// Returns the longest chain of steps that wait for each other.
+pub fn longest_chain_ms(spec: &JobSpec, expect_ms: impl Fn(&StepSpec) -> u64) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for step in &spec.steps {
         let before = step.after.iter().filter_map(|before| ends.get(usize::from(*before)));
         let begins_ms = before.copied().max().unwrap_or(0);
-        ends.push(begins_ms.saturating_add(step.estimated_ms));
+        ends.push(begins_ms.saturating_add(expect_ms(step)));
     }
     ends.into_iter().max().unwrap_or(0)
 }
