--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -167,6 +167,7 @@
             let Some(worker) = self.workers.get_mut(&handle) else {
                 return;
             };
+            worker.ends_noted = worker.ends_noted.max(noted_upto);
             if end.number > worker.ends_seen {
                 worker.ends_seen = end.number;
                 self.take_end(handle, end, state);
@@ -210,11 +211,14 @@
         {
             step.checkpoints.insert(end.task.index, end.checkpoint.clone());
         }
+        let step = self.steps.get(&end.task.step_id());
+        let lasts = step.is_some_and(|step| step.step().long_running);
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
         };
         worker.full_until_ms = 0;
         match end.kind {
+            EndKind::Done | EndKind::Failed if lasts => self.requeue(end.task),
             EndKind::Done => {
                 worker.health.note_done();
                 self.learn(end.task, took_ms);
@@ -226,13 +230,9 @@
                     let line = format!("event=worker_set_aside worker={}", worker.life());
                     self.note(line);
                 }
-                let long_running = self
-                    .steps
-                    .get(&end.task.step_id())
-                    .is_some_and(|step| step.step().long_running);
                 // Whether the task may be tried again is known once the failure is noted.
-                if long_running {
-                    self.requeue(end.task);
+                if let Some(step) = self.steps.get_mut(&end.task.step_id()) {
+                    step.waiting.remove(&end.task.index);
                 }
             }
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
@@ -491,10 +491,12 @@
         let Some(handle) = self.by_life.get(life).copied() else {
             return;
         };
-        if let Some(worker) = self.workers.get_mut(&handle)
-            && worker.look == LookState::Noting
-        {
-            worker.look = LookState::Idle;
+        if let Some(worker) = self.workers.get_mut(&handle) {
+            let last = ends.iter().map(|end| end.number).max().unwrap_or(0);
+            worker.ends_noted = worker.ends_noted.max(last);
+            if worker.look == LookState::Noting {
+                worker.look = LookState::Idle;
+            }
         }
         self.look_if_due(handle, state);
     }
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -19,6 +19,8 @@
     worker: SmolStr,
     free: Resources,
     recent_failures: u32,
+    /// Whether tasks that last run there.
+    is_pinned: bool,
 }
 
 impl Leader {
@@ -77,6 +79,7 @@
             worker: worker.life().worker.clone(),
             free: worker.free(),
             recent_failures: worker.health.failures_in_a_row(),
+            is_pinned: self.holds_lasting(worker),
         })
         .collect()
     }
@@ -93,8 +96,10 @@
                 return;
             };
             let counted = step.step().counted();
+            let lasts = step.step().long_running;
             let place = &mut places[position];
             place.free = place.free.minus(&counted);
+            place.is_pinned |= lasts;
             let handle = place.handle;
             let run = self.next_run(id.task(index));
             self.start(id, index, run, handle);
@@ -150,8 +155,7 @@
                 candidates.push(candidate);
             }
         }
-        let spread = spec.long_running || spec.max_per_worker.is_some();
-        let best = placement::choose(&candidates, &spec.counted(), spread)?;
+        let best = placement::choose(&candidates, &spec.counted())?;
         Some(positions[best])
     }
 
@@ -214,6 +218,6 @@
         free: place.free,
         near: has(&spec.rack_affinity),
         recent_failures: place.recent_failures,
-        same_step,
+        is_pinned: place.is_pinned,
     })
 }
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -13,10 +13,10 @@
 const PLAN_INTERVAL_MS: u64 = 150;
 /// How long a leader waits before its first order to an instance, in milliseconds: an earlier leader
 /// may have ordered just before, and two holders must not take turns within their lease.
-pub(super) const FIRST_ORDER_AFTER_MS: u64 = 3_500;
+const FIRST_ORDER_AFTER_MS: u64 = 3_500;
 /// How long an instance may stay idle before it leaves its pool, in milliseconds; at the price of an
-/// instance this costs as much as the two moves that it saves if it is needed again.
-const IDLE_BEFORE_LEAVING_MS: u64 = 1_500;
+/// instance this costs less than the two moves that it saves if it is needed again.
+const IDLE_BEFORE_LEAVING_MS: u64 = 800;
 /// The weight of the newest interval in the rate at which work arrives.
 const NEWEST_WEIGHT_PERCENT: u64 = 25;
 /// How long an order without an answer is taken as under way, in milliseconds.
@@ -93,12 +93,16 @@
             let kept = arrivals.rate_cpu_millis * (100 - NEWEST_WEIGHT_PERCENT);
             arrivals.rate_cpu_millis = (kept + newest * NEWEST_WEIGHT_PERCENT) / 100;
         }
-        let may_order = now_ms >= self.leads_since_ms + FIRST_ORDER_AFTER_MS;
-        if may_order && self.fleet.is_listed() {
+        if self.may_order_instances() && self.fleet.is_listed() {
             self.plan_moves(state);
         }
     }
 
+    /// Returns whether no order of an earlier leader about an instance can be under way.
+    pub(super) const fn may_order_instances(&self) -> bool {
+        self.first_run == 0 || self.now.steady_ms >= self.leads_since_ms + FIRST_ORDER_AFTER_MS
+    }
+
     fn plan_moves(&mut self, state: &JobsState) {
         let now_ms = self.now.steady_ms;
         let pools = state.configuration.pools.iter().filter(|pool| !pool.standby);
@@ -243,7 +247,7 @@
         true
     }
 
-    fn holds_lasting(&self, worker: &super::Worker) -> bool {
+    pub(super) fn holds_lasting(&self, worker: &super::Worker) -> bool {
         let mut steps = worker.runs.keys().filter_map(|task| self.steps.get(&task.step_id()));
         steps.any(|step| step.step().long_running)
     }
@@ -284,7 +288,7 @@
     }
 
     fn is_empty(&self, handle: WorkerHandle) -> bool {
-        self.workers.get(&handle).is_none_or(|worker| worker.runs.is_empty())
+        self.workers.get(&handle).is_none_or(super::Worker::is_empty)
     }
 
     fn order_move(&mut self, instance: &SmolStr, planned: Move) {
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -8,7 +8,6 @@
 use smol_str::SmolStr;
 
 use super::fleet::InstanceAnswer;
-use super::pools::FIRST_ORDER_AFTER_MS;
 use super::{Effect, Leader, RunState, WorkerHandle};
 use crate::ids::{StepId, TaskId};
 use crate::state::{Command, JobsState, Wave};
@@ -52,8 +51,7 @@
 impl Leader {
     /// Moves every wave on.
     pub(super) fn tend_upkeep(&mut self, state: &JobsState) {
-        let now_ms = self.now.steady_ms;
-        if now_ms < self.leads_since_ms + FIRST_ORDER_AFTER_MS {
+        if !self.may_order_instances() {
             return;
         }
         self.note_returned();
@@ -169,7 +167,7 @@
                 self.stop_run(*task, *number, false);
             }
         }
-        runs.is_empty()
+        self.workers.get(&handle).is_none_or(super::Worker::is_empty)
     }
 
     /// Returns whether a task may be stopped without more of its step being away than allowed.
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -57,6 +57,8 @@
     pub(crate) look: LookState,
     /// The number of the last end that has been dealt with.
     pub(crate) ends_seen: u64,
+    /// The number of the last end that is durable.
+    pub(crate) ends_noted: u64,
     /// Whether an end has been noted that the worker has not been told of.
     pub(crate) owes_acknowledgement: bool,
     pub(crate) runs: BTreeMap<TaskId, u64>,
@@ -107,6 +109,13 @@
         self.heartbeat.capacity.minus(&self.used)
     }
 
+    /// Returns whether the worker can be sent away: nothing runs there, and no end that only its
+    /// list holds would be lost with it.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.adopted && self.runs.is_empty() && self.ends_seen <= self.ends_noted
+    }
+
     /// Returns whether the worker has a label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
@@ -130,6 +139,7 @@
             lease_until_ms: 0,
             look: LookState::RetryAt(now_ms),
             ends_seen: 0,
+            ends_noted: 0,
             owes_acknowledgement: false,
             runs: BTreeMap::new(),
             used: Resources::default(),
--- a/crates/jasminefall-jobs/src/policy/placement.rs
+++ b/crates/jasminefall-jobs/src/policy/placement.rs
@@ -15,21 +15,20 @@
     pub near: bool,
     /// How many runs in a row have failed there.
     pub recent_failures: u32,
-    /// How many tasks of the same step run there.
-    pub same_step: u32,
+    /// Whether tasks that last run there.
+    pub is_pinned: bool,
 }
 
 /// Returns the position of the best candidate.
 #[must_use]
-pub fn choose(candidates: &[Candidate], needs: &Resources, spread: bool) -> Option<usize> {
+pub fn choose(candidates: &[Candidate], needs: &Resources) -> Option<usize> {
     let fitting = candidates
         .iter()
         .enumerate()
         .filter(|(_, candidate)| candidate.free.holds(needs));
     let best = fitting.min_by_key(|(_, candidate)| {
-        let beside = if spread { candidate.same_step } else { 0 };
         let left = candidate.free.minus(needs).cpu_millis;
-        (!candidate.near, candidate.recent_failures, beside, left)
+        (!candidate.near, candidate.recent_failures, !candidate.is_pinned, left)
     });
     best.map(|(position, _)| position)
 }
--- a/crates/jasminefall-jobs/src/policy/pools.rs
+++ b/crates/jasminefall-jobs/src/policy/pools.rs
@@ -24,8 +24,8 @@
 /// The part of an instance that work can be packed onto, in thousandths; the rest is lost to odd
 /// sizes.
 const PACKED_MILLIS: u64 = 850;
-/// The fewest instances of a pool that is in use, so that the loss of one leaves another.
-const FEWEST: usize = 2;
+/// The fewest instances of a pool that is in use, so that a job finds one at once.
+const FEWEST: usize = 1;
 
 impl PoolDemand {
     /// Returns how many instances the pool needs for what is there and what arrives.
--- a/crates/jasminefall-jobs/src/prelude.rs
+++ b/crates/jasminefall-jobs/src/prelude.rs
@@ -4,7 +4,7 @@
 pub use crate::ids::{JobKey, LifeId, QueueKey, StepId, TaskId};
 pub use crate::job::{JobError, JobSpec, Resources, Schedule, StepSpec};
 pub use crate::leader::{Effect, Leader};
-pub use crate::state::{Command, JobStatus, JobsState, Outcome, Wave};
+pub use crate::state::{Command, Job, JobStatus, JobsState, Outcome, Wave};
 pub use crate::worker::{
     EndKind, Heartbeat, OrderAnswer, Refusal, RunEnd, RunList, RunRow,
 };
--- /dev/null
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -0,0 +1,208 @@
+//! What the leader does for jobs and workers, without a network.
+
+#[path = "leader/site.rs"]
+mod site;
+
+use jasminefall_jobs::leader::{Effect, InstanceAnswer, ListedInstance};
+use jasminefall_jobs::prelude::*;
+use site::{Site, lasting, task};
+
+#[test]
+fn a_task_is_started_once_and_its_job_completes() {
+    let mut site = Site::new(2);
+    site.submit(1, site::job(&[1], 100));
+    let starts = site.take_starts();
+    assert_eq!(starts.len(), 1);
+    site.accept(&starts[0]);
+    site.end(&starts[0], EndKind::Done);
+    assert_eq!(site.status(1), Some(JobStatus::Completed));
+    assert!(site.take_starts().is_empty());
+}
+
+#[test]
+fn a_step_waits_for_the_steps_before_it() {
+    let mut site = Site::new(2);
+    let mut job = site::job(&[2, 1], 100);
+    job.steps[1].after = vec![0];
+    site.submit(1, job);
+    let starts = site.take_starts();
+    assert_eq!(starts.len(), 2);
+    site.accept_all(&starts);
+    site.end(&starts[0], EndKind::Done);
+    assert!(site.take_starts().is_empty());
+    site.end(&starts[1], EndKind::Done);
+    assert_eq!(site.take_starts()[0].task, task(1, 1, 0));
+}
+
+#[test]
+fn a_task_that_lasts_is_started_again_however_it_ends() {
+    for kind in [EndKind::Done, EndKind::Failed, EndKind::Stopped, EndKind::Lapsed] {
+        let mut site = Site::new(2);
+        site.submit(1, lasting(1));
+        let starts = site.take_starts();
+        site.accept_all(&starts);
+        site.end(&starts[0], kind);
+        let again = site.take_starts();
+        assert_eq!(again.len(), 1, "after {kind:?}");
+        assert!(again[0].run > starts[0].run);
+    }
+}
+
+#[test]
+fn a_job_fails_after_its_attempts_and_is_not_tried_again() {
+    let mut site = Site::new(6);
+    site.submit(1, site::job(&[1], 100));
+    for _ in 0..site::ATTEMPTS {
+        let starts = site.take_starts();
+        assert_eq!(starts.len(), 1);
+        site.accept_all(&starts);
+        site.end(&starts[0], EndKind::Failed);
+    }
+    assert!(site.take_starts().is_empty());
+    assert_eq!(site.status(1), Some(JobStatus::Failed));
+}
+
+/// A new leader reads failures that the earlier one had heard but not made durable.
+#[test]
+fn a_new_leader_counts_failures_before_it_tries_again() {
+    let mut site = Site::new(1);
+    site.submit(1, site::job(&[1], 100));
+    for _ in 1..site::ATTEMPTS {
+        let starts = site.take_starts();
+        site.accept_all(&starts);
+        site.end(&starts[0], EndKind::Failed);
+    }
+    let last = site.take_starts();
+    site.accept_all(&last);
+    site.end_unheard(&last[0], EndKind::Failed);
+    site.change_leader();
+    site.hold_commits();
+    site.answer_looks();
+    assert!(site.take_starts().is_empty(), "the failure is not noted yet");
+    site.commit_all();
+    assert!(site.take_starts().is_empty());
+    assert_eq!(site.status(1), Some(JobStatus::Failed));
+}
+
+#[test]
+fn a_new_leader_starts_nothing_that_may_run_on_an_unread_worker() {
+    let mut site = Site::new(2);
+    site.submit(1, site::job(&[1], 100));
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    site.change_leader();
+    site.pass(3_000);
+    assert!(site.take_starts().is_empty(), "its lease may still run");
+    site.pass(4_000);
+    assert!(site.take_starts().is_empty(), "no worker has answered");
+    site.answer_looks();
+    site.pass(100);
+    assert!(site.take_starts().is_empty(), "the run has been taken over");
+}
+
+#[test]
+fn an_unanswered_start_is_not_repeated_before_its_deadline() {
+    let mut site = Site::new(2);
+    site.submit(1, site::job(&[1], 100));
+    let starts = site.take_starts();
+    site.lose_answer(&starts[0]);
+    site.pass(500);
+    site.answer_looks();
+    assert!(site.take_starts().is_empty(), "it may still take effect");
+    site.pass(2_000);
+    site.answer_looks();
+    let again = site.take_starts();
+    assert_eq!(again.len(), 1);
+    assert!(again[0].run > starts[0].run);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_not_started_again() {
+    let mut site = Site::new(2);
+    site.submit(1, site::job(&[2], 100));
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    site.apply(Command::Cancel(JobKey(1)));
+    assert_eq!(site.take_stops().len(), 2);
+    site.end(&starts[0], EndKind::Stopped);
+    site.end(&starts[1], EndKind::Stopped);
+    assert!(site.take_starts().is_empty());
+}
+
+/// What a worker has listed and nobody has noted is lost when its instance is sent away.
+#[test]
+fn an_instance_is_not_maintained_before_its_ends_are_noted() {
+    let mut site = Site::new(1);
+    site.list_instances();
+    site.submit(1, site::job(&[1], 100));
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    site.hold_commits();
+    site.end(&starts[0], EndKind::Done);
+    site.start_wave(&["m-0"]);
+    site.pass(500);
+    assert!(site.take_maintenance().is_empty(), "the end is not durable");
+    site.commit_all();
+    site.pass(500);
+    assert_eq!(site.take_maintenance(), ["m-0"]);
+}
+
+#[test]
+fn a_wave_keeps_to_its_limit_and_completes() {
+    let mut site = Site::new(4);
+    site.list_instances();
+    site.start_wave(&["m-0", "m-1", "m-2"]);
+    site.pass(200);
+    let first = site.take_maintenance();
+    assert_eq!(first.len(), 1, "one may be down at once");
+    site.pass(5_000);
+    assert!(site.take_maintenance().iter().all(|again| *again == first[0]));
+    for _ in 0..3 {
+        let ordered = site.take_maintenance();
+        let instance = ordered.first().cloned().unwrap_or_else(|| first[0].clone());
+        site.answer_maintenance(&instance, InstanceAnswer::Done);
+        site.pass(4_500);
+    }
+    assert!(site.state.waves[&1].is_complete());
+}
+
+#[test]
+fn an_instance_in_standby_is_maintained_without_a_worker() {
+    let mut site = Site::new(1);
+    let idle = ListedInstance {
+        instance: "m-idle".into(),
+        pool: site::STANDBY.into(),
+        worker: None,
+        up: true,
+    };
+    site.list(&[idle]);
+    site.start_wave(&["m-idle"]);
+    site.pass(300);
+    assert_eq!(site.take_maintenance(), ["m-idle"]);
+}
+
+#[test]
+fn a_step_never_misses_more_than_it_may_for_a_wave() {
+    let mut site = Site::new(4);
+    site.list_instances();
+    let mut job = lasting(3);
+    job.steps[0].may_miss = 1;
+    job.steps[0].max_per_worker = Some(1);
+    site.submit(1, job);
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    site.at_work(&starts);
+    site.start_wave_of(&["m-0", "m-1", "m-2", "m-3"], 4);
+    site.pass(300);
+    let stops = site.take_stops();
+    assert_eq!(stops.len(), 1, "one task may be away at once");
+}
+
+#[test]
+fn the_effects_name_each_worker_that_is_to_be_read() {
+    let mut site = Site::new(2);
+    site.submit(1, site::job(&[1], 100));
+    let effects = site.take_effects();
+    let looks = effects.iter().filter(|effect| matches!(effect, Effect::Look(_)));
+    assert!(looks.count() <= 2);
+}
--- a/crates/jasminefall-replica/src/replica/parts.rs
+++ b/crates/jasminefall-replica/src/replica/parts.rs
@@ -102,6 +102,9 @@
     pub answered_at_ms: u64,
     /// The leader's clock at the latest sending.
     pub sent_at_ms: u64,
+    /// The leader's clock when it last went back after a refusal; refusals of what was sent before
+    /// that are of the same gap.
+    pub went_back_at_ms: u64,
     /// The snapshot that is being sent and how many of its bytes have arrived.
     pub installing: Option<(LogIndex, u64)>,
 }
--- a/crates/jasminefall-replica/src/replica/replication.rs
+++ b/crates/jasminefall-replica/src/replica/replication.rs
@@ -186,6 +186,7 @@
         match_index: LogIndex,
         sent_at_ms: u64,
     ) {
+        let now_ms = self.now_ms;
         let Some(known) = self.note_answer(from, sent_at_ms) else {
             return;
         };
@@ -194,7 +195,8 @@
             known.match_index = known.match_index.max(match_index);
             known.sent_index = known.sent_index.max(match_index);
             self.advance_commit();
-        } else {
+        } else if sent_at_ms >= known.went_back_at_ms {
+            known.went_back_at_ms = now_ms.max(sent_at_ms + 1);
             known.sent_index = known.match_index.max(match_index);
             let known = *known;
             self.send_entries(from, known);
--- a/crates/jasminefall-replica/tests/promises.rs
+++ b/crates/jasminefall-replica/tests/promises.rs
@@ -267,3 +267,41 @@
         );
     }
 }
+
+/// A replica that was away answers each message that gathered meanwhile with a refusal.
+#[test]
+fn refusals_of_one_gap_bring_what_is_missing_once() {
+    const MISSING: usize = 200;
+    const REFUSALS: u64 = 50;
+    let mut leader = replica(ONE, of_three());
+    let mut now_ms = 10_000;
+    leader.tick(0);
+    let term = elect(&mut leader, now_ms);
+    for _ in 0..MISSING {
+        leader.propose(now_ms, vec![0; 100]).unwrap();
+        sync(&mut leader, now_ms);
+    }
+    for number in 0..REFUSALS {
+        now_ms += 20;
+        leader.tick(now_ms);
+        leader.step(now_ms, acknowledgement(TWO, term, 1, now_ms));
+        leader.take_ready();
+        assert!(leader.is_leader(), "after {number} heartbeats");
+    }
+    let mut sent = 0;
+    for number in 0..REFUSALS {
+        let refusal = Body::AppendReply {
+            accepted: false,
+            match_index: LogIndex(0),
+            sent_at_ms: now_ms - 20 * (REFUSALS - number),
+        };
+        leader.step(now_ms, message(THREE, ONE, term, refusal));
+        for message in leader.take_ready().messages {
+            if let (THREE, Body::Append { entries, .. }) = (message.to, message.body) {
+                sent += entries.len();
+            }
+        }
+    }
+    assert!(sent >= MISSING, "what is missing is sent");
+    assert!(sent <= 2 * MISSING, "{sent} entries for {MISSING} missing ones");
+}
