feat(jobs): place what can still be in time first; count unread workers' tasks as away

Change: steps that cannot be in time by learnt durations come last; a run counts as at work only on a worker read within two seconds; instances with lasting tasks are emptied first.

--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -137,6 +137,7 @@
         }
         worker.read_clock(list.clock_ms, now_ms);
         worker.look = LookState::Idle;
+        worker.read_at_ms = now_ms;
         let was_doubtful = std::mem::replace(&mut worker.doubtful, false);
         let is_new = !std::mem::replace(&mut worker.adopted, true);
         if is_new {
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -35,10 +35,7 @@
     }
 
     fn place_pool(&mut self, pool: &SmolStr) {
-        let ids: Vec<StepId> = match self.open_steps.get(pool) {
-            Some(open) => open.iter().map(|(_, id)| *id).collect(),
-            None => return,
-        };
+        let ids = self.in_order(pool);
         let mut places = self.places(pool);
         let unsettled = self.is_unsettled(pool);
         for id in ids {
@@ -59,6 +56,50 @@
         }
     }
 
+    /// Returns the open steps of a pool, those first that can still be in time.
+    ///
+    /// While more arrives than a pool holds, going by deadline alone would serve what is late
+    /// already and make everything behind it late too.
+    fn in_order(&self, pool: &SmolStr) -> Vec<StepId> {
+        let open = self.open_steps.get(pool).into_iter().flatten();
+        let waiting = open.filter_map(|(order, id)| {
+            let step = self.steps.get(id).filter(|step| !step.waiting.is_empty())?;
+            let left_ms = self.chain_left_ms(*id, step);
+            let is_late = self.now.wall_ms + left_ms > order.in_time_until_ms;
+            Some((is_late && !step.step().long_running, *id, order.rank))
+        });
+        let mut waiting: Vec<_> = waiting.collect();
+        waiting.sort_by_key(|(is_late, _, rank)| (*rank, *is_late));
+        waiting.into_iter().map(|(_, id, _)| id).collect()
+    }
+
+    /// Returns how long the steps from one on take, by what runs of their kind have taken.
+    fn chain_left_ms(&self, id: StepId, step: &StepRun) -> u64 {
+        let steps = &step.spec.steps;
+        let mut ends = vec![0; steps.len()];
+        let mut longest = 0;
+        for (position, spec) in steps.iter().enumerate().skip(step.position) {
+            let follows = |before: &u16| usize::from(*before) >= step.position;
+            let is_next = position == step.position || spec.after.iter().any(follows);
+            if !is_next {
+                continue;
+            }
+            let begins = spec.after.iter().filter_map(|before| ends.get(usize::from(*before)));
+            let begins: u64 = begins.copied().max().unwrap_or(0);
+            let of_step = StepId {
+                step: u16::try_from(position).unwrap_or(u16::MAX),
+                ..id
+            };
+            let known = self.steps.get(&of_step);
+            let each_ms = known.map_or(spec.estimated_ms, |known| {
+                self.durations.expect_ms(&known.kind, spec.estimated_ms)
+            });
+            ends[position] = begins + each_ms;
+            longest = longest.max(ends[position]);
+        }
+        longest
+    }
+
     /// Returns the workers of a pool that may be given tasks.
     fn places(&self, pool: &SmolStr) -> Vec<Place> {
         let now_ms = self.now.steady_ms;
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -109,7 +109,10 @@
             queue: job.queue.clone(),
             pool: queue.map_or_else(SmolStr::default, |queue| queue.pool.clone()),
             position,
-            order: order::order(&urgency, &job.spec, position),
+            order: order::order(&urgency, &job.spec, position, |step| {
+                let kind = StepKind::new(&job.queue, step);
+                self.durations.expect_ms(&kind, step.estimated_ms)
+            }),
             kind: StepKind::new(&job.queue, spec),
             spec: job.spec.clone(),
             inherited: false,
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -19,6 +19,10 @@
 /// How long tasks that end by themselves are waited for, in milliseconds, before they are stopped.
 const EMPTYING_PATIENCE_MS: u64 = 4_000;
 
+/// How old a reading of a worker may be for its tasks to count as at work, in milliseconds; longer
+/// than a look stays open, and far below the time after which a task counts as away.
+const FRESH_READING_MS: u64 = 2_000;
+
 /// Says how far the maintenance of an instance is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -103,11 +107,13 @@
         let ranked = wave.instances.iter().filter(waits).map(|instance| {
             let worker = self.worker_on(instance).and_then(|handle| self.workers.get(&handle));
             let runs = worker.map_or(0, |worker| worker.runs.len());
-            (runs, instance.clone())
+            // Tasks that last leave one after the other, so their instances begin first.
+            let takes_long = worker.is_some_and(|worker| self.holds_lasting(worker));
+            ((!takes_long, runs), instance.clone())
         });
-        let mut ranked: Vec<(usize, SmolStr)> = ranked.collect();
+        let mut ranked: Vec<((bool, usize), SmolStr)> = ranked.collect();
         ranked.sort();
-        for (runs, instance) in ranked.into_iter().take(room) {
+        for ((_, runs), instance) in ranked.into_iter().take(room) {
             let handle = self.worker_on(&instance);
             if let Some(worker) = handle.and_then(|handle| self.workers.get_mut(&handle)) {
                 worker.emptying = true;
@@ -179,6 +185,14 @@
         may_miss == 0 || self.away(task.step_id()) < may_miss
     }
 
+    /// Returns whether a worker has answered lately, so that what it listed still holds.
+    fn is_known_sound(&self, handle: WorkerHandle) -> bool {
+        let fresh_since_ms = self.now.steady_ms.saturating_sub(FRESH_READING_MS);
+        self.workers.get(&handle).is_some_and(|worker| {
+            !worker.doubtful && !worker.heartbeat.draining && worker.read_at_ms >= fresh_since_ms
+        })
+    }
+
     /// Returns how many tasks of a step are not at work.
     fn away(&self, id: StepId) -> u32 {
         let Some(step) = self.steps.get(&id) else {
@@ -187,7 +201,7 @@
         let is_at_work = |index: &u32| {
             let runs = self.runs.get(&id.task(*index)).into_iter().flatten();
             let mut runs = runs.filter(|run| run.state == RunState::Running);
-            runs.any(|run| run.percent >= 100)
+            runs.any(|run| run.percent >= 100 && self.is_known_sound(run.worker))
         };
         let tasks = 0..step.step().tasks;
         u32::try_from(tasks.filter(|index| !is_at_work(index)).count()).unwrap_or(u32::MAX)
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -46,6 +46,8 @@
     /// The latest heartbeat.
     pub(crate) heartbeat: Heartbeat,
     pub(crate) heard_at_ms: u64,
+    /// When the list of runs was last read.
+    pub(crate) read_at_ms: u64,
     /// Whether the life is noted in the replicated state, which a start has to wait for.
     pub(crate) registered: bool,
     /// Whether this leader has read the worker's list of runs, which fences earlier leaders.
@@ -134,6 +136,7 @@
             clock: (if registered { 0 } else { heartbeat.clock_ms }, now_ms),
             heartbeat,
             heard_at_ms: now_ms,
+            read_at_ms: now_ms,
             registered,
             adopted: false,
             lease_until_ms: 0,
--- a/crates/jasminefall-jobs/src/policy/order.rs
+++ b/crates/jasminefall-jobs/src/policy/order.rs
@@ -32,8 +32,13 @@
 
 /// Returns the place of a step among those of its pool.
 #[must_use]
-pub fn order(urgency: &Urgency, spec: &JobSpec, position: usize) -> Order {
-    let chain_ms = longest_chain_ms(spec, |step| step.estimated_ms);
+pub fn order(
+    urgency: &Urgency,
+    spec: &JobSpec,
+    position: usize,
+    expect_ms: impl Fn(&StepSpec) -> u64,
+) -> Order {
+    let chain_ms = longest_chain_ms(spec, expect_ms);
     let stretched_ms = chain_ms.saturating_mul(urgency.stretch_millis) / 1_000;
     let allowed_ms = stretched_ms + urgency.latency_target_ms;
     Order {
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -198,6 +198,40 @@
     assert_eq!(stops.len(), 1, "one task may be away at once");
 }
 
+/// A worker that does not answer may be gone: what ran there counts as away.
+#[test]
+fn tasks_on_a_worker_that_does_not_answer_count_as_away() {
+    let mut site = Site::new(4);
+    site.list_instances();
+    let mut job = lasting(3);
+    job.steps[0].may_miss = 1;
+    job.steps[0].max_per_worker = Some(1);
+    site.submit(1, job);
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    site.at_work(&starts);
+    site.fail_look_at(&starts[0]);
+    let instances: Vec<String> = (0..4).map(|number| format!("m-{number}")).collect();
+    let instances: Vec<&str> = instances.iter().map(String::as_str).collect();
+    site.start_wave_of(&instances, 4);
+    site.pass(100);
+    assert!(site.take_stops().is_empty(), "one is away already");
+}
+
+/// In a rush, tasks that can no longer be in time do not hold up those that can.
+#[test]
+fn jobs_that_can_be_in_time_come_before_jobs_that_cannot() {
+    let mut site = Site::new(1);
+    site.submit(1, site::job(&[1], 16_000));
+    let first = site.take_starts();
+    site.accept_all(&first);
+    site.submit(2, site::job(&[1], 16_000));
+    site.pass(1_700);
+    site.submit(3, site::job(&[1], 16_000));
+    site.end(&first[0], EndKind::Done);
+    assert_eq!(site.take_starts()[0].task, task(3, 0, 0));
+}
+
 #[test]
 fn the_effects_name_each_worker_that_is_to_be_read() {
     let mut site = Site::new(2);
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -349,6 +349,15 @@
         }
     }
 
+    /// Lets the look at the worker that got a start go without an answer.
+    pub fn fail_look_at(&mut self, order: &StartOrder) {
+        let position = self.looks.iter().position(|look| look.worker == order.worker);
+        let look = position.and_then(|position| self.looks.remove(position));
+        let look = look.expect("a look is under way");
+        self.leader.take_look(look.worker, Err(OrderAnswer::Unknown), &self.state);
+        self.settle();
+    }
+
     /// Lets another replica take the lead; it knows the state and nothing else.
     pub fn change_leader(&mut self) {
         self.state.apply(Command::Lead);
