fix(jobs): let the lease of a silent worker lapse; index workers by pool and instance

Ruled out: room and labels (the pool was nearly empty), a leftover run elsewhere. Change: a doubtful worker is given no longer lease (test that failed before); indexes for workers by pool and instance; proposals and acknowledgements gather for 2 ms.

--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -30,6 +30,9 @@
 
 /// How often the clock moves the replica and the leader on.
 const TICK: Duration = Duration::from_millis(25);
+/// How long a leader gathers proposals and acknowledgements before it goes on; a fraction of a sync,
+/// and each round costs a message to every other replica.
+const GATHER: Duration = Duration::from_millis(2);
 /// How often it is looked whether the group needs a change of its members, in ticks.
 const REPAIR_TICKS: u64 = 8;
 /// The silence after which a voter is replaced where another one is there, in milliseconds; longer
@@ -76,6 +79,7 @@
     lines: AllLines,
     forwarders: BTreeMap<SocketAddr, Rc<Forwarder>>,
     ticks: u64,
+    pump_due: bool,
     outdated: bool,
 }
 
@@ -127,6 +131,7 @@
             lines: AllLines::default(),
             forwarders: BTreeMap::new(),
             ticks: 0,
+            pump_due: false,
             outdated: false,
         };
         Ok(Self {
@@ -271,7 +276,7 @@
                 return Err(ProposeError::NotLeader);
             }
             inner.propose(&command, Some(sender))?;
-            inner.pump(self);
+            inner.pump_soon(self);
         }
         receiver.await.unwrap_or(Err(ProposeError::Unknown))
     }
@@ -286,7 +291,7 @@
             inner.pass_on(&message);
             inner.replica.step(monotonic_ms(), message);
         }
-        inner.pump(self);
+        inner.pump_soon(self);
     }
 
     fn note_synced(&self, done: DiskDone) {
@@ -302,7 +307,7 @@
                 inner.peers.send(message);
             }
         }
-        inner.pump(self);
+        inner.pump_soon(self);
     }
 
     fn tick(&self) {
@@ -400,8 +405,24 @@
         }
     }
 
+    /// Carries out what the replica asks for soon, together with what gathers until then.
+    fn pump_soon(&mut self, node: &Node) {
+        if !self.replica.is_leader() {
+            return self.pump(node);
+        }
+        if std::mem::replace(&mut self.pump_due, true) {
+            return;
+        }
+        let node = node.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(GATHER).await;
+            node.inner.borrow_mut().pump(&node);
+        });
+    }
+
     /// Carries out everything that the replica asks for.
     fn pump(&mut self, node: &Node) {
+        self.pump_due = false;
         loop {
             let ready = self.replica.take_ready();
             if let Some(snapshot) = &ready.snapshot {
@@ -579,7 +600,7 @@
     /// Carries out what the leader decided, then what the replica asks for.
     fn settle(&mut self, node: &Node) {
         self.settle_only(node);
-        self.pump(node);
+        self.pump_soon(node);
     }
 
     /// Carries out what the leader decided, unless another one may have been elected.
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -204,6 +204,8 @@
     pub(crate) worker: WorkerHandle,
     pub(crate) state: RunState,
     pub(crate) counted: crate::job::Resources,
+    /// Whether the task runs until its job is cancelled.
+    pub(crate) lasts: bool,
     /// Until when the start could take effect, on the worker's clock.
     pub(crate) start_deadline_ms: u64,
     pub(crate) ordered_at_ms: u64,
@@ -250,6 +252,8 @@
     next_handle: u32,
     workers: BTreeMap<WorkerHandle, Worker>,
     by_life: HashMap<LifeId, WorkerHandle>,
+    by_instance: HashMap<SmolStr, WorkerHandle>,
+    by_pool: HashMap<SmolStr, BTreeSet<WorkerHandle>>,
     /// Lives on which an earlier leader may have started tasks and that have not answered yet.
     unsettled: BTreeMap<LifeId, SmolStr>,
     steps: BTreeMap<StepId, StepRun>,
@@ -281,6 +285,8 @@
             next_handle: 0,
             workers: BTreeMap::new(),
             by_life: HashMap::new(),
+            by_instance: HashMap::new(),
+            by_pool: HashMap::new(),
             unsettled: BTreeMap::new(),
             steps: BTreeMap::new(),
             open_steps: BTreeMap::new(),
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -114,13 +114,16 @@
     fn pool_load(&self, pool: &SmolStr, state: &JobsState) -> PoolLoad {
         let mut load = PoolLoad::default();
         let mut instance_cpu_millis = 0;
-        for worker in self.workers.values() {
+        for handle in self.by_pool.get(pool).into_iter().flatten() {
+            let Some(worker) = self.workers.get(handle) else {
+                continue;
+            };
             let capacity = worker.heartbeat.capacity.cpu_millis;
             instance_cpu_millis = instance_cpu_millis.max(capacity);
-            if worker.heartbeat.pool != *pool || worker.heartbeat.draining || worker.doubtful {
+            if worker.heartbeat.draining || worker.doubtful {
                 continue;
             }
-            let lasting = worker.runs.keys().filter_map(|task| {
+            let lasting = worker.runs.keys().filter(|_| worker.lasting_runs > 0).filter_map(|task| {
                 let step = self.steps.get(&task.step_id())?;
                 step.step().long_running.then(|| step.step().counted().cpu_millis)
             });
--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -85,15 +85,13 @@
 
     /// Returns the worker on an instance.
     pub(super) fn worker_on(&self, instance: &str) -> Option<WorkerHandle> {
-        let listed = self.fleet.instances.get(instance);
-        let listed = listed.and_then(|known| known.worker.as_ref());
-        let is_there = |worker: &super::Worker| match &worker.heartbeat.instance {
-            Some(named) => named == instance,
-            None => listed.is_some_and(|id| *id == worker.life().worker),
-        };
-        let found = self.workers.iter().filter(|(_, worker)| is_there(worker));
-        let latest = found.max_by_key(|(_, worker)| worker.life().born_ms);
-        latest.map(|(handle, _)| *handle)
+        if let Some(handle) = self.by_instance.get(instance) {
+            return Some(*handle);
+        }
+        let listed = self.fleet.instances.get(instance)?.worker.as_ref()?;
+        let unnamed = self.workers.iter().filter(|(_, worker)| worker.heartbeat.instance.is_none());
+        let mut found = unnamed.filter(|(_, worker)| *listed == worker.life().worker);
+        found.next().map(|(handle, _)| *handle)
     }
 
     /// Takes the platform's list of instances.
--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -317,6 +317,7 @@
         self.note_run(row.task, row.run);
         let step = self.steps.get(&row.task.step_id());
         let counted = step.map_or_else(Resources::default, |step| step.step().counted());
+        let lasts = step.is_some_and(|step| step.step().long_running);
         let in_step = step.is_some_and(|step| {
             step.open && step.done.get(row.task.index as usize) == Some(&false)
         });
@@ -334,6 +335,7 @@
             worker: handle,
             state: RunState::Running,
             counted,
+            lasts,
             start_deadline_ms: 0,
             ordered_at_ms: self.now.steady_ms,
             checkpoint: row.checkpoint.clone(),
@@ -353,6 +355,7 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.runs.insert(run.task, run.number);
             worker.used = worker.used.plus(&run.counted);
+            worker.lasting_runs += usize::from(run.lasts);
         }
         if let Some(step) = self.steps.get_mut(&run.task.step_id()) {
             step.waiting.remove(&run.task.index);
@@ -384,6 +387,7 @@
                 worker.runs.remove(&task);
             }
             worker.used = worker.used.minus(&run.counted);
+            worker.lasting_runs = worker.lasting_runs.saturating_sub(usize::from(run.lasts));
             self.dirty_pools.insert(worker.heartbeat.pool.clone());
         }
         Some(run)
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -104,8 +104,7 @@
     fn places(&self, pool: &SmolStr) -> Vec<Place> {
         let now_ms = self.now.steady_ms;
         let may_start = |worker: &Worker| {
-            worker.heartbeat.pool == *pool
-                && worker.registered
+            worker.registered
                 && worker.adopted
                 && !worker.heartbeat.draining
                 && !worker.doubtful
@@ -114,13 +113,15 @@
                 && !worker.health.is_aside(now_ms)
                 && !self.is_silent(worker)
         };
-        let fit = self.workers.iter().filter(|(_, worker)| may_start(worker));
+        let of_pool = self.by_pool.get(pool).into_iter().flatten();
+        let of_pool = of_pool.filter_map(|handle| Some((handle, self.workers.get(handle)?)));
+        let fit = of_pool.filter(|(_, worker)| may_start(worker));
         fit.map(|(handle, worker)| Place {
             handle: *handle,
             worker: worker.life().worker.clone(),
             free: worker.free(),
             recent_failures: worker.health.failures_in_a_row(),
-            is_pinned: self.holds_lasting(worker),
+            is_pinned: worker.lasting_runs > 0,
         })
         .collect()
     }
@@ -208,6 +209,7 @@
             return;
         };
         let (spec, counted) = (step.spec.clone(), step.step().counted());
+        let lasts = step.step().long_running;
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
         };
@@ -225,6 +227,7 @@
             worker: handle,
             state: RunState::Sending,
             counted,
+            lasts,
             start_deadline_ms: deadline_ms,
             ordered_at_ms: now_ms,
             checkpoint: checkpoint.clone(),
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -1,6 +1,6 @@
 //! Which instances change their pool.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
 
@@ -174,11 +174,11 @@
             instances: staying.len() + self.pool_plans.coming(pool),
             ..PoolDemand::default()
         };
-        let mut pinned = BTreeSet::new();
-        for (handle, worker) in &self.workers {
-            if worker.heartbeat.pool != *pool {
+        for handle in self.by_pool.get(pool).into_iter().flatten() {
+            let Some(worker) = self.workers.get(handle) else {
                 continue;
-            }
+            };
+            demand.pinned += usize::from(worker.lasting_runs > 0);
             let capacity = worker.heartbeat.capacity.cpu_millis;
             demand.instance_cpu_millis = demand.instance_cpu_millis.max(capacity);
             for task in worker.runs.keys() {
@@ -188,13 +188,11 @@
                 let cpu_millis = step.step().counted().cpu_millis;
                 if step.step().long_running {
                     demand.lasting_cpu_millis += cpu_millis;
-                    pinned.insert(*handle);
                 } else {
                     demand.ready_cpu_millis += cpu_millis;
                 }
             }
         }
-        demand.pinned = pinned.len();
         for (_, id) in self.open_steps.get(pool).into_iter().flatten() {
             if let Some(step) = self.steps.get(id) {
                 let waiting = step.waiting.len() as u64 * step.step().counted().cpu_millis;
@@ -222,7 +220,7 @@
             let worker = self.worker_on(&instance);
             let rank = match worker.and_then(|handle| self.workers.get(&handle)) {
                 Some(worker) if worker.heartbeat.draining || worker.emptying => return None,
-                Some(worker) if self.holds_lasting(worker) => return None,
+                Some(worker) if worker.lasting_runs > 0 => return None,
                 Some(worker) => worker.used.cpu_millis,
                 None => 0,
             };
@@ -247,11 +245,6 @@
         true
     }
 
-    pub(super) fn holds_lasting(&self, worker: &super::Worker) -> bool {
-        let mut steps = worker.runs.keys().filter_map(|task| self.steps.get(&task.step_id()));
-        steps.any(|step| step.step().long_running)
-    }
-
     fn tend_moves(&mut self) {
         let instances: Vec<_> = self.pool_plans.moves.keys().cloned().collect();
         for instance in instances {
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -3,7 +3,7 @@
 //! An instance is emptied first: tasks that last are stopped within what their steps may miss and
 //! start elsewhere, the others are waited for. Then the instance is sent into maintenance.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use smol_str::SmolStr;
 
@@ -12,6 +12,8 @@
 use crate::ids::{StepId, TaskId};
 use crate::state::{Command, JobsState, Wave};
 
+/// How often waves are moved on, in milliseconds; a twentieth of what an instance's maintenance takes.
+const TEND_INTERVAL_MS: u64 = 100;
 /// How long after an order without effect it is given again, in milliseconds.
 const ORDER_REPEAT_MS: u64 = 700;
 /// How long an instance counts as down beyond its maintenance, in milliseconds, unless it is heard.
@@ -38,26 +40,37 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Upkeep {
     phases: BTreeMap<(u64, SmolStr), Phase>,
+    busy: BTreeSet<SmolStr>,
+    tended_at_ms: u64,
 }
 
 impl Upkeep {
     /// Returns whether an instance is being emptied or is down for its maintenance.
     pub(crate) fn is_under_way(&self, instance: &str) -> bool {
-        self.phases.keys().any(|(_, known)| known == instance)
+        self.busy.contains(instance)
     }
 
     /// Forgets an instance that is gone.
     pub(crate) fn forget(&mut self, wave: u64, instance: &SmolStr) {
         self.phases.remove(&(wave, instance.clone()));
+        self.busy.remove(instance);
+    }
+
+    fn set(&mut self, key: (u64, SmolStr), phase: Phase) {
+        self.busy.insert(key.1.clone());
+        self.phases.insert(key, phase);
     }
 }
 
 impl Leader {
     /// Moves every wave on.
     pub(super) fn tend_upkeep(&mut self, state: &JobsState) {
-        if !self.may_order_instances() {
+        let now_ms = self.now.steady_ms;
+        let is_recent = now_ms < self.upkeep.tended_at_ms + TEND_INTERVAL_MS;
+        if is_recent || !self.may_order_instances() {
             return;
         }
+        self.upkeep.tended_at_ms = now_ms;
         self.note_returned();
         for (number, wave) in &state.waves {
             if wave.is_complete() {
@@ -89,7 +102,7 @@
             }
         }
         for key in back {
-            self.upkeep.phases.remove(&key);
+            self.upkeep.forget(key.0, &key.1);
         }
     }
 
@@ -108,7 +121,7 @@
             let worker = self.worker_on(instance).and_then(|handle| self.workers.get(&handle));
             let runs = worker.map_or(0, |worker| worker.runs.len());
             // Tasks that last leave one after the other, so their instances begin first.
-            let takes_long = worker.is_some_and(|worker| self.holds_lasting(worker));
+            let takes_long = worker.is_some_and(|worker| worker.lasting_runs > 0);
             ((!takes_long, runs), instance.clone())
         });
         let mut ranked: Vec<((bool, usize), SmolStr)> = ranked.collect();
@@ -122,7 +135,7 @@
                 "event=instance_emptying instance={instance} wave={number} runs={runs}"
             ));
             let phase = Phase::Emptying { since_ms: now_ms };
-            self.upkeep.phases.insert((number, instance), phase);
+            self.upkeep.set((number, instance), phase);
         }
     }
 
@@ -155,7 +168,7 @@
         let at_ms = self.now.steady_ms;
         let (wave, instance) = key.clone();
         self.note(format!("event=maintenance_ordered instance={instance} wave={wave}"));
-        self.upkeep.phases.insert(key, Phase::Ordered { at_ms });
+        self.upkeep.set(key, Phase::Ordered { at_ms });
         self.effects.push(Effect::Maintain { instance, wave });
     }
 
@@ -229,18 +242,18 @@
                 if let Some(known) = self.fleet.instances.get_mut(instance) {
                     known.worker = None;
                 }
-                self.upkeep.phases.insert(key, Phase::Down { since_ms: now_ms });
+                self.upkeep.set(key, Phase::Down { since_ms: now_ms });
                 self.propose(Command::NoteMaintained {
                     wave,
                     instance: instance.clone(),
                 });
             }
             InstanceAnswer::Busy => {
-                self.upkeep.phases.insert(key, Phase::Ordered { at_ms: now_ms });
+                self.upkeep.set(key, Phase::Ordered { at_ms: now_ms });
                 self.fleet.doubt();
             }
             InstanceAnswer::Impossible => {
-                self.upkeep.phases.remove(&key);
+                self.upkeep.forget(key.0, &key.1);
                 self.propose(Command::NoteMaintained {
                     wave,
                     instance: instance.clone(),
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -65,6 +65,8 @@
     pub(crate) owes_acknowledgement: bool,
     pub(crate) runs: BTreeMap<TaskId, u64>,
     pub(crate) used: Resources,
+    /// How many of the runs are of tasks that last.
+    pub(crate) lasting_runs: usize,
     /// Whether the last order or look got no answer.
     pub(crate) doubtful: bool,
     pub(crate) full_until_ms: u64,
@@ -130,6 +132,10 @@
         let handle = WorkerHandle(self.next_handle);
         self.next_handle += 1;
         self.by_life.insert(heartbeat.life.clone(), handle);
+        if let Some(instance) = &heartbeat.instance {
+            self.by_instance.insert(instance.clone(), handle);
+        }
+        self.by_pool.entry(heartbeat.pool.clone()).or_default().insert(handle);
         let now_ms = self.now.steady_ms;
         let worker = Worker {
             // The clock of a life that only an earlier leader heard is not known yet.
@@ -146,6 +152,7 @@
             owes_acknowledgement: false,
             runs: BTreeMap::new(),
             used: Resources::default(),
+            lasting_runs: 0,
             doubtful: false,
             full_until_ms: 0,
             health: Health::default(),
@@ -184,7 +191,12 @@
         }
         let starts_draining = heartbeat.draining && !worker.heartbeat.draining;
         let (life, pool) = (heartbeat.life.clone(), heartbeat.pool.clone());
-        worker.heartbeat = heartbeat.clone();
+        // A life stays in the pool and on the instance where it began.
+        worker.heartbeat = Heartbeat {
+            instance: worker.heartbeat.instance.clone(),
+            pool: worker.heartbeat.pool.clone(),
+            ..heartbeat.clone()
+        };
         if starts_draining {
             self.note(format!("event=worker_drains worker={life} pool={pool}"));
             self.propose(Command::Register(Box::new(heartbeat)));
@@ -243,6 +255,14 @@
         };
         let life = worker.life().clone();
         self.by_life.remove(&life);
+        if let Some(instance) = &worker.heartbeat.instance
+            && self.by_instance.get(instance) == Some(&handle)
+        {
+            self.by_instance.remove(instance);
+        }
+        if let Some(workers) = self.by_pool.get_mut(&worker.heartbeat.pool) {
+            workers.remove(&handle);
+        }
         self.note(format!(
             "event=worker_gone worker={life} cause={cause} runs={} heard_ms_ago={}",
             worker.runs.len(),
@@ -358,13 +378,14 @@
         if !is_due || !is_needed {
             return;
         }
-        let holds = !worker.runs.is_empty() && worker.adopted;
+        // A worker that does not answer is given no longer lease, or it would never lapse.
+        let holds = !worker.runs.is_empty() && worker.adopted && !worker.doubtful;
         let deadline_ms = holds.then(|| worker.clock_now(now_ms) + max_lease_ms);
         if let Some(deadline_ms) = deadline_ms {
             worker.lease_until_ms = worker.lease_until_ms.max(deadline_ms);
         }
         let noted_upto = state.lives.get(worker.life()).map_or(0, |note| note.noted_upto);
-        let wait_ms = if holds && !worker.doubtful { LOOK_WAIT_MS } else { 0 };
+        let wait_ms = if holds { LOOK_WAIT_MS } else { 0 };
         worker.owes_acknowledgement = false;
         worker.look = LookState::UnderWay;
         self.counts.looks += 1;
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -100,6 +100,28 @@
     assert!(site.take_starts().is_empty(), "the run has been taken over");
 }
 
+/// Looks that get no answer must not prolong the lease that they wait out.
+#[test]
+fn what_ran_on_a_silent_worker_starts_elsewhere_once_its_lease_has_lapsed() {
+    let mut site = Site::new(2);
+    site.submit(1, site::job(&[1], 100));
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    site.silence(&starts[0]);
+    for _ in 0..50 {
+        site.fail_looks_at_silent();
+        site.pass(100);
+    }
+    assert!(site.take_starts().is_empty(), "its lease may still run");
+    for _ in 0..30 {
+        site.fail_looks_at_silent();
+        site.pass(100);
+    }
+    let again = site.take_starts();
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].worker, starts[0].worker);
+}
+
 #[test]
 fn an_unanswered_start_is_not_repeated_before_its_deadline() {
     let mut site = Site::new(2);
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -74,6 +74,7 @@
     seen: Vec<Effect>,
     log: VecDeque<Command>,
     commits: bool,
+    silent: Vec<SmolStr>,
 }
 
 impl Site {
@@ -100,6 +101,7 @@
             seen: Vec::new(),
             log: VecDeque::new(),
             commits: true,
+            silent: Vec::new(),
         };
         for number in 0..workers {
             let name = format_smolstr!("i-{number}");
@@ -137,6 +139,9 @@
     pub fn beat(&mut self) {
         let names: Vec<_> = self.workers.keys().cloned().enumerate().collect();
         for (number, name) in names {
+            if self.silent.contains(&name) {
+                continue;
+            }
             let heartbeat = self.heartbeat(number, &name);
             self.leader.take_heartbeat(heartbeat, &self.state);
         }
@@ -185,10 +190,12 @@
                 self.looks.push_back(order);
             }
             Effect::Maintain { instance, .. } => self.maintenance.push(instance),
-            Effect::Pace { .. }
-            | Effect::Advise { .. }
-            | Effect::ListInstances
-            | Effect::Move { .. } => {}
+            // The standby pool takes other instances only, so that each test keeps its own.
+            Effect::Move { instance, pool } => {
+                let answer = InstanceAnswer::Impossible;
+                self.leader.take_move_answer(&instance, &pool, answer, &self.state);
+            }
+            Effect::Pace { .. } | Effect::Advise { .. } | Effect::ListInstances => {}
         }
     }
 
@@ -358,6 +365,26 @@
         self.settle();
     }
 
+    /// Lets the worker that got a start fall silent.
+    pub fn silence(&mut self, order: &StartOrder) {
+        let name = self.names[&order.worker].clone();
+        self.silent.push(name);
+    }
+
+    /// Lets looks at silent workers go without an answer.
+    pub fn fail_looks_at_silent(&mut self) {
+        for look in std::mem::take(&mut self.looks) {
+            self.learn(look.worker);
+            if self.silent.contains(&self.names[&look.worker]) {
+                let unanswered = Err(OrderAnswer::Unknown);
+                self.leader.take_look(look.worker, unanswered, &self.state);
+                self.settle();
+            } else {
+                self.looks.push_back(look);
+            }
+        }
+    }
+
     /// Lets another replica take the lead; it knows the state and nothing else.
     pub fn change_leader(&mut self) {
         self.state.apply(Command::Lead);
