--- a/crates/jasminefall-dispatch/src/control/edge.rs
+++ b/crates/jasminefall-dispatch/src/control/edge.rs
@@ -74,18 +74,20 @@
             (Reply::new(200).with_body(body), "heartbeat")
         }
         Answer::Document(document) => (Reply::new(200).with_body(document), "document"),
-        Answer::Wave { complete } => {
-            (Reply::new(200).with_body(encode_wave_state(complete)), "wave")
-        }
+        Answer::Wave { complete } => (
+            Reply::new(200).with_body(encode_wave_state(complete)),
+            "wave",
+        ),
         Answer::Invalid(what) => (Reply::new(400).with_error(what), "invalid"),
         Answer::NotFound => (Reply::new(404).with_error("not found"), "not-found"),
         Answer::NotLeader { .. } => {
             let reply = Reply::new(503).with_error("no leader is known; try again");
             (reply.with_retry_after_s(NO_LEADER_RETRY_S), "no-leader")
         }
-        Answer::NoConfiguration => {
-            (Reply::new(503).with_error("no configuration yet"), "no-configuration")
-        }
+        Answer::NoConfiguration => (
+            Reply::new(503).with_error("no configuration yet"),
+            "no-configuration",
+        ),
         _ => {
             let what = "no clear answer; send the same call again";
             (Reply::new(503).with_error(what), "unclear")
@@ -155,10 +157,12 @@
     match noted {
         Some(_) if drains => {
             let is_durable = node.read_state(|state| {
-                state.lives.get(&life).is_some_and(|note| note.heartbeat.draining)
+                state
+                    .lives
+                    .get(&life)
+                    .is_some_and(|note| note.heartbeat.draining)
             });
-            if !is_durable
-                && let Err(error) = node.propose(Command::Register(Box::new(held))).await
+            if !is_durable && let Err(error) = node.propose(Command::Register(Box::new(held))).await
             {
                 return refused(node, error);
             }
@@ -259,7 +263,10 @@
 
 async fn cancel(node: &Node, key: JobKey, queue: &Queue) -> Answer {
     let known = node.read_fresh(|state| {
-        state.jobs.get(&key).is_some_and(|job| job.queue == queue.key)
+        state
+            .jobs
+            .get(&key)
+            .is_some_and(|job| job.queue == queue.key)
     });
     match known {
         None => node.not_leader(),
--- a/crates/jasminefall-dispatch/src/control/instances.rs
+++ b/crates/jasminefall-dispatch/src/control/instances.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use jasminefall_jobs::leader::{InstanceAnswer, ListedInstance};
+use jasminefall_jobs::prelude::StepId;
 use jasminefall_platform::instances::{
-    FENCE_HEADER, HOLDER_HEADER, decode_instance_answer, decode_page, encode_maintain, encode_move,
-    list_path,
+    FENCE_HEADER, HOLDER_HEADER, decode_advice, decode_instance_answer, decode_page, encode_advise,
+    encode_maintain, encode_move, list_path,
 };
+
 use smol_str::SmolStr;
 
 use super::node::Node;
@@ -15,6 +17,8 @@
 
 /// How long the platform may take to answer; it may be slow.
 const PLATFORM_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long the advice service may take; it answers one call of ours after the other.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// The most pages that are read of one list; far more than there are instances.
 const MAX_PAGES: usize = 64;
 
@@ -25,7 +29,9 @@
     let mut page: Option<String> = None;
     for _ in 0..MAX_PAGES {
         let path = list_path(page.as_deref());
-        let answer = connection.call(PLATFORM_TIMEOUT, "GET", &path, &[], "").await;
+        let answer = connection
+            .call(PLATFORM_TIMEOUT, "GET", &path, &[], "")
+            .await;
         let body = match answer {
             Ok((200, body)) => body,
             Ok((status, _)) => {
@@ -52,7 +58,9 @@
         }
     }
     log::info!("event=instances_read count={}", listed.len());
-    node.turn_for(fencing_token, |leader, state| leader.take_instances(&listed, state));
+    node.turn_for(fencing_token, |leader, state| {
+        leader.take_instances(&listed, state);
+    });
 }
 
 /// Says what is ordered about an instance.
@@ -80,9 +88,18 @@
     };
     let token = fencing_token.to_string();
     let holder = node.name();
-    let headers = [(HOLDER_HEADER, holder.as_str()), (FENCE_HEADER, token.as_str())];
+    let headers = [
+        (HOLDER_HEADER, holder.as_str()),
+        (FENCE_HEADER, token.as_str()),
+    ];
     let mut connection = Connection::new(address);
-    let call = connection.call(PLATFORM_TIMEOUT, "POST", encoded.path, &headers, &encoded.body);
+    let call = connection.call(
+        PLATFORM_TIMEOUT,
+        "POST",
+        encoded.path,
+        &headers,
+        &encoded.body,
+    );
     let answer = match call.await {
         Ok((status, body)) => decode_instance_answer(status, &body),
         Err(error) => {
@@ -97,3 +114,26 @@
         InstanceOrder::Move(pool) => leader.take_move_answer(&instance, pool, answer, state),
     });
 }
+
+/// Asks on which workers a step is permitted and hands the permits to the leader.
+pub(super) async fn advise(
+    node: Node,
+    address: SocketAddr,
+    fencing_token: u64,
+    step: StepId,
+    workers: Vec<SmolStr>,
+) {
+    let encoded = encode_advise(step, &workers);
+    let mut connection = Connection::new(address);
+    let call = connection.call(ADVICE_TIMEOUT, "POST", encoded.path, &[], &encoded.body);
+    match call.await {
+        Ok((200, body)) => match decode_advice(&body) {
+            Ok((granted, valid_ms)) => node.turn_for(fencing_token, |leader, _| {
+                leader.take_advice(step, &granted, valid_ms);
+            }),
+            Err(error) => log::warn!("event=advice_unread step={step} error=\"{error}\""),
+        },
+        Ok((status, _)) => log::warn!("event=advice_refused step={step} status={status}"),
+        Err(error) => log::warn!("event=advice_unanswered step={step} error=\"{error}\""),
+    }
+}
--- a/crates/jasminefall-dispatch/src/control/lines.rs
+++ b/crates/jasminefall-dispatch/src/control/lines.rs
@@ -103,7 +103,9 @@
     limit: Duration,
 ) -> Result<(u16, bytes::Bytes), CallError> {
     let headers = [(MEANT_WORKER_HEADER, target.name.as_str())];
-    connection.call(limit, "POST", order.path, &headers, &order.body).await
+    connection
+        .call(limit, "POST", order.path, &headers, &order.body)
+        .await
 }
 
 fn report(
--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -94,7 +94,10 @@
 impl Node {
     /// Opens the data folder and starts the disk thread.
     pub(super) fn open(settings: &PlatformSettings) -> anyhow::Result<Self> {
-        let folder = settings.data_folder.clone().context("no data folder is set")?;
+        let folder = settings
+            .data_folder
+            .clone()
+            .context("no data folder is set")?;
         let folder = std::path::PathBuf::from(folder).join("replica");
         let (storage, recovered) = Storage::open(&folder, Incarnation(wall_ms()))?;
         let state = match recovered.snapshot.index {
@@ -106,7 +109,11 @@
         let (disk, _thread) = disk::start(storage, move |done| report(&sender, done))?;
         let own = replica_at(peer_address(settings, settings.address));
         let seeds = seeds_of(settings);
-        let first_voters = if settings.first_start { seeds.clone() } else { Vec::new() };
+        let first_voters = if settings.first_start {
+            seeds.clone()
+        } else {
+            Vec::new()
+        };
         let timing = jasminefall_replica::prelude::Settings::default();
         let applied = recovered.snapshot.index;
         let replica = Replica::new(own, timing, recovered, rand::random())
@@ -175,7 +182,9 @@
         let mut inner = self.inner.borrow_mut();
         let own = inner.replica.id();
         let seeds = seeds_of(settings);
-        inner.replica.set_others(seeds.into_iter().filter(|seed| *seed != own));
+        inner
+            .replica
+            .set_others(seeds.into_iter().filter(|seed| *seed != own));
     }
 
     /// Returns whether this instance leads for certain and has taken up its work.
@@ -187,7 +196,10 @@
     /// Returns where the leader that this instance follows is reached.
     pub(super) fn known_leader(&self) -> Option<SocketAddr> {
         let inner = self.inner.borrow();
-        let leader = inner.replica.leader().filter(|leader| *leader != inner.replica.id());
+        let leader = inner
+            .replica
+            .leader()
+            .filter(|leader| *leader != inner.replica.id());
         leader.and_then(address_of)
     }
 
@@ -195,7 +207,12 @@
     pub(super) fn not_leader(&self) -> Answer {
         let inner = self.inner.borrow();
         let membership = inner.replica.membership();
-        let members = membership.voters.iter().copied().filter_map(address_of).collect();
+        let members = membership
+            .voters
+            .iter()
+            .copied()
+            .filter_map(address_of)
+            .collect();
         drop(inner);
         Answer::NotLeader {
             leader: self.known_leader(),
@@ -208,13 +225,20 @@
         let mut inner = self.inner.borrow_mut();
         let key = inner.key.clone();
         let create = || Rc::new(Forwarder::new(key, vec![address]));
-        inner.forwarders.entry(address).or_insert_with(create).clone()
+        inner
+            .forwarders
+            .entry(address)
+            .or_insert_with(create)
+            .clone()
     }
 
     /// Returns where workers reach this instance, as IP:PORT.
     pub(super) fn control_address(&self) -> Option<SmolStr> {
         let inner = self.inner.borrow();
-        inner.settings.control.map(|address| address.to_string().into())
+        inner
+            .settings
+            .control
+            .map(|address| address.to_string().into())
     }
 
     /// Looks at the state where it is fresh.
@@ -249,11 +273,7 @@
     }
 
     /// Gives the leader an input that belongs to one leadership.
-    pub(super) fn turn_for(
-        &self,
-        fencing_token: u64,
-        input: impl FnOnce(&mut Leader, &JobsState),
-    ) {
+    pub(super) fn turn_for(&self, fencing_token: u64, input: impl FnOnce(&mut Leader, &JobsState)) {
         let mut inner = self.inner.borrow_mut();
         if inner.fencing_token != fencing_token {
             return;
@@ -366,7 +386,9 @@
 
 fn seeds_of(settings: &PlatformSettings) -> Vec<ReplicaId> {
     let seeds = settings.seeds.iter();
-    seeds.map(|seed| replica_at(peer_address(settings, seed.ip()))).collect()
+    seeds
+        .map(|seed| replica_at(peer_address(settings, seed.ip())))
+        .collect()
 }
 
 impl Inner {
@@ -396,12 +418,18 @@
 
     /// Sends a replica that asks for a place to the leader, since it may know only followers.
     fn pass_on(&self, message: &Message) {
-        let leader = self.replica.leader().filter(|leader| *leader != self.replica.id());
+        let leader = self
+            .replica
+            .leader()
+            .filter(|leader| *leader != self.replica.id());
         if let (Body::Join { .. }, Some(leader)) = (&message.body, leader)
             && message.from != leader
         {
             let to = leader;
-            self.peers.send(Message { to, ..message.clone() });
+            self.peers.send(Message {
+                to,
+                ..message.clone()
+            });
         }
     }
 
@@ -467,7 +495,9 @@
         match JobsState::from_bytes(&snapshot.state) {
             Ok(state) => self.state = state,
             Err(error) => {
-                log::error!("event=snapshot_unreadable error=\"{error}\" remedy=\"run one version\"");
+                log::error!(
+                    "event=snapshot_unreadable error=\"{error}\" remedy=\"run one version\""
+                );
                 std::process::exit(3);
             }
         }
@@ -480,7 +510,9 @@
             Payload::Command(bytes) => match decode::<Command>(bytes) {
                 Ok(command) => Some(command),
                 Err(error) => {
-                    log::error!("event=command_unreadable error=\"{error}\" remedy=\"run one version\"");
+                    log::error!(
+                        "event=command_unreadable error=\"{error}\" remedy=\"run one version\""
+                    );
                     std::process::exit(3);
                 }
             },
@@ -543,7 +575,11 @@
             }
         }
         if !leads && self.was_leader {
-            log::warn!("event=follows term={} leader={:?}", self.replica.term(), self.replica.leader());
+            log::warn!(
+                "event=follows term={} leader={:?}",
+                self.replica.term(),
+                self.replica.leader()
+            );
             self.leader = None;
             self.fencing_token = 0;
             self.lines = AllLines::default();
@@ -571,7 +607,11 @@
             }
         };
         if let Some(snapshot) = self.replica.compact(self.applied, state) {
-            let append = self.replica.log().after(snapshot.index, usize::MAX).to_vec();
+            let append = self
+                .replica
+                .log()
+                .after(snapshot.index, usize::MAX)
+                .to_vec();
             self.store(DiskJob {
                 hard_state: None,
                 snapshot: Some(snapshot),
@@ -652,9 +692,20 @@
                 percent,
             } => self.send_order(node, worker, Order::Pace(task, run, percent)),
             Effect::Look(order) => self.send_order(node, order.worker, Order::Look(order)),
-            Effect::Advise { step, .. } => {
-                log::warn!("event=advice_unasked step={step} cause=\"not supported yet\"");
-            }
+            Effect::Advise { step, workers } => match self.settings.advice {
+                Some(address) => {
+                    actix_rt::spawn(instances::advise(
+                        node.clone(),
+                        address,
+                        token,
+                        step,
+                        workers,
+                    ));
+                }
+                None => log::error!(
+                    "event=advice_unasked step={step} remedy=\"name the advice service in the settings\""
+                ),
+            },
             Effect::ListInstances => {
                 if let Some(address) = self.settings.instances {
                     actix_rt::spawn(instances::list(node.clone(), address, token));
@@ -672,7 +723,13 @@
     fn order_instance(&self, node: &Node, instance: SmolStr, order: InstanceOrder) {
         if let Some(address) = self.settings.instances {
             let token = self.fencing_token;
-            actix_rt::spawn(instances::order(node.clone(), address, token, instance, order));
+            actix_rt::spawn(instances::order(
+                node.clone(),
+                address,
+                token,
+                instance,
+                order,
+            ));
         }
     }
 
@@ -705,7 +762,11 @@
         self.lines.send(node, &target, order);
         if self.ticks.is_multiple_of(REPAIR_TICKS) {
             let Self { lines, leader, .. } = self;
-            lines.keep(|handle| leader.as_ref().is_some_and(|known| known.worker(handle).is_some()));
+            lines.keep(|handle| {
+                leader
+                    .as_ref()
+                    .is_some_and(|known| known.worker(handle).is_some())
+            });
         }
     }
 }
--- a/crates/jasminefall-dispatch/src/entry.rs
+++ b/crates/jasminefall-dispatch/src/entry.rs
@@ -44,7 +44,10 @@
 /// Returns an error where a listener cannot be opened.
 pub async fn serve(settings: PlatformSettings) -> anyhow::Result<()> {
     let seeds = peers_of(&settings);
-    log::info!("event=started zone={} seeds={seeds:?}", settings.data_centre);
+    log::info!(
+        "event=started zone={} seeds={seeds:?}",
+        settings.data_centre
+    );
     let entry = Rc::new(Entry {
         forwarder: Forwarder::new(site_key(&settings), seeds),
         activity: Rc::default(),
@@ -57,7 +60,12 @@
         let entry = entry.clone();
         move |call| answer_client(entry.clone(), call)
     };
-    let clients = serve_http(listen(clients)?, MAX_BODY_BYTES, entry.activity.clone(), answer);
+    let clients = serve_http(
+        listen(clients)?,
+        MAX_BODY_BYTES,
+        entry.activity.clone(),
+        answer,
+    );
     let ready = {
         let entry = entry.clone();
         move |_| {
@@ -88,7 +96,9 @@
 
 fn peers_of(settings: &PlatformSettings) -> Vec<std::net::SocketAddr> {
     let seeds = settings.seeds.iter();
-    seeds.map(|seed| peer_address(settings, seed.ip())).collect()
+    seeds
+        .map(|seed| peer_address(settings, seed.ip()))
+        .collect()
 }
 
 /// Keeps knowing a leader, also while no client calls.
@@ -157,7 +167,9 @@
     };
     let waits_ms = call.number(CLIENT_WAIT_HEADER);
     let waits_ms = waits_ms.map(|limit| limit.saturating_sub(ANSWER_RESERVE_MS));
-    let limit = waits_ms.map_or(CALL_LIMIT, |limit| CALL_LIMIT.min(Duration::from_millis(limit)));
+    let limit = waits_ms.map_or(CALL_LIMIT, |limit| {
+        CALL_LIMIT.min(Duration::from_millis(limit))
+    });
     let request = Request::Client {
         host: SmolStr::new(&call.host),
         path: SmolStr::new(&call.path),
@@ -179,9 +191,7 @@
 fn encode(answer: Answer) -> (Reply, &'static str) {
     match answer {
         Answer::Accepted => (Reply::new(200).with_body("{}"), "accepted"),
-        Answer::Status(status) => {
-            (Reply::new(200).with_body(encode_status(status)), "status")
-        }
+        Answer::Status(status) => (Reply::new(200).with_body(encode_status(status)), "status"),
         Answer::Waiting(count) => {
             let count = usize::try_from(count).unwrap_or(usize::MAX);
             (Reply::new(200).with_body(encode_waiting(count)), "waiting")
@@ -189,11 +199,17 @@
         Answer::ComeBack { after_ms } => {
             let what = "the queue is full for now; the job was not accepted";
             let seconds = after_ms.div_ceil(1_000).max(1);
-            (Reply::new(429).with_error(what).with_retry_after_s(seconds), "overload")
+            (
+                Reply::new(429).with_error(what).with_retry_after_s(seconds),
+                "overload",
+            )
         }
         Answer::NoConfiguration => {
             let reply = Reply::new(503).with_error("no configuration yet; nothing was done");
-            (reply.with_retry_after_s(NO_LEADER_RETRY_S), "no-configuration")
+            (
+                reply.with_retry_after_s(NO_LEADER_RETRY_S),
+                "no-configuration",
+            )
         }
         Answer::NoQueue => (Reply::new(404).with_error("no such queue"), "no-queue"),
         Answer::NotFound => (Reply::new(410).with_error("no such job"), "no-job"),
--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -72,7 +72,11 @@
     /// # Errors
     ///
     /// Returns [`ForwardError`] where no leader answered within `limit`.
-    pub async fn forward(&self, limit: Duration, request: &Request) -> Result<Answer, ForwardError> {
+    pub async fn forward(
+        &self,
+        limit: Duration,
+        request: &Request,
+    ) -> Result<Answer, ForwardError> {
         let deadline = Instant::now() + limit;
         let mut may_be_taken = false;
         let mut tried = BTreeSet::new();
@@ -125,7 +129,11 @@
     fn next_to_try(&self, tried: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
         let known = self.known.borrow();
         let members = known.members.iter().copied();
-        let order = known.leader.into_iter().chain(members).chain(known.seeds.iter().copied());
+        let order = known
+            .leader
+            .into_iter()
+            .chain(members)
+            .chain(known.seeds.iter().copied());
         order.into_iter().find(|address| !tried.contains(address))
     }
 
--- a/crates/jasminefall-dispatch/src/http/server.rs
+++ b/crates/jasminefall-dispatch/src/http/server.rs
@@ -229,7 +229,9 @@
         headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     if closes {
-        response.head_mut().set_connection_type(ConnectionType::Close);
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
     }
     response
 }
--- a/crates/jasminefall-dispatch/src/metrics.rs
+++ b/crates/jasminefall-dispatch/src/metrics.rs
@@ -55,7 +55,11 @@
         let (calls, call_seconds) = (Family::default(), seconds());
         let (decisions, commit_seconds) = (Family::default(), seconds());
         registry.register("calls", "Calls answered", Family::clone(&calls));
-        registry.register("call_seconds", "Time to the answer of a call", call_seconds.clone());
+        registry.register(
+            "call_seconds",
+            "Time to the answer of a call",
+            call_seconds.clone(),
+        );
         let help = "What the leader has decided since it leads";
         registry.register("decisions", help, Family::clone(&decisions));
         let help = "Time from a proposal until it is applied";
@@ -93,7 +97,9 @@
     fn page(&self) -> Reply {
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
-            Ok(()) => Reply::new(200).with_body(text).with_content_type(CONTENT_TYPE),
+            Ok(()) => Reply::new(200)
+                .with_body(text)
+                .with_content_type(CONTENT_TYPE),
             Err(error) => Reply::new(500).with_error(error),
         }
     }
--- a/crates/jasminefall-dispatch/src/settings.rs
+++ b/crates/jasminefall-dispatch/src/settings.rs
@@ -17,7 +17,11 @@
 pub fn load_entry(path: &Path) -> Result<PlatformSettings, Problems> {
     let settings = load(path)?;
     let complete = settings.clients.is_some() && settings.readiness.is_some();
-    require(complete, path, "an entry listens to clients and answers whether it is ready")?;
+    require(
+        complete,
+        path,
+        "an entry listens to clients and answers whether it is ready",
+    )?;
     Ok(settings)
 }
 
@@ -29,7 +33,11 @@
 pub fn load_control(path: &Path) -> Result<PlatformSettings, Problems> {
     let settings = load(path)?;
     let complete = settings.control.is_some() && settings.data_folder.is_some();
-    require(complete, path, "a control instance listens to workers and has a data folder")?;
+    require(
+        complete,
+        path,
+        "a control instance listens to workers and has a data folder",
+    )?;
     Ok(settings)
 }
 
@@ -48,7 +56,11 @@
     if holds {
         return Ok(());
     }
-    Err(problem(path, what, "give the addresses and the folder that this needs"))
+    Err(problem(
+        path,
+        what,
+        "give the addresses and the folder that this needs",
+    ))
 }
 
 fn problem(path: &Path, message: &str, remedy: &str) -> Problems {
--- a/crates/jasminefall-dispatch/src/stop.rs
+++ b/crates/jasminefall-dispatch/src/stop.rs
@@ -51,7 +51,9 @@
 
 impl Drop for UnderWay {
     fn drop(&mut self) {
-        self.0.under_way.set(self.0.under_way.get().saturating_sub(1));
+        self.0
+            .under_way
+            .set(self.0.under_way.get().saturating_sub(1));
     }
 }
 
@@ -73,6 +75,10 @@
 /// Calls `changed` with the settings whenever the file says something new, on SIGHUP or without.
 ///
 /// A file that does not hold is passed over with a log line; the settings in force stay.
+///
+/// # Errors
+///
+/// Returns the system's error where signals cannot be listened for.
 pub async fn follow_settings(
     path: PathBuf,
     mut held: PlatformSettings,
--- a/crates/jasminefall-jobs/src/configuration.rs
+++ b/crates/jasminefall-jobs/src/configuration.rs
@@ -54,7 +54,7 @@
     /// The pool's name.
     pub name: SmolStr,
     /// Whether its workers refuse what does not fit.
-    pub enforces_capacity: bool,
+    pub refuses_overload: bool,
     /// Whether its instances are off until they move to another pool.
     pub standby: bool,
 }
@@ -105,7 +105,10 @@
                 write!(formatter, "two queues stand at `{key}`; move or remove one")
             }
             Self::NoTime(queue) => {
-                write!(formatter, "queue `{queue}` has a time-out of 0; give it 1 ms at least")
+                write!(
+                    formatter,
+                    "queue `{queue}` has a time-out of 0; give it 1 ms at least"
+                )
             }
         }
     }
--- a/crates/jasminefall-jobs/src/job.rs
+++ b/crates/jasminefall-jobs/src/job.rs
@@ -50,15 +50,15 @@
     /// Whether the tasks work only together.
     pub gang: bool,
     /// Whether the tasks are slower when they run on more than one rack.
-    pub same_rack: bool,
+    pub prefers_one_rack: bool,
     /// The label that a worker must have.
-    pub required_label: Option<SmolStr>,
+    pub needs_label: Option<SmolStr>,
     /// The rack on which the tasks are fastest, where their data is.
     pub rack_affinity: Option<SmolStr>,
     /// The most tasks of an occurrence of the step on one worker.
     pub max_per_worker: Option<u32>,
     /// Whether copies of a task may run at the same time.
-    pub allow_duplicates: bool,
+    pub allows_copies: bool,
     /// Whether the tasks run until the job is cancelled.
     pub long_running: bool,
     /// What the tasks run; tasks with the same image behave alike.
@@ -68,7 +68,7 @@
     /// Whether the tasks use only the processor time that others leave.
     pub fills: bool,
     /// How many tasks of the step may be away at once through what the system does.
-    pub may_miss: u32,
+    pub max_unavailable: u32,
 }
 
 /// Says what a task takes up, or what a worker has.
@@ -182,7 +182,11 @@
             return Err(JobError::TaskCount);
         }
         for (position, step) in self.steps.iter().enumerate() {
-            if step.after.iter().any(|before| usize::from(*before) >= position) {
+            if step
+                .after
+                .iter()
+                .any(|before| usize::from(*before) >= position)
+            {
                 return Err(JobError::Order(position));
             }
         }
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -14,8 +14,10 @@
 //! - [`upkeep`]: maintenance waves
 //! - [`fleet`]: where every instance is
 //! - [`pools`]: which instances change their pool
+//! - [`advice`]: on which workers the policy of a queue permits a step
 //! - [`filling`]: the pace of tasks that fill beside others
 
+mod advice;
 mod clients;
 mod filling;
 mod fleet;
@@ -32,13 +34,13 @@
 use smol_str::SmolStr;
 
 pub use self::clients::{Reply, SubmitDecision};
-pub use self::fleet::{InstanceAnswer, ListedInstance};
-pub use self::workers::{Worker, WorkerHandle};
 use self::filling::Pacing;
 use self::fleet::Fleet;
+pub use self::fleet::{InstanceAnswer, ListedInstance};
 use self::pools::PoolPlans;
 use self::steps::StepRun;
 use self::upkeep::Upkeep;
+pub use self::workers::{Worker, WorkerHandle};
 use crate::ids::{LifeId, StepId, TaskId};
 use crate::job::JobSpec;
 use crate::policy::durations::Durations;
@@ -176,7 +178,7 @@
     /// The lease granted, on the worker's clock; none where nothing is to be held.
     pub deadline_ms: Option<u64>,
     /// The number of the last end that may be forgotten.
-    pub seen_upto: u64,
+    pub acknowledged_upto: u64,
     /// How long the worker may wait for an end before it answers.
     pub wait_ms: u64,
 }
@@ -306,7 +308,9 @@
             log: Vec::new(),
         };
         for (life, note) in &state.lives {
-            leader.unsettled.insert(life.clone(), note.heartbeat.pool.clone());
+            leader
+                .unsettled
+                .insert(life.clone(), note.heartbeat.pool.clone());
             leader.add_worker(note.heartbeat.clone(), true);
         }
         for (key, job) in &state.jobs {
@@ -325,7 +329,7 @@
     /// Does what is due by the clock, such as leases that lapse and looks that are to be repeated.
     pub fn tick(&mut self, state: &JobsState) {
         self.check_workers(state);
-        self.open_due_steps(state);
+        self.open_due_steps();
         self.repeat_stops();
         self.tend_fleet();
         self.tend_upkeep(state);
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -52,7 +52,8 @@
         }
         let (load, asked) = (self.pool_load(&queue.pool, state), self.asked(queue, spec));
         if !spec.is_long_running() {
-            self.pool_plans.note_arrival(&queue.pool, asked.work_core_ms);
+            self.pool_plans
+                .note_arrival(&queue.pool, asked.work_core_ms);
         }
         let admission = if spec.schedule.is_some() || spec.is_long_running() {
             Admission::Accept
@@ -123,10 +124,16 @@
             if worker.heartbeat.draining || worker.doubtful {
                 continue;
             }
-            let lasting = worker.runs.keys().filter(|_| worker.lasting_runs > 0).filter_map(|task| {
-                let step = self.steps.get(&task.step_id())?;
-                step.step().long_running.then(|| step.step().counted().cpu_millis)
-            });
+            let lasting = worker
+                .runs
+                .keys()
+                .filter(|_| worker.lasting_runs > 0)
+                .filter_map(|task| {
+                    let step = self.steps.get(&task.step_id())?;
+                    step.step()
+                        .long_running
+                        .then(|| step.step().counted().cpu_millis)
+                });
             load.capacity_cpu_millis += capacity.saturating_sub(lasting.sum());
             if !worker.emptying {
                 load.free_cpu_millis += worker.free().cpu_millis;
@@ -151,7 +158,10 @@
             let each_ms = self.durations.expect_ms(&step.kind, spec.estimated_ms);
             // A task that runs is half done on average.
             load.backlog_core_ms += (waiting * 2 + running) * each_ms * cpu_millis / 2_000;
-            debug_assert!(id.step as usize == step.position, "steps are kept under their numbers");
+            debug_assert!(
+                id.step as usize == step.position,
+                "steps are kept under their numbers"
+            );
         }
         load.free_cpu_millis = load.free_cpu_millis.saturating_sub(waiting_cpu_millis);
         load
@@ -174,17 +184,16 @@
     #[must_use]
     pub fn waiting_jobs(&self, queue: &QueueKey, state: &JobsState) -> Reply {
         let jobs = state.jobs.iter().filter(|(_, job)| job.queue == *queue);
-        let waiting = jobs.filter(|(key, job)| {
-            job.ended.is_none() && !job.has_run && !self.has_begun(**key)
-        });
+        let waiting =
+            jobs.filter(|(key, job)| job.ended.is_none() && !job.has_run && !self.has_begun(**key));
         Reply::Waiting(waiting.count())
     }
 
     fn has_begun(&self, key: JobKey) -> bool {
         let has_run = |id: &crate::ids::StepId| {
-            self.steps.get(id).is_some_and(|step| {
-                step.done_count > 0 || step.waiting.len() < step.done.len()
-            })
+            self.steps
+                .get(id)
+                .is_some_and(|step| step.done_count > 0 || step.waiting.len() < step.done.len())
         };
         self.step_ids(key).iter().any(has_run)
     }
--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -89,7 +89,10 @@
             return Some(*handle);
         }
         let listed = self.fleet.instances.get(instance)?.worker.as_ref()?;
-        let unnamed = self.workers.iter().filter(|(_, worker)| worker.heartbeat.instance.is_none());
+        let unnamed = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.heartbeat.instance.is_none());
         let mut found = unnamed.filter(|(_, worker)| *listed == worker.life().worker);
         found.next().map(|(handle, _)| *handle)
     }
@@ -97,7 +100,9 @@
     /// Takes the platform's list of instances.
     pub fn take_instances(&mut self, listed: &[ListedInstance], state: &JobsState) {
         self.fleet.listed = true;
-        let known = listed.iter().map(|known| (known.instance.clone(), known.clone()));
+        let known = listed
+            .iter()
+            .map(|known| (known.instance.clone(), known.clone()));
         self.fleet.instances = known.collect();
         let mut gone = Vec::new();
         for (number, wave) in &state.waves {
@@ -109,7 +114,9 @@
             }
         }
         for (wave, instance) in gone {
-            self.note(format!("event=instance_gone instance={instance} wave={wave}"));
+            self.note(format!(
+                "event=instance_gone instance={instance} wave={wave}"
+            ));
             self.upkeep.forget(wave, &instance);
             self.propose(Command::NoteMaintained { wave, instance });
         }
--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -20,7 +20,12 @@
 
 impl Leader {
     /// Takes the answer to an order to start a task.
-    pub fn take_start_answer(&mut self, order: &StartOrder, answer: &OrderAnswer, state: &JobsState) {
+    pub fn take_start_answer(
+        &mut self,
+        order: &StartOrder,
+        answer: &OrderAnswer,
+        state: &JobsState,
+    ) {
         let (handle, task, number) = (order.worker, order.task, order.run);
         let now_ms = self.now.steady_ms;
         let Some(worker) = self.workers.get_mut(&handle) else {
@@ -53,14 +58,14 @@
                 self.note_refusal(handle, *refusal);
                 if *refusal != Refusal::Fenced {
                     self.remove_run(task, number);
-                    self.drop_run(task, number, state);
+                    self.drop_run(task, number);
                 }
             }
             OrderAnswer::AnotherLife => self.end_life(handle, "replaced", state),
             OrderAnswer::NotSent => {
                 self.doubt(handle);
                 self.remove_run(task, number);
-                self.drop_run(task, number, state);
+                self.drop_run(task, number);
             }
             OrderAnswer::Unknown => {
                 self.counts.starts_unsure += 1;
@@ -89,7 +94,11 @@
                 worker.health.note_failure(now_ms);
                 worker.full_until_ms = now_ms + UNHEALTHY_FOR_MS;
             }
-            Refusal::Fenced | Refusal::OldRun | Refusal::Late | Refusal::Ticket | Refusal::Other => {}
+            Refusal::Fenced
+            | Refusal::OldRun
+            | Refusal::Late
+            | Refusal::Ticket
+            | Refusal::Other => {}
         }
     }
 
@@ -121,7 +130,12 @@
     }
 
     /// Takes a worker's list of runs, or the lack of an answer.
-    pub fn take_look(&mut self, handle: WorkerHandle, answer: Result<RunList, OrderAnswer>, state: &JobsState) {
+    pub fn take_look(
+        &mut self,
+        handle: WorkerHandle,
+        answer: Result<RunList, OrderAnswer>,
+        state: &JobsState,
+    ) {
         let list = match answer {
             Ok(list) => list,
             Err(OrderAnswer::AnotherLife) => return self.end_life(handle, "replaced", state),
@@ -154,14 +168,21 @@
             self.dirty_pools.insert(pool);
         }
         self.take_ends(handle, &life, &list.ended, state);
-        self.take_rows(handle, &list, state);
+        self.take_rows(handle, &list);
+        self.pace_worker(handle);
         if is_new {
             self.settle_life(&life);
         }
         self.look_if_due(handle, state);
     }
 
-    fn take_ends(&mut self, handle: WorkerHandle, life: &LifeId, ended: &[RunEnd], state: &JobsState) {
+    fn take_ends(
+        &mut self,
+        handle: WorkerHandle,
+        life: &LifeId,
+        ended: &[RunEnd],
+        state: &JobsState,
+    ) {
         let noted_upto = state.lives.get(life).map_or(0, |note| note.noted_upto);
         let mut fresh = Vec::new();
         for end in ended {
@@ -171,7 +192,7 @@
             worker.ends_noted = worker.ends_noted.max(noted_upto);
             if end.number > worker.ends_seen {
                 worker.ends_seen = end.number;
-                self.take_end(handle, end, state);
+                self.take_end(handle, end);
             }
             if end.number > noted_upto {
                 fresh.push(end.clone());
@@ -193,24 +214,30 @@
         }
     }
 
-    fn take_end(&mut self, handle: WorkerHandle, end: &RunEnd, state: &JobsState) {
+    fn take_end(&mut self, handle: WorkerHandle, end: &RunEnd) {
         let now_ms = self.now.steady_ms;
         self.note_run(end.task, end.run);
         let ended = self.remove_run(end.task, end.run);
-        let took_ms = ended.as_ref().map(|run| now_ms.saturating_sub(run.ordered_at_ms));
+        let took_ms = ended
+            .as_ref()
+            .map(|run| now_ms.saturating_sub(run.ordered_at_ms));
         let line = format!(
             "event=run_ended task={} run={} how={} worker={} took_ms={}",
             end.task,
             end.run,
             end.kind.as_str(),
-            self.workers.get(&handle).map(|known| known.life().to_string()).unwrap_or_default(),
+            self.workers
+                .get(&handle)
+                .map(|known| known.life().to_string())
+                .unwrap_or_default(),
             took_ms.map_or(-1, |took_ms| i64::try_from(took_ms).unwrap_or(i64::MAX)),
         );
         self.note(line);
         if let Some(step) = self.steps.get_mut(&end.task.step_id())
             && !end.checkpoint.is_empty()
         {
-            step.checkpoints.insert(end.task.index, end.checkpoint.clone());
+            step.checkpoints
+                .insert(end.task.index, end.checkpoint.clone());
         }
         let step = self.steps.get(&end.task.step_id());
         let lasts = step.is_some_and(|step| step.step().long_running);
@@ -241,12 +268,12 @@
             }
         }
         self.pacing.forget(end.task);
-        let _ = state;
     }
 
     fn learn(&mut self, task: TaskId, took_ms: Option<u64>) {
         if let (Some(step), Some(took_ms)) = (self.steps.get(&task.step_id()), took_ms) {
-            self.durations.note(&step.kind, step.step().estimated_ms, took_ms);
+            self.durations
+                .note(&step.kind, step.step().estimated_ms, took_ms);
         }
     }
 
@@ -260,17 +287,21 @@
     }
 
     /// Compares the list of what runs on a worker with what is thought to run there.
-    fn take_rows(&mut self, handle: WorkerHandle, list: &RunList, state: &JobsState) {
+    fn take_rows(&mut self, handle: WorkerHandle, list: &RunList) {
         let mut listed = BTreeSet::new();
         for row in &list.running {
             listed.insert((row.task, row.run));
-            self.take_row(handle, row, state);
+            self.take_row(handle, row);
         }
         let ended: BTreeSet<_> = list.ended.iter().map(|end| (end.task, end.run)).collect();
         let Some(worker) = self.workers.get(&handle) else {
             return;
         };
-        let known: Vec<_> = worker.runs.iter().map(|(task, run)| (*task, *run)).collect();
+        let known: Vec<_> = worker
+            .runs
+            .iter()
+            .map(|(task, run)| (*task, *run))
+            .collect();
         for (task, number) in known {
             if listed.contains(&(task, number)) || ended.contains(&(task, number)) {
                 continue;
@@ -285,12 +316,12 @@
                     list.clock_ms
                 ));
                 self.remove_run(task, number);
-                self.drop_run(task, number, state);
+                self.drop_run(task, number);
             }
         }
     }
 
-    fn take_row(&mut self, handle: WorkerHandle, row: &RunRow, state: &JobsState) {
+    fn take_row(&mut self, handle: WorkerHandle, row: &RunRow) {
         let now_ms = self.now.steady_ms;
         if let Some(run) = self.run_mut(row.task, row.run) {
             if matches!(run.state, RunState::Sending | RunState::Unsure) {
@@ -304,16 +335,17 @@
             if !row.checkpoint.is_empty() && run.checkpoint != row.checkpoint {
                 run.checkpoint = row.checkpoint.clone();
                 if let Some(step) = self.steps.get_mut(&row.task.step_id()) {
-                    step.checkpoints.insert(row.task.index, row.checkpoint.clone());
+                    step.checkpoints
+                        .insert(row.task.index, row.checkpoint.clone());
                 }
             }
             return;
         }
-        self.adopt_run(handle, row, state);
+        self.adopt_run(handle, row);
     }
 
     /// Takes over a run that an earlier leader started, or stops one that must not go on.
-    fn adopt_run(&mut self, handle: WorkerHandle, row: &RunRow, _state: &JobsState) {
+    fn adopt_run(&mut self, handle: WorkerHandle, row: &RunRow) {
         self.note_run(row.task, row.run);
         let step = self.steps.get(&row.task.step_id());
         let counted = step.map_or_else(Resources::default, |step| step.step().counted());
@@ -321,13 +353,19 @@
         let in_step = step.is_some_and(|step| {
             step.open && step.done.get(row.task.index as usize) == Some(&false)
         });
-        let elsewhere = self.runs.get(&row.task).is_some_and(|runs| !runs.is_empty());
+        let elsewhere = self
+            .runs
+            .get(&row.task)
+            .is_some_and(|runs| !runs.is_empty());
         let wanted = in_step && !elsewhere;
         self.note(format!(
             "event=run_adopted task={} run={} worker={} wanted={wanted}",
             row.task,
             row.run,
-            self.workers.get(&handle).map(|known| known.life().to_string()).unwrap_or_default()
+            self.workers
+                .get(&handle)
+                .map(|known| known.life().to_string())
+                .unwrap_or_default()
         ));
         self.add_run(Run {
             task: row.task,
@@ -394,7 +432,7 @@
     }
 
     /// Lets the task of a run that never was, or is gone without an end, wait again.
-    pub(super) fn drop_run(&mut self, task: TaskId, number: u64, _state: &JobsState) {
+    pub(super) fn drop_run(&mut self, task: TaskId, number: u64) {
         self.remove_run(task, number);
         self.pacing.forget(task);
         self.requeue(task);
@@ -415,7 +453,9 @@
         };
         let worker = run.worker;
         self.counts.stops += 1;
-        self.note(format!("event=stop_ordered task={task} run={number} unwanted={unwanted}"));
+        self.note(format!(
+            "event=stop_ordered task={task} run={number} unwanted={unwanted}"
+        ));
         self.effects.push(Effect::Stop {
             worker,
             task,
@@ -480,17 +520,15 @@
         for end in ends {
             let job = end.task.job;
             match state.jobs.get(&job) {
-                Some(known) if known.ended.is_none() => {
-                    if end.kind == EndKind::Failed {
-                        self.requeue(end.task);
-                    }
+                Some(known) if known.ended.is_none() && end.kind == EndKind::Failed => {
+                    self.requeue(end.task);
                 }
-                Some(known) => {
+                Some(known) if known.ended.is_some() => {
                     let status = known.status();
                     self.note(format!("event=job_ended job={job} status={status:?}"));
                     self.close_job(job);
                 }
-                None => {}
+                _ => {}
             }
         }
         let Some(handle) = self.by_life.get(life).copied() else {
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -27,7 +27,10 @@
     /// Places what waits in every pool where something has changed.
     pub(super) fn place_all(&mut self, state: &JobsState) {
         for pool in std::mem::take(&mut self.dirty_pools) {
-            let standby = state.configuration.pool(&pool).is_none_or(|known| known.standby);
+            let standby = state
+                .configuration
+                .pool(&pool)
+                .is_none_or(|known| known.standby);
             if !standby {
                 self.place_pool(&pool);
             }
@@ -48,7 +51,11 @@
             if !fits || (step.inherited && unsettled) {
                 continue;
             }
-            if step.step().gang {
+            let (is_gang, needs_advice) = (step.step().gang, step.needs_advice);
+            if needs_advice {
+                self.tend_advice(id);
+            }
+            if is_gang {
                 self.place_gang(id, &mut places);
             } else {
                 self.place_step(id, &mut places);
@@ -84,7 +91,10 @@
             if !is_next {
                 continue;
             }
-            let begins = spec.after.iter().filter_map(|before| ends.get(usize::from(*before)));
+            let begins = spec
+                .after
+                .iter()
+                .filter_map(|before| ends.get(usize::from(*before)));
             let begins: u64 = begins.copied().max().unwrap_or(0);
             let of_step = StepId {
                 step: u16::try_from(position).unwrap_or(u16::MAX),
@@ -149,7 +159,7 @@
     }
 
     /// Places all members of a gang at once, or none.
-    fn place_gang(&mut self, id: StepId, places: &mut Vec<Place>) {
+    fn place_gang(&mut self, id: StepId, places: &mut [Place]) {
         let Some(step) = self.steps.get(&id) else {
             return;
         };
@@ -216,7 +226,10 @@
         let deadline_ms = worker.clock_now(now_ms) + START_WINDOW_MS;
         worker.lease_until_ms = worker.lease_until_ms.max(deadline_ms);
         let life = worker.life().clone();
-        let ticket = step.tickets.get(&life.worker).map(|(ticket, _)| ticket.clone());
+        let ticket = step
+            .tickets
+            .get(&life.worker)
+            .map(|(ticket, _)| ticket.clone());
         self.counts.starts += 1;
         self.note(format!(
             "event=start_ordered task={task} run={number} worker={life} deadline_ms={deadline_ms} checkpoint={checkpoint:?}"
@@ -254,7 +267,7 @@
     let has = |label: &Option<SmolStr>| label.as_ref().is_none_or(|label| worker.has_label(label));
     let same_step = step.per_worker.get(&place.handle).copied().unwrap_or(0);
     let is_full = spec.max_per_worker.is_some_and(|most| same_step >= most);
-    if is_full || !has(&spec.required_label) {
+    if is_full || !has(&spec.needs_label) {
         return None;
     }
     let lacks_ticket = step.needs_advice && !step.tickets.contains_key(&place.worker);
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -69,7 +69,10 @@
 
     /// Notes work that a client has asked for, accepted or not.
     pub(crate) fn note_arrival(&mut self, pool: &SmolStr, work_core_ms: u64) {
-        self.arrivals.entry(pool.clone()).or_default().since_last_core_ms += work_core_ms;
+        self.arrivals
+            .entry(pool.clone())
+            .or_default()
+            .since_last_core_ms += work_core_ms;
     }
 
     /// Returns how many instances are on their way to a pool.
@@ -89,7 +92,8 @@
         }
         self.pool_plans.planned_at_ms = now_ms;
         for arrivals in self.pool_plans.arrivals.values_mut() {
-            let newest = std::mem::take(&mut arrivals.since_last_core_ms) * 1_000 / passed_ms.max(1);
+            let newest =
+                std::mem::take(&mut arrivals.since_last_core_ms) * 1_000 / passed_ms.max(1);
             let kept = arrivals.rate_cpu_millis * (100 - NEWEST_WEIGHT_PERCENT);
             arrivals.rate_cpu_millis = (kept + newest * NEWEST_WEIGHT_PERCENT) / 100;
         }
@@ -105,7 +109,11 @@
 
     fn plan_moves(&mut self, state: &JobsState) {
         let now_ms = self.now.steady_ms;
-        let pools = state.configuration.pools.iter().filter(|pool| !pool.standby);
+        let pools = state
+            .configuration
+            .pools
+            .iter()
+            .filter(|pool| !pool.standby);
         let pools: Vec<SmolStr> = pools.map(|pool| pool.name.clone()).collect();
         let standby = state.configuration.pools.iter().find(|pool| pool.standby);
         let Some(standby) = standby.map(|pool| pool.name.clone()) else {
@@ -114,7 +122,11 @@
         let demands: Vec<PoolDemand> = pools.iter().map(|pool| self.demand(pool)).collect();
         let mut needed = Vec::with_capacity(pools.len());
         for (pool, demand) in pools.iter().zip(&demands) {
-            let lately = self.pool_plans.needed_lately.entry(pool.clone()).or_default();
+            let lately = self
+                .pool_plans
+                .needed_lately
+                .entry(pool.clone())
+                .or_default();
             lately.retain(|(at_ms, _)| now_ms < at_ms + IDLE_BEFORE_LEAVING_MS);
             lately.push((now_ms, demand.needed()));
             needed.push(lately.iter().map(|(_, needed)| *needed).max().unwrap_or(0));
@@ -122,7 +134,8 @@
         let spare = self.instances_in(&standby).len();
         let total = spare + demands.iter().map(|demand| demand.instances).sum::<usize>();
         let wanted = divide(&needed, total);
-        let lacking = |position: usize| wanted[position].saturating_sub(demands[position].instances);
+        let lacking =
+            |position: usize| wanted[position].saturating_sub(demands[position].instances);
         let mut surplus: Vec<(SmolStr, usize)> = Vec::new();
         for (position, pool) in pools.iter().enumerate() {
             let over = demands[position].instances.saturating_sub(wanted[position]);
@@ -133,7 +146,9 @@
                 if self.move_one(&standby, pool) {
                     continue;
                 }
-                let giver = surplus.iter_mut().filter(|(from, over)| *over > 0 && from != pool);
+                let giver = surplus
+                    .iter_mut()
+                    .filter(|(from, over)| *over > 0 && from != pool);
                 let Some((from, over)) = giver.max_by_key(|(_, over)| *over) else {
                     break;
                 };
@@ -165,7 +180,9 @@
     /// Returns how many instances wait in the standby pools.
     pub(super) fn standby_instances(&self, state: &JobsState) -> usize {
         let standby = state.configuration.pools.iter().filter(|pool| pool.standby);
-        standby.map(|pool| self.instances_in(&pool.name).len()).sum()
+        standby
+            .map(|pool| self.instances_in(&pool.name).len())
+            .sum()
     }
 
     fn demand(&self, pool: &SmolStr) -> PoolDemand {
@@ -203,7 +220,12 @@
                 }
             }
         }
-        let arrivals = self.pool_plans.arrivals.get(pool).copied().unwrap_or_default();
+        let arrivals = self
+            .pool_plans
+            .arrivals
+            .get(pool)
+            .copied()
+            .unwrap_or_default();
         demand.arriving_cpu_millis = arrivals.rate_cpu_millis;
         demand
     }
@@ -281,7 +303,9 @@
     }
 
     fn is_empty(&self, handle: WorkerHandle) -> bool {
-        self.workers.get(&handle).is_none_or(super::Worker::is_empty)
+        self.workers
+            .get(&handle)
+            .is_none_or(super::Worker::is_empty)
     }
 
     fn order_move(&mut self, instance: &SmolStr, planned: Move) {
@@ -291,11 +315,15 @@
             pool: planned.to.clone(),
         });
         let phase = Phase::Ordered { at_ms };
-        self.pool_plans.moves.insert(instance.clone(), Move { phase, ..planned });
+        self.pool_plans
+            .moves
+            .insert(instance.clone(), Move { phase, ..planned });
     }
 
     fn give_up_move(&mut self, instance: &SmolStr, cause: &str) {
-        self.note(format!("event=move_given_up instance={instance} cause={cause}"));
+        self.note(format!(
+            "event=move_given_up instance={instance} cause={cause}"
+        ));
         self.pool_plans.moves.remove(instance);
         self.fleet.doubt();
         let handle = self.worker_on(instance);
@@ -315,7 +343,9 @@
         state: &JobsState,
     ) {
         let now_ms = self.now.steady_ms;
-        self.note(format!("event=move_answer instance={instance} pool={pool} answer={answer:?}"));
+        self.note(format!(
+            "event=move_answer instance={instance} pool={pool} answer={answer:?}"
+        ));
         let Some(planned) = self.pool_plans.moves.get(instance).cloned() else {
             self.fleet.doubt();
             return;
@@ -331,11 +361,15 @@
                     known.worker = None;
                 }
                 let phase = Phase::UnderWay { since_ms: now_ms };
-                self.pool_plans.moves.insert(instance.clone(), Move { phase, ..planned });
+                self.pool_plans
+                    .moves
+                    .insert(instance.clone(), Move { phase, ..planned });
             }
             InstanceAnswer::Impossible => {
                 let pair = (planned.from, planned.to);
-                self.pool_plans.forbidden.insert(pair, now_ms + FORBIDDEN_FOR_MS);
+                self.pool_plans
+                    .forbidden
+                    .insert(pair, now_ms + FORBIDDEN_FOR_MS);
                 self.give_up_move(instance, "impossible");
             }
             InstanceAnswer::Busy | InstanceAnswer::Fenced => self.give_up_move(instance, "busy"),
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -102,9 +102,9 @@
             latency_target_ms: queue.map_or(0, |queue| queue.latency_target_ms),
             stretch_millis: queue.map_or(1_000, |queue| queue.stretch_millis),
         };
-        let checkpoints = progress.tasks.iter().zip(0..).filter_map(|(task, index)| {
-            (!task.checkpoint.is_empty()).then(|| (index, task.checkpoint.clone()))
-        });
+        let tasks = progress.tasks.iter().zip(0..);
+        let with_checkpoint = tasks.filter(|(task, _)| !task.checkpoint.is_empty());
+        let checkpoints = with_checkpoint.map(|(task, index)| (index, task.checkpoint.clone()));
         let done: Vec<bool> = progress.tasks.iter().map(|task| task.done).collect();
         let waiting = done.iter().zip(0..).filter(|(done, _)| !**done);
         StepRun {
@@ -141,7 +141,10 @@
             return;
         }
         let is_done = |before: &u16| {
-            let before = StepId { step: *before, ..id };
+            let before = StepId {
+                step: *before,
+                ..id
+            };
             self.steps.get(&before).is_none_or(StepRun::is_done)
         };
         if !step.step().after.iter().all(is_done) {
@@ -162,7 +165,7 @@
     }
 
     /// Opens the steps whose time has come.
-    pub(super) fn open_due_steps(&mut self, _state: &JobsState) {
+    pub(super) fn open_due_steps(&mut self) {
         while let Some((due_ms, id)) = self.not_due.first().copied() {
             if due_ms > self.now.wall_ms {
                 break;
@@ -179,7 +182,11 @@
             return;
         };
         let is_gang = step.step().gang;
-        let indexes = if is_gang { 0..step.step().tasks } else { task.index..task.index + 1 };
+        let indexes = if is_gang {
+            0..step.step().tasks
+        } else {
+            task.index..task.index + 1
+        };
         for index in indexes {
             step.waiting.remove(&index);
             if let Some(done) = step.done.get_mut(index as usize)
@@ -248,7 +255,10 @@
             occurrence: 0,
             step: 0,
         };
-        let of_job = self.steps.range(first..).take_while(|(id, _)| id.job == job);
+        let of_job = self
+            .steps
+            .range(first..)
+            .take_while(|(id, _)| id.job == job);
         of_job.map(|(id, _)| *id).collect()
     }
 
@@ -282,7 +292,10 @@
         let at_ms = self.now.wall_ms;
         let forget_before_ms = at_ms.saturating_sub(self.settings.remember_ms);
         let is_unstamped = |job: &Job| job.ended.is_some() && job.ended_at_ms.is_none();
-        let is_old = |job: &Job| job.ended_at_ms.is_some_and(|ended| ended < forget_before_ms);
+        let is_old = |job: &Job| {
+            job.ended_at_ms
+                .is_some_and(|ended| ended < forget_before_ms)
+        };
         let keys = |wanted: &dyn Fn(&Job) -> bool| -> Vec<JobKey> {
             let jobs = state.jobs.iter().filter(|(_, job)| wanted(job));
             jobs.map(|(key, _)| *key).collect()
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -109,16 +109,27 @@
     /// Takes up instances of a wave as long as fewer are away than may be.
     fn begin_emptying(&mut self, number: u64, wave: &Wave) {
         let now_ms = self.now.steady_ms;
-        let under_way = self.upkeep.phases.keys().filter(|(of, _)| *of == number).count();
+        let under_way = self
+            .upkeep
+            .phases
+            .keys()
+            .filter(|(of, _)| *of == number)
+            .count();
         let room = (wave.max_down as usize).saturating_sub(under_way);
         let waits = |instance: &&SmolStr| {
             !wave.maintained.contains(*instance)
                 && !self.upkeep.is_under_way(instance)
                 && !self.pool_plans.is_moving(instance)
-                && self.fleet.instances.get(*instance).is_some_and(|known| known.up)
+                && self
+                    .fleet
+                    .instances
+                    .get(*instance)
+                    .is_some_and(|known| known.up)
         };
         let ranked = wave.instances.iter().filter(waits).map(|instance| {
-            let worker = self.worker_on(instance).and_then(|handle| self.workers.get(&handle));
+            let worker = self
+                .worker_on(instance)
+                .and_then(|handle| self.workers.get(&handle));
             let runs = worker.map_or(0, |worker| worker.runs.len());
             // Tasks that last leave one after the other, so their instances begin first.
             let takes_long = worker.is_some_and(|worker| worker.lasting_runs > 0);
@@ -167,7 +178,9 @@
     fn order_maintenance(&mut self, key: (u64, SmolStr)) {
         let at_ms = self.now.steady_ms;
         let (wave, instance) = key.clone();
-        self.note(format!("event=maintenance_ordered instance={instance} wave={wave}"));
+        self.note(format!(
+            "event=maintenance_ordered instance={instance} wave={wave}"
+        ));
         self.upkeep.set(key, Phase::Ordered { at_ms });
         self.effects.push(Effect::Maintain { instance, wave });
     }
@@ -177,25 +190,35 @@
         let Some(worker) = self.workers.get(&handle) else {
             return true;
         };
-        let runs: Vec<_> = worker.runs.iter().map(|(task, run)| (*task, *run)).collect();
+        let runs: Vec<_> = worker
+            .runs
+            .iter()
+            .map(|(task, run)| (*task, *run))
+            .collect();
         for (task, number) in &runs {
             let step = self.steps.get(&task.step_id());
             let lasts = step.is_some_and(|step| step.step().long_running);
-            let may_stop = if lasts { self.may_miss_one_more(*task) } else { !patient };
+            let may_stop = if lasts {
+                self.may_stop_one_more(*task)
+            } else {
+                !patient
+            };
             if may_stop {
                 self.stop_run(*task, *number, false);
             }
         }
-        self.workers.get(&handle).is_none_or(super::Worker::is_empty)
+        self.workers
+            .get(&handle)
+            .is_none_or(super::Worker::is_empty)
     }
 
     /// Returns whether a task may be stopped without more of its step being away than allowed.
-    pub(super) fn may_miss_one_more(&self, task: TaskId) -> bool {
+    pub(super) fn may_stop_one_more(&self, task: TaskId) -> bool {
         let Some(step) = self.steps.get(&task.step_id()) else {
             return true;
         };
-        let may_miss = step.step().may_miss;
-        may_miss == 0 || self.away(task.step_id()) < may_miss
+        let max_unavailable = step.step().max_unavailable;
+        max_unavailable == 0 || self.away(task.step_id()) < max_unavailable
     }
 
     /// Returns whether a worker has answered lately, so that what it listed still holds.
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -135,7 +135,10 @@
         if let Some(instance) = &heartbeat.instance {
             self.by_instance.insert(instance.clone(), handle);
         }
-        self.by_pool.entry(heartbeat.pool.clone()).or_default().insert(handle);
+        self.by_pool
+            .entry(heartbeat.pool.clone())
+            .or_default()
+            .insert(handle);
         let now_ms = self.now.steady_ms;
         let worker = Worker {
             // The clock of a life that only an earlier leader heard is not known yet.
@@ -269,7 +272,7 @@
             self.now.steady_ms.saturating_sub(worker.heard_at_ms)
         ));
         for (task, run) in worker.runs {
-            self.drop_run(task, run, state);
+            self.drop_run(task, run);
         }
         self.settle_life(&life);
         self.dirty_pools.insert(worker.heartbeat.pool);
@@ -320,7 +323,7 @@
             let pools: BTreeSet<_> = std::mem::take(&mut self.unsettled).into_values().collect();
             self.dirty_pools.extend(pools);
         }
-        self.drop_lapsed_runs(state);
+        self.drop_lapsed_runs();
         let handles: Vec<_> = self.workers.keys().copied().collect();
         for handle in handles {
             self.look_if_due(handle, state);
@@ -328,7 +331,7 @@
     }
 
     /// Drops the runs of workers that do not answer, once their lease has lapsed for certain.
-    fn drop_lapsed_runs(&mut self, state: &JobsState) {
+    fn drop_lapsed_runs(&mut self) {
         let now_ms = self.now.steady_ms;
         let mut lapsed = Vec::new();
         for (handle, worker) in &self.workers {
@@ -345,7 +348,11 @@
                 continue;
             };
             let life = worker.life().clone();
-            let runs: Vec<_> = worker.runs.iter().map(|(task, run)| (*task, *run)).collect();
+            let runs: Vec<_> = worker
+                .runs
+                .iter()
+                .map(|(task, run)| (*task, *run))
+                .collect();
             self.note(format!(
                 "event=lease_lapsed worker={life} runs={} lease_until_ms={} clock_ms={}",
                 runs.len(),
@@ -354,7 +361,7 @@
             ));
             for (task, run) in runs {
                 self.remove_run(task, run);
-                self.drop_run(task, run, state);
+                self.drop_run(task, run);
             }
         }
     }
@@ -384,7 +391,10 @@
         if let Some(deadline_ms) = deadline_ms {
             worker.lease_until_ms = worker.lease_until_ms.max(deadline_ms);
         }
-        let noted_upto = state.lives.get(worker.life()).map_or(0, |note| note.noted_upto);
+        let noted_upto = state
+            .lives
+            .get(worker.life())
+            .map_or(0, |note| note.noted_upto);
         let wait_ms = if holds { LOOK_WAIT_MS } else { 0 };
         worker.owes_acknowledgement = false;
         worker.look = LookState::UnderWay;
@@ -392,7 +402,7 @@
         self.effects.push(Effect::Look(LookOrder {
             worker: handle,
             deadline_ms,
-            seen_upto: noted_upto,
+            acknowledged_upto: noted_upto,
             wait_ms,
         }));
     }
--- a/crates/jasminefall-jobs/src/policy.rs
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`order`]: which step is placed first
 //! - [`durations`]: how long tasks of a kind take, learnt from runs
+//! - [`pace`]: at which share of its speed a task that fills may work
 //! - [`health`]: whether a worker fails what it is given
 //! - [`pools`]: how many instances a pool should have
 //! - [`placement`]: which worker gets a task
@@ -11,5 +12,6 @@
 pub mod durations;
 pub mod health;
 pub mod order;
+pub mod pace;
 pub mod placement;
 pub mod pools;
--- a/crates/jasminefall-jobs/src/policy/admission.rs
+++ b/crates/jasminefall-jobs/src/policy/admission.rs
@@ -60,7 +60,11 @@
         let alone_ms = drain_ms(self.backlog_core_ms, self.capacity_cpu_millis);
         let more = self.capacity_cpu_millis + self.reserve_cpu_millis;
         let helped_ms = self.reserve_after_ms + drain_ms(self.backlog_core_ms, more);
-        if helped_ms < alone_ms { helped_ms } else { alone_ms }
+        if helped_ms < alone_ms {
+            helped_ms
+        } else {
+            alone_ms
+        }
     }
 }
 
@@ -82,8 +86,16 @@
         return Admission::Accept;
     }
     let after_ms = wait_ms - bearable_ms;
-    let after_ms = if after_ms < SHORTEST_RETURN_MS { SHORTEST_RETURN_MS } else { after_ms };
+    let after_ms = if after_ms < SHORTEST_RETURN_MS {
+        SHORTEST_RETURN_MS
+    } else {
+        after_ms
+    };
     Admission::ComeBack {
-        after_ms: if after_ms > LONGEST_RETURN_MS { LONGEST_RETURN_MS } else { after_ms },
+        after_ms: if after_ms > LONGEST_RETURN_MS {
+            LONGEST_RETURN_MS
+        } else {
+            after_ms
+        },
     }
 }
--- a/crates/jasminefall-jobs/src/policy/durations.rs
+++ b/crates/jasminefall-jobs/src/policy/durations.rs
@@ -79,7 +79,11 @@
         let mean_took = known.took / known.weight;
         let variance = known.estimated_squared / known.weight - mean_estimated * mean_estimated;
         let covariance = known.product / known.weight - mean_estimated * mean_took;
-        let slope = if variance > 1.0 { (covariance / variance).clamp(0.0, 1.0) } else { 0.0 };
+        let slope = if variance > 1.0 {
+            (covariance / variance).clamp(0.0, 1.0)
+        } else {
+            0.0
+        };
         let learnt = mean_took + slope * (estimated - mean_estimated);
         let trust = known.weight / (known.weight + PRIOR_RUNS);
         (learnt * trust + estimated * (1.0 - trust)).max(0.0) as u64
--- a/crates/jasminefall-jobs/src/policy/order.rs
+++ b/crates/jasminefall-jobs/src/policy/order.rs
@@ -52,7 +52,10 @@
 pub fn longest_chain_ms(spec: &JobSpec, expect_ms: impl Fn(&StepSpec) -> u64) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for step in &spec.steps {
-        let before = step.after.iter().filter_map(|before| ends.get(usize::from(*before)));
+        let before = step
+            .after
+            .iter()
+            .filter_map(|before| ends.get(usize::from(*before)));
         let begins_ms = before.copied().max().unwrap_or(0);
         ends.push(begins_ms.saturating_add(expect_ms(step)));
     }
--- a/crates/jasminefall-jobs/src/policy/placement.rs
+++ b/crates/jasminefall-jobs/src/policy/placement.rs
@@ -28,7 +28,12 @@
         .filter(|(_, candidate)| candidate.free.holds(needs));
     let best = fitting.min_by_key(|(_, candidate)| {
         let left = candidate.free.minus(needs).cpu_millis;
-        (!candidate.near, candidate.recent_failures, !candidate.is_pinned, left)
+        (
+            !candidate.near,
+            candidate.recent_failures,
+            !candidate.is_pinned,
+            left,
+        )
     });
     best.map(|(position, _)| position)
 }
--- a/crates/jasminefall-jobs/src/policy/pools.rs
+++ b/crates/jasminefall-jobs/src/policy/pools.rs
@@ -34,7 +34,10 @@
         let work = self.ready_cpu_millis.max(self.arriving_cpu_millis);
         let held = (self.instance_cpu_millis * PACKED_MILLIS / 1_000).max(1);
         let needed = (work + self.lasting_cpu_millis).div_ceil(held);
-        usize::try_from(needed).unwrap_or(usize::MAX).max(self.pinned).max(FEWEST)
+        usize::try_from(needed)
+            .unwrap_or(usize::MAX)
+            .max(self.pinned)
+            .max(FEWEST)
     }
 }
 
--- a/crates/jasminefall-jobs/src/prelude.rs
+++ b/crates/jasminefall-jobs/src/prelude.rs
@@ -5,6 +5,4 @@
 pub use crate::job::{JobError, JobSpec, Resources, Schedule, StepSpec};
 pub use crate::leader::{Effect, Leader};
 pub use crate::state::{Command, Job, JobStatus, JobsState, Outcome, Wave};
-pub use crate::worker::{
-    EndKind, Heartbeat, OrderAnswer, Refusal, RunEnd, RunList, RunRow,
-};
+pub use crate::worker::{EndKind, Heartbeat, OrderAnswer, Refusal, RunEnd, RunList, RunRow};
--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -108,7 +108,9 @@
     /// Returns whether every instance has been dealt with.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.instances.iter().all(|instance| self.maintained.contains(instance))
+        self.instances
+            .iter()
+            .all(|instance| self.maintained.contains(instance))
     }
 
     /// Returns whether both describe the same plan, however far it is.
@@ -261,7 +263,10 @@
             let Some(job) = self.jobs.get_mut(&end.task.job) else {
                 continue;
             };
-            let attempts = self.configuration.queue(&job.queue).map(|queue| queue.attempts);
+            let attempts = self
+                .configuration
+                .queue(&job.queue)
+                .map(|queue| queue.attempts);
             job.note_end(end, attempts);
         }
         Outcome::Done
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -36,7 +36,12 @@
 
 #[test]
 fn a_task_that_lasts_is_started_again_however_it_ends() {
-    for kind in [EndKind::Done, EndKind::Failed, EndKind::Stopped, EndKind::Lapsed] {
+    for kind in [
+        EndKind::Done,
+        EndKind::Failed,
+        EndKind::Stopped,
+        EndKind::Lapsed,
+    ] {
         let mut site = Site::new(2);
         site.submit(1, lasting(1));
         let starts = site.take_starts();
@@ -78,7 +83,10 @@
     site.change_leader();
     site.hold_commits();
     site.answer_looks();
-    assert!(site.take_starts().is_empty(), "the failure is not noted yet");
+    assert!(
+        site.take_starts().is_empty(),
+        "the failure is not noted yet"
+    );
     site.commit_all();
     assert!(site.take_starts().is_empty());
     assert_eq!(site.status(1), Some(JobStatus::Failed));
@@ -178,7 +186,11 @@
     let first = site.take_maintenance();
     assert_eq!(first.len(), 1, "one may be down at once");
     site.pass(5_000);
-    assert!(site.take_maintenance().iter().all(|again| *again == first[0]));
+    assert!(
+        site.take_maintenance()
+            .iter()
+            .all(|again| *again == first[0])
+    );
     for _ in 0..3 {
         let ordered = site.take_maintenance();
         let instance = ordered.first().cloned().unwrap_or_else(|| first[0].clone());
@@ -208,7 +220,7 @@
     let mut site = Site::new(4);
     site.list_instances();
     let mut job = lasting(3);
-    job.steps[0].may_miss = 1;
+    job.steps[0].max_unavailable = 1;
     job.steps[0].max_per_worker = Some(1);
     site.submit(1, job);
     let starts = site.take_starts();
@@ -226,7 +238,7 @@
     let mut site = Site::new(4);
     site.list_instances();
     let mut job = lasting(3);
-    job.steps[0].may_miss = 1;
+    job.steps[0].max_unavailable = 1;
     job.steps[0].max_per_worker = Some(1);
     site.submit(1, job);
     let starts = site.take_starts();
@@ -259,6 +271,8 @@
     let mut site = Site::new(2);
     site.submit(1, site::job(&[1], 100));
     let effects = site.take_effects();
-    let looks = effects.iter().filter(|effect| matches!(effect, Effect::Look(_)));
+    let looks = effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Look(_)));
     assert!(looks.count() <= 2);
 }
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -10,14 +10,14 @@
 use jasminefall_jobs::prelude::*;
 use smol_str::{SmolStr, format_smolstr};
 
-pub const ATTEMPTS: u32 = 3;
-pub const POOL: &str = "render";
-pub const STANDBY: &str = "spare";
+pub(crate) const ATTEMPTS: u32 = 3;
+pub(crate) const POOL: &str = "render";
+pub(crate) const STANDBY: &str = "spare";
 const HOST: &str = "queue.example";
 const PREFIX: &str = "/render/";
 
 /// Returns a job of steps with so many tasks each.
-pub fn job(tasks: &[u32], cpu_millis: u64) -> JobSpec {
+pub(crate) fn job(tasks: &[u32], cpu_millis: u64) -> JobSpec {
     let steps = tasks.iter().map(|tasks| StepSpec {
         tasks: *tasks,
         needs: Resources {
@@ -36,14 +36,14 @@
 }
 
 /// Returns a job whose tasks run until it is cancelled.
-pub fn lasting(tasks: u32) -> JobSpec {
+pub(crate) fn lasting(tasks: u32) -> JobSpec {
     let mut job = job(&[tasks], 500);
     job.steps[0].long_running = true;
     job
 }
 
 /// Returns the name of a task of a job without occurrences.
-pub const fn task(job: u64, step: u16, index: u32) -> TaskId {
+pub(crate) const fn task(job: u64, step: u16, index: u32) -> TaskId {
     TaskId {
         job: JobKey(job),
         occurrence: 0,
@@ -61,8 +61,8 @@
 }
 
 /// Holds a leader, its state, and the workers.
-pub struct Site {
-    pub state: JobsState,
+pub(crate) struct Site {
+    pub(crate) state: JobsState,
     leader: Leader,
     now: Now,
     workers: BTreeMap<SmolStr, ModelledWorker>,
@@ -79,7 +79,7 @@
 
 impl Site {
     /// Creates a site with so many workers of 16 cores in one pool.
-    pub fn new(workers: usize) -> Self {
+    pub(crate) fn new(workers: usize) -> Self {
         let mut state = JobsState::default();
         state.apply(Command::Configure(Arc::new(configuration())));
         state.apply(Command::Lead);
@@ -136,7 +136,7 @@
     }
 
     /// Lets every worker say that it is there.
-    pub fn beat(&mut self) {
+    pub(crate) fn beat(&mut self) {
         let names: Vec<_> = self.workers.keys().cloned().enumerate().collect();
         for (number, name) in names {
             if self.silent.contains(&name) {
@@ -149,7 +149,7 @@
     }
 
     /// Lets time pass in steps, with heartbeats.
-    pub fn pass(&mut self, passes_ms: u64) {
+    pub(crate) fn pass(&mut self, passes_ms: u64) {
         for step in 0..passes_ms.div_ceil(50) {
             self.now.steady_ms += 50;
             self.now.wall_ms += 50;
@@ -194,7 +194,8 @@
             // The standby pool takes other instances only, so that each test keeps its own.
             Effect::Move { instance, pool } => {
                 let answer = InstanceAnswer::Impossible;
-                self.leader.take_move_answer(&instance, &pool, answer, &self.state);
+                self.leader
+                    .take_move_answer(&instance, &pool, answer, &self.state);
             }
             Effect::Pace { .. } | Effect::Advise { .. } | Effect::ListInstances => {}
         }
@@ -216,25 +217,25 @@
     }
 
     /// Commits nothing until told otherwise.
-    pub fn hold_commits(&mut self) {
+    pub(crate) fn hold_commits(&mut self) {
         self.commits = false;
     }
 
     /// Commits what has been proposed, and goes on committing.
-    pub fn commit_all(&mut self) {
+    pub(crate) fn commit_all(&mut self) {
         self.commits = true;
         self.apply_log();
         self.settle();
     }
 
     /// Commits a command of somebody else.
-    pub fn apply(&mut self, command: Command) {
+    pub(crate) fn apply(&mut self, command: Command) {
         self.state.apply(command.clone());
         self.leader.take_applied(&command, &self.state);
         self.settle();
     }
 
-    pub fn submit(&mut self, key: u64, spec: JobSpec) {
+    pub(crate) fn submit(&mut self, key: u64, spec: JobSpec) {
         let queue = configuration().queues[0].key.clone();
         self.apply(Command::Submit {
             job: JobKey(key),
@@ -244,23 +245,23 @@
         });
     }
 
-    pub fn status(&self, key: u64) -> Option<JobStatus> {
+    pub(crate) fn status(&self, key: u64) -> Option<JobStatus> {
         self.state.jobs.get(&JobKey(key)).map(Job::status)
     }
 
-    pub fn take_starts(&mut self) -> Vec<StartOrder> {
+    pub(crate) fn take_starts(&mut self) -> Vec<StartOrder> {
         std::mem::take(&mut self.starts)
     }
 
-    pub fn take_stops(&mut self) -> Vec<TaskId> {
+    pub(crate) fn take_stops(&mut self) -> Vec<TaskId> {
         std::mem::take(&mut self.stops)
     }
 
-    pub fn take_maintenance(&mut self) -> Vec<SmolStr> {
+    pub(crate) fn take_maintenance(&mut self) -> Vec<SmolStr> {
         std::mem::take(&mut self.maintenance)
     }
 
-    pub fn take_effects(&mut self) -> Vec<Effect> {
+    pub(crate) fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.seen)
     }
 
@@ -281,7 +282,7 @@
     }
 
     /// Carries a start out and lets its answer arrive.
-    pub fn accept(&mut self, order: &StartOrder) {
+    pub(crate) fn accept(&mut self, order: &StartOrder) {
         self.run(order);
         let clock_ms = self.now.steady_ms;
         let answer = OrderAnswer::Accepted { clock_ms };
@@ -289,29 +290,34 @@
         self.settle();
     }
 
-    pub fn accept_all(&mut self, orders: &[StartOrder]) {
+    pub(crate) fn accept_all(&mut self, orders: &[StartOrder]) {
         for order in orders {
             self.accept(order);
         }
     }
 
     /// Lets a start be lost on its way, its answer with it.
-    pub fn lose_answer(&mut self, order: &StartOrder) {
-        self.leader.take_start_answer(order, &OrderAnswer::Unknown, &self.state);
+    pub(crate) fn lose_answer(&mut self, order: &StartOrder) {
+        self.leader
+            .take_start_answer(order, &OrderAnswer::Unknown, &self.state);
         self.settle();
     }
 
     /// Lets tasks that last be wholly at work, and be seen so.
-    pub fn at_work(&mut self, orders: &[StartOrder]) {
+    pub(crate) fn at_work(&mut self, orders: &[StartOrder]) {
         for order in orders {
             let worker = self.worker(order.worker);
-            worker.running.get_mut(&order.task).expect("the task runs").percent = 100;
+            worker
+                .running
+                .get_mut(&order.task)
+                .expect("the task runs")
+                .percent = 100;
         }
         self.answer_looks();
     }
 
     /// Ends a run without a word to the leader.
-    pub fn end_unheard(&mut self, order: &StartOrder, kind: EndKind) {
+    pub(crate) fn end_unheard(&mut self, order: &StartOrder, kind: EndKind) {
         let worker = self.worker(order.worker);
         worker.running.remove(&order.task);
         worker.ends += 1;
@@ -326,13 +332,13 @@
     }
 
     /// Ends a run and lets the leader read it.
-    pub fn end(&mut self, order: &StartOrder, kind: EndKind) {
+    pub(crate) fn end(&mut self, order: &StartOrder, kind: EndKind) {
         self.end_unheard(order, kind);
         self.answer_looks();
     }
 
     /// Answers every look that is under way.
-    pub fn answer_looks(&mut self) {
+    pub(crate) fn answer_looks(&mut self) {
         for _ in 0..64 {
             let Some(look) = self.looks.pop_front() else {
                 return;
@@ -340,7 +346,9 @@
             self.learn(look.worker);
             let clock_ms = self.now.steady_ms;
             let worker = self.worker(look.worker);
-            worker.ended.retain(|end| end.number > look.seen_upto);
+            worker
+                .ended
+                .retain(|end| end.number > look.acknowledged_upto);
             let list = RunList {
                 clock_ms,
                 born_ms: 1,
@@ -358,22 +366,26 @@
     }
 
     /// Lets the look at the worker that got a start go without an answer.
-    pub fn fail_look_at(&mut self, order: &StartOrder) {
-        let position = self.looks.iter().position(|look| look.worker == order.worker);
+    pub(crate) fn fail_look_at(&mut self, order: &StartOrder) {
+        let position = self
+            .looks
+            .iter()
+            .position(|look| look.worker == order.worker);
         let look = position.and_then(|position| self.looks.remove(position));
         let look = look.expect("a look is under way");
-        self.leader.take_look(look.worker, Err(OrderAnswer::Unknown), &self.state);
+        self.leader
+            .take_look(look.worker, Err(OrderAnswer::Unknown), &self.state);
         self.settle();
     }
 
     /// Lets the worker that got a start fall silent.
-    pub fn silence(&mut self, order: &StartOrder) {
+    pub(crate) fn silence(&mut self, order: &StartOrder) {
         let name = self.names[&order.worker].clone();
         self.silent.push(name);
     }
 
     /// Lets looks at silent workers go without an answer.
-    pub fn fail_looks_at_silent(&mut self) {
+    pub(crate) fn fail_looks_at_silent(&mut self) {
         for look in std::mem::take(&mut self.looks) {
             self.learn(look.worker);
             if self.silent.contains(&self.names[&look.worker]) {
@@ -387,7 +399,7 @@
     }
 
     /// Lets another replica take the lead; it knows the state and nothing else.
-    pub fn change_leader(&mut self) {
+    pub(crate) fn change_leader(&mut self) {
         self.state.apply(Command::Lead);
         self.leader = Leader::new(LeaderSettings::default(), self.now, &self.state);
         self.names.clear();
@@ -399,30 +411,37 @@
     }
 
     /// Lets the leader read which instances there are.
-    pub fn list_instances(&mut self) {
-        let listed = self.workers.keys().enumerate().map(|(number, name)| ListedInstance {
-            instance: format_smolstr!("m-{number}"),
-            pool: POOL.into(),
-            worker: Some(name.clone()),
-            up: true,
-        });
+    pub(crate) fn list_instances(&mut self) {
+        let listed = self
+            .workers
+            .keys()
+            .enumerate()
+            .map(|(number, name)| ListedInstance {
+                instance: format_smolstr!("m-{number}"),
+                pool: POOL.into(),
+                worker: Some(name.clone()),
+                up: true,
+            });
         let listed: Vec<_> = listed.collect();
         self.list(&listed);
     }
 
-    pub fn list(&mut self, listed: &[ListedInstance]) {
+    pub(crate) fn list(&mut self, listed: &[ListedInstance]) {
         self.leader.take_instances(listed, &self.state);
         self.settle();
     }
 
     /// Asks for a wave in which one instance may be down at once.
-    pub fn start_wave(&mut self, instances: &[&str]) {
+    pub(crate) fn start_wave(&mut self, instances: &[&str]) {
         self.start_wave_of(instances, 1);
     }
 
-    pub fn start_wave_of(&mut self, instances: &[&str], max_down: u32) {
+    pub(crate) fn start_wave_of(&mut self, instances: &[&str], max_down: u32) {
         let plan = Wave {
-            instances: instances.iter().map(|instance| SmolStr::new(instance)).collect(),
+            instances: instances
+                .iter()
+                .map(SmolStr::new)
+                .collect(),
             duration_ms: 20_000,
             max_down,
             ..Wave::default()
@@ -432,8 +451,9 @@
         self.commits = held;
     }
 
-    pub fn answer_maintenance(&mut self, instance: &SmolStr, answer: InstanceAnswer) {
-        self.leader.take_maintenance_answer(1, instance, answer, &self.state);
+    pub(crate) fn answer_maintenance(&mut self, instance: &SmolStr, answer: InstanceAnswer) {
+        self.leader
+            .take_maintenance_answer(1, instance, answer, &self.state);
         self.settle();
     }
 }
@@ -441,7 +461,7 @@
 fn configuration() -> Configuration {
     let pool = |name: &str, standby| Pool {
         name: name.into(),
-        enforces_capacity: true,
+        refuses_overload: true,
         standby,
     };
     Configuration {
--- /dev/null
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -0,0 +1,176 @@
+//! Decisions as pure functions.
+
+use jasminefall_jobs::job::{JobSpec, Resources, StepSpec};
+use jasminefall_jobs::policy::admission::{Admission, Asked, PoolLoad, admit};
+use jasminefall_jobs::policy::durations::{Durations, StepKind};
+use jasminefall_jobs::policy::health::Health;
+use jasminefall_jobs::policy::order::longest_chain_ms;
+use jasminefall_jobs::policy::pace::next_percent;
+use jasminefall_jobs::policy::placement::{Candidate, choose};
+use jasminefall_jobs::policy::pools::{PoolDemand, divide};
+use jasminefall_jobs::prelude::QueueKey;
+
+const fn load(backlog_core_ms: u64) -> PoolLoad {
+    PoolLoad {
+        capacity_cpu_millis: 100_000,
+        free_cpu_millis: 0,
+        reserve_cpu_millis: 0,
+        reserve_after_ms: 1_500,
+        backlog_core_ms,
+    }
+}
+
+const ASKED: Asked = Asked {
+    work_core_ms: 8_000,
+    first_cpu_millis: 4_000,
+    slack_ms: 1_000,
+};
+
+#[test]
+fn a_job_is_refused_only_when_it_would_be_late() {
+    assert_eq!(admit(&load(90_000), &ASKED), Admission::Accept);
+    let refused = admit(&load(450_000), &ASKED);
+    assert_eq!(refused, Admission::ComeBack { after_ms: 3_500 });
+}
+
+#[test]
+fn room_that_is_free_or_can_be_lent_counts() {
+    let free = PoolLoad {
+        free_cpu_millis: 4_000,
+        ..load(450_000)
+    };
+    assert_eq!(admit(&free, &ASKED), Admission::Accept);
+    let lent = PoolLoad {
+        reserve_cpu_millis: 1_000_000_000,
+        reserve_after_ms: 1_000,
+        ..load(450_000)
+    };
+    assert_eq!(admit(&lent, &ASKED), Admission::Accept);
+}
+
+#[test]
+fn durations_are_learnt_also_where_estimates_tell_nothing() {
+    let step = StepSpec::default();
+    let kind = StepKind::new(&QueueKey::default(), &step);
+    let mut durations = Durations::default();
+    assert_eq!(durations.expect_ms(&kind, 500), 500);
+    for round in 0..400 {
+        durations.note(&kind, 100 + 1_800 * (round % 2), 1_000);
+    }
+    let expected = durations.expect_ms(&kind, 100);
+    assert!((950..=1_050).contains(&expected), "{expected}");
+}
+
+#[test]
+fn durations_follow_estimates_that_tell() {
+    let kind = StepKind::new(&QueueKey::default(), &StepSpec::default());
+    let mut durations = Durations::default();
+    for round in 0..400 {
+        let estimated = 500 + 1_000 * (round % 2);
+        durations.note(&kind, estimated, estimated);
+    }
+    let expected = durations.expect_ms(&kind, 1_500);
+    assert!((1_450..=1_550).contains(&expected), "{expected}");
+}
+
+#[test]
+fn a_worker_that_fails_what_it_is_given_is_set_aside_and_tried_again() {
+    let mut health = Health::default();
+    assert!(!health.note_failure(0));
+    assert!(!health.note_failure(0));
+    assert!(health.note_failure(0));
+    assert!(health.is_aside(1_999));
+    assert!(!health.is_aside(2_000));
+    assert!(health.note_failure(2_000), "one more failure is enough");
+    health.note_done();
+    assert!(!health.note_failure(9_000));
+}
+
+#[test]
+fn the_longest_chain_follows_what_waits() {
+    let step = |estimated_ms, after: &[u16]| StepSpec {
+        estimated_ms,
+        after: after.to_vec(),
+        ..StepSpec::default()
+    };
+    let spec = JobSpec {
+        steps: vec![
+            step(100, &[]),
+            step(300, &[]),
+            step(50, &[0, 1]),
+            step(10, &[0]),
+        ],
+        ..JobSpec::default()
+    };
+    assert_eq!(longest_chain_ms(&spec, |step| step.estimated_ms), 350);
+}
+
+#[test]
+fn a_tail_over_its_target_halves_the_pace_and_room_gives_it_back() {
+    assert_eq!(next_percent(100, 120), 50);
+    assert_eq!(next_percent(12, 120), 0);
+    assert_eq!(next_percent(50, 80), 50);
+    assert_eq!(next_percent(0, 10), 15);
+    assert_eq!(next_percent(95, 10), 100);
+}
+
+const fn candidate(cpu_millis: u64) -> Candidate {
+    Candidate {
+        free: Resources {
+            cpu_millis,
+            memory_mb: 1_000,
+            gpus: 0,
+        },
+        near: true,
+        recent_failures: 0,
+        is_pinned: false,
+    }
+}
+
+#[test]
+fn tasks_go_where_the_least_room_is_left() {
+    let needs = Resources {
+        cpu_millis: 1_000,
+        ..Resources::default()
+    };
+    let candidates = [candidate(16_000), candidate(2_000), candidate(900)];
+    assert_eq!(choose(&candidates, &needs), Some(1));
+    let far = Candidate {
+        near: false,
+        ..candidate(1_000)
+    };
+    assert_eq!(choose(&[far, candidate(9_000)], &needs), Some(1));
+    let failing = Candidate {
+        recent_failures: 2,
+        ..candidate(1_000)
+    };
+    assert_eq!(choose(&[failing, candidate(9_000)], &needs), Some(1));
+    assert_eq!(choose(&[candidate(10)], &needs), None);
+}
+
+#[test]
+fn a_pool_is_sized_by_what_is_there_or_what_arrives() {
+    let demand = PoolDemand {
+        instances: 4,
+        pinned: 2,
+        instance_cpu_millis: 16_000,
+        lasting_cpu_millis: 10_000,
+        ready_cpu_millis: 60_000,
+        arriving_cpu_millis: 200_000,
+    };
+    assert_eq!(demand.needed(), 16);
+    let idle = PoolDemand {
+        ready_cpu_millis: 0,
+        arriving_cpu_millis: 0,
+        ..demand
+    };
+    assert_eq!(idle.needed(), 2, "tasks that last hold their instances");
+}
+
+#[test]
+fn too_few_instances_are_divided_by_what_is_lacking() {
+    assert_eq!(divide(&[10, 2, 4], 20), [10, 2, 4]);
+    let given = divide(&[30, 10, 0], 20);
+    assert_eq!(given.iter().sum::<usize>(), 20);
+    assert_eq!(given[0], 15);
+}
--- a/crates/jasminefall-replica/tests/promises.rs
+++ b/crates/jasminefall-replica/tests/promises.rs
@@ -303,5 +303,8 @@
         }
     }
     assert!(sent >= MISSING, "what is missing is sent");
-    assert!(sent <= 2 * MISSING, "{sent} entries for {MISSING} missing ones");
+    assert!(
+        sent <= 2 * MISSING,
+        "{sent} entries for {MISSING} missing ones"
+    );
 }
--- a/crates/jasminefall-runtime/src/logging.rs
+++ b/crates/jasminefall-runtime/src/logging.rs
@@ -64,7 +64,10 @@
     }
     let target = Target::Pipe(Box::new(queue));
     // A second start in one process, as in tests, keeps the first logger.
-    let _ = Builder::from_env(env).format(format).target(target).try_init();
+    let _ = Builder::from_env(env)
+        .format(format)
+        .target(target)
+        .try_init();
 }
 
 /// Writes lines as they come, those that gather meanwhile together.
@@ -77,7 +80,10 @@
         }
         let lost = lost.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let note = format!("time_ms={} level=warn event=log_lines_lost count={lost}\n", wall_ms());
+            let note = format!(
+                "time_ms={} level=warn event=log_lines_lost count={lost}\n",
+                wall_ms()
+            );
             text.extend_from_slice(note.as_bytes());
         }
         // Nothing can be said about a failure to write here; the next lines may get through.
--- a/crates/jasminefall-wire/src/peers.rs
+++ b/crates/jasminefall-wire/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -44,17 +45,21 @@
     /// Queues a message; the algorithm sends again whatever is dropped here.
     pub fn send(&self, message: Message) {
         let mut senders = self.senders.borrow_mut();
-        if !senders.contains_key(&message.to) {
-            let Some(address) = (self.address_of)(message.to) else {
-                return;
-            };
-            let (sender, receiver) = channel(QUEUE_LENGTH);
-            spawn_local(send_all(ControlLink::new(address, self.key.clone()), receiver));
-            senders.insert(message.to, sender);
-        }
-        if let Some(sender) = senders.get(&message.to) {
-            let _ = sender.try_send(message);
-        }
+        let sender = match senders.entry(message.to) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(unknown) => {
+                let Some(address) = (self.address_of)(message.to) else {
+                    return;
+                };
+                let (sender, receiver) = channel(QUEUE_LENGTH);
+                spawn_local(send_all(
+                    ControlLink::new(address, self.key.clone()),
+                    receiver,
+                ));
+                unknown.insert(sender)
+            }
+        };
+        let _ = sender.try_send(message);
     }
 }
 
--- a/crates/jasminefall-wire/src/server.rs
+++ b/crates/jasminefall-wire/src/server.rs
@@ -30,6 +30,9 @@
 /// A future that stays on its thread.
 pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
 
+/// Holds the encoded answer to a forwarded call.
+pub type ForwardAnswer = Result<Vec<u8>, capnp::Error>;
+
 /// Carries out the calls that a control replica accepts.
 pub struct ControlService {
     /// Takes messages of the consensus algorithm.
@@ -39,7 +42,7 @@
     /// Renews the lease of an entry.
     pub renew: Box<dyn Fn(RenewRequest) -> LocalFuture<RenewAnswer>>,
     /// Answers a call that another process has forwarded.
-    pub forward: Box<dyn Fn(Vec<u8>) -> LocalFuture<Result<Vec<u8>, capnp::Error>>>,
+    pub forward: Box<dyn Fn(Vec<u8>) -> LocalFuture<ForwardAnswer>>,
 }
 
 impl control_node::Server for ControlService {
