--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -190,7 +190,7 @@
     /// Returns whether this instance leads for certain and has taken up its work.
     pub(super) fn leads(&self) -> bool {
         let inner = self.inner.borrow();
-        inner.leader.is_some() && inner.is_fresh()
+        inner.leader.is_some() && inner.holds_lease()
     }
 
     /// Returns where the leader that this instance follows is reached.
@@ -243,8 +243,9 @@
 
     /// Looks at the state where it is fresh.
     pub(super) fn read_fresh<T>(&self, look: impl FnOnce(&JobsState) -> T) -> Option<T> {
-        let inner = self.inner.borrow();
-        (inner.leader.is_some() && inner.is_fresh()).then(|| look(&inner.state))
+        let mut inner = self.inner.borrow_mut();
+        let is_fresh = inner.refresh(self) && inner.leader.is_some();
+        is_fresh.then(|| look(&inner.state))
     }
 
     /// Answers from the state where it is fresh.
@@ -260,7 +261,7 @@
     /// Gives the leader an input and carries out what follows, where this instance leads.
     pub(super) fn turn<T>(&self, input: impl FnOnce(&mut Leader, &JobsState) -> T) -> Option<T> {
         let mut inner = self.inner.borrow_mut();
-        if !inner.is_fresh() {
+        if !inner.refresh(self) {
             return None;
         }
         let now = now();
@@ -292,7 +293,7 @@
         let (sender, receiver) = oneshot::channel();
         {
             let mut inner = self.inner.borrow_mut();
-            if !inner.is_fresh() || inner.waiting.len() >= MAX_WAITING {
+            if !inner.refresh(self) || inner.waiting.len() >= MAX_WAITING {
                 return Err(ProposeError::NotLeader);
             }
             inner.propose(&command, Some(sender))?;
@@ -338,7 +339,7 @@
             inner.repair();
         }
         inner.outdated = inner.replica.is_outdated();
-        if inner.is_fresh() {
+        if inner.refresh(self) {
             let Inner { leader, state, .. } = &mut *inner;
             if let Some(leader) = leader {
                 leader.set_now(now());
@@ -393,9 +394,19 @@
 
 impl Inner {
     /// Returns whether no other replica can have been elected.
-    fn is_fresh(&self) -> bool {
-        let index = self.replica.read_index(monotonic_ms());
-        index.is_ok_and(|index| index <= self.applied)
+    fn holds_lease(&self) -> bool {
+        self.replica.read_index(monotonic_ms()).is_ok()
+    }
+
+    /// Applies what is committed and waits to be applied; returns whether the state is fresh then.
+    fn refresh(&mut self, node: &Node) -> bool {
+        let Ok(index) = self.replica.read_index(monotonic_ms()) else {
+            return false;
+        };
+        if index > self.applied {
+            self.pump(node);
+        }
+        index <= self.applied
     }
 
     fn propose(
@@ -641,7 +652,7 @@
 
     /// Starts what has found room meanwhile, unless another replica may have been elected.
     fn place(&mut self, node: &Node) {
-        if self.is_fresh()
+        if self.holds_lease()
             && let Some(leader) = &mut self.leader
         {
             leader.set_now(now());
@@ -658,7 +669,7 @@
 
     /// Carries out what the leader decided, unless another one may have been elected.
     fn settle_only(&mut self, node: &Node) {
-        if !self.is_fresh() {
+        if !self.holds_lease() {
             return;
         }
         let Some(leader) = &mut self.leader else {
--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -15,7 +15,7 @@
 /// The pause after every known control instance has been asked in vain; an election takes a second.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 /// How long one instance may take to answer; a commit on slow disks takes a few hundred milliseconds.
-const TRY_TIMEOUT: Duration = Duration::from_millis(1_200);
+const TRY_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Says why a call was not answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -438,10 +438,7 @@
 
     pub(crate) fn start_wave_of(&mut self, instances: &[&str], max_down: u32) {
         let plan = Wave {
-            instances: instances
-                .iter()
-                .map(SmolStr::new)
-                .collect(),
+            instances: instances.iter().map(SmolStr::new).collect(),
             duration_ms: 20_000,
             max_down,
             ..Wave::default()
