--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -67,6 +67,12 @@
         self.moves.contains_key(instance)
     }
 
+    /// Returns whether an instance is to be moved, or may be at any moment.
+    pub(crate) fn awaits(&self, instance: &str) -> bool {
+        let planned = self.moves.get(instance);
+        planned.is_some_and(|planned| !matches!(planned.phase, Phase::UnderWay { .. }))
+    }
+
     /// Notes work that a client has asked for, accepted or not.
     pub(crate) fn note_arrival(&mut self, pool: &SmolStr, work_core_ms: u64) {
         self.arrivals
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -50,6 +50,16 @@
         self.busy.contains(instance)
     }
 
+    /// Returns whether an instance is to be sent into maintenance, or may be at any moment.
+    pub(crate) fn awaits(&self, instance: &str) -> bool {
+        let is_down = |phase: &Phase| matches!(phase, Phase::Down { .. });
+        let mut phases = self
+            .phases
+            .iter()
+            .filter(|((_, known), _)| known == instance);
+        self.busy.contains(instance) && phases.any(|(_, phase)| !is_down(phase))
+    }
+
     /// Forgets an instance that is gone.
     pub(crate) fn forget(&mut self, wave: u64, instance: &SmolStr) {
         self.phases.remove(&(wave, instance.clone()));
@@ -168,8 +178,9 @@
                     self.order_maintenance(key);
                 }
             }
+            // The instance may have come up meanwhile, and its worker been given tasks.
             Phase::Ordered { at_ms } if now_ms >= at_ms + ORDER_REPEAT_MS => {
-                self.order_maintenance(key);
+                self.upkeep.set(key, Phase::Emptying { since_ms: now_ms });
             }
             Phase::Ordered { .. } | Phase::Down { .. } => {}
         }
@@ -187,9 +198,10 @@
 
     /// Empties a worker; returns whether nothing runs on it any more.
     pub(super) fn empty_worker(&mut self, handle: WorkerHandle, patient: bool) -> bool {
-        let Some(worker) = self.workers.get(&handle) else {
+        let Some(worker) = self.workers.get_mut(&handle) else {
             return true;
         };
+        worker.emptying = true;
         let runs: Vec<_> = worker
             .runs
             .iter()
@@ -277,6 +289,10 @@
             }
             InstanceAnswer::Impossible => {
                 self.upkeep.forget(key.0, &key.1);
+                let handle = self.worker_on(instance);
+                if let Some(worker) = handle.and_then(|handle| self.workers.get_mut(&handle)) {
+                    worker.emptying = false;
+                }
                 self.propose(Command::NoteMaintained {
                     wave,
                     instance: instance.clone(),
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -140,6 +140,9 @@
             .or_default()
             .insert(handle);
         let now_ms = self.now.steady_ms;
+        let leaves = heartbeat.instance.as_ref().is_some_and(|instance| {
+            self.upkeep.awaits(instance) || self.pool_plans.awaits(instance)
+        });
         let worker = Worker {
             // The clock of a life that only an earlier leader heard is not known yet.
             clock: (if registered { 0 } else { heartbeat.clock_ms }, now_ms),
@@ -159,7 +162,7 @@
             doubtful: false,
             full_until_ms: 0,
             health: Health::default(),
-            emptying: false,
+            emptying: leaves,
         };
         self.workers.insert(handle, worker);
         handle
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -215,6 +215,34 @@
     assert_eq!(site.take_maintenance(), ["m-idle"]);
 }
 
+/// An instance that was busy when it was ordered away may carry a worker by the next order.
+#[test]
+fn an_instance_that_came_up_meanwhile_is_emptied_before_it_is_ordered_away_again() {
+    let mut site = Site::new(0);
+    let coming = ListedInstance {
+        instance: "m-0".into(),
+        pool: site::POOL.into(),
+        worker: None,
+        up: true,
+    };
+    site.list(&[coming]);
+    site.start_wave(&["m-0"]);
+    site.pass(300);
+    assert_eq!(site.take_maintenance(), ["m-0"]);
+    site.answer_maintenance(&"m-0".into(), InstanceAnswer::Busy);
+    site.join();
+    site.submit(1, lasting(1));
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    site.pass(1_000);
+    let ordered = site.take_maintenance();
+    assert!(
+        starts.is_empty() || ordered.is_empty(),
+        "{starts:?} {ordered:?}"
+    );
+    assert_eq!(ordered, ["m-0"], "an empty worker does not hold it up");
+}
+
 #[test]
 fn a_step_never_misses_more_than_it_may_for_a_wave() {
     let mut site = Site::new(4);
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -378,6 +378,14 @@
         self.settle();
     }
 
+    /// Lets one more worker join and be read.
+    pub(crate) fn join(&mut self) {
+        let name = format_smolstr!("i-{}", self.workers.len());
+        self.workers.insert(name, ModelledWorker::default());
+        self.beat();
+        self.answer_looks();
+    }
+
     /// Lets the worker that got a start fall silent.
     pub(crate) fn silence(&mut self, order: &StartOrder) {
         let name = self.names[&order.worker].clone();
