test: read logs from standard output, and wait for the lines that a check is about

Ruled out: the product (the entries were ready and served the right versions). Change: the site keeps both streams; each check waits for the line it is about, then asserts what it asserted before; the check for secrets waits for every refusal, so that it still reads the whole log.

--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -398,9 +398,9 @@
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null());
+            .stdout(log.try_clone().expect("the log file"))
+            .stderr(log);
         command
-            .stderr(log)
             .spawn()
             .expect("the program starts; run `cargo build --workspace` first")
     }
--- a/crates/jasminefall-testing/tests/config_in_force.rs
+++ b/crates/jasminefall-testing/tests/config_in_force.rs
@@ -39,6 +39,14 @@
         .collect()
 }
 
+/// Waits until an entry's log says that it took a version last; lines are written with a delay.
+async fn wait_for_taken(site: &Site, entry: usize, version: u64) {
+    wait_for("the log says what was taken", || async {
+        taken(site, entry).last() == Some(&version)
+    })
+    .await;
+}
+
 /// Puts a proxy between an entry and each control replica.
 async fn put_proxies(site: &Site, entry: usize, controls: usize) -> Vec<Proxy> {
     let mut proxies = Vec::new();
@@ -71,6 +79,7 @@
     proxies.iter().for_each(|proxy| proxy.faults.silence(false));
     wait_for("the entry is back", || is_ready(site.callers(0))).await;
     assert!(!is_served(site.callers(0), "old").await);
+    wait_for_taken(&site, 0, 2).await;
     assert_eq!(taken(&site, 0), [1, 2]);
 }
 
@@ -109,10 +118,12 @@
     (0..3).for_each(|position| site.start_control(position));
     for entry in 0..2 {
         wait_for("the entry is ready", || is_ready(site.callers(entry))).await;
+        wait_for_taken(&site, entry, 3).await;
         assert_eq!(taken(&site, entry).last(), Some(&3));
     }
     site.apply(3, &text(&site, "s3"));
     for entry in 0..2 {
+        wait_for_taken(&site, entry, 4).await;
         let versions = taken(&site, entry);
         assert!(versions.is_sorted(), "{versions:?}");
         assert_eq!(versions.last(), Some(&4));
--- a/crates/jasminefall-testing/tests/config_operators.rs
+++ b/crates/jasminefall-testing/tests/config_operators.rs
@@ -159,6 +159,14 @@
         let answer = request.send_body("").await.unwrap();
         assert_eq!(answer.status(), expected, "{method} {path} with {token:?}");
     }
+    // Lines are written with a delay: all refusals are waited for, so that the whole log is read.
+    let refusals = cases.iter().filter(|case| matches!(case.3, 401 | 403));
+    let refusals = refusals.count();
+    wait_for("every refusal is logged", || async {
+        let log = site.control_log(0);
+        log.matches("event=operator_refused").count() >= refusals
+    })
+    .await;
     let log = site.control_log(0);
     assert!(log.contains("event=operator_refused"));
     for secret in [
