feat(jobs): forecast rises of queues, count memory, and lend idle instances directly

Cause: most late work fell into the first seconds of a rise. Ruled out: too few instances (never more than two thirds at work), the rate limit of the cloud calls. Change: Rises recognises a rise by its first jobs, takes it to become as high as those before it, and expects the next when the one before has lasted as long as they do; pools and admission count memory; idle instances go straight to a pool that lacks them; an instance leaves for the standby pool only after the time in which idling costs as much as two moves. event=pool_sized tells each second what pools are sized by.

--- a/crates/jasminefall-jobs/src/job.rs
+++ b/crates/jasminefall-jobs/src/job.rs
@@ -101,6 +101,26 @@
         }
     }
 
+    /// Returns this many times over.
+    #[must_use]
+    pub const fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis * count,
+            memory_mb: self.memory_mb * count,
+            gpus: self.gpus * count,
+        }
+    }
+
+    /// Returns the larger of both, each by itself.
+    #[must_use]
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     /// Returns what is left after `other` is taken away; nothing where there is less.
     #[must_use]
     pub const fn minus(&self, other: &Self) -> Self {
@@ -112,6 +132,46 @@
     }
 }
 
+/// Describes room taken up for some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Work {
+    /// Cores times milliseconds.
+    pub core_ms: u64,
+    /// Megabytes of memory times seconds.
+    pub memory_mb_s: u64,
+}
+
+impl Work {
+    /// Creates the work of taking something up for a time.
+    #[must_use]
+    pub const fn new(taken: &Resources, for_ms: u64) -> Self {
+        Self {
+            core_ms: taken.cpu_millis * for_ms / 1_000,
+            memory_mb_s: taken.memory_mb * for_ms / 1_000,
+        }
+    }
+
+    /// Returns the sum of both.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            core_ms: self.core_ms + other.core_ms,
+            memory_mb_s: self.memory_mb_s + other.memory_mb_s,
+        }
+    }
+
+    /// Returns what is taken up on average if the work arrives within a time.
+    #[must_use]
+    pub const fn rate(&self, within_ms: u64) -> Resources {
+        let within_ms = if within_ms == 0 { 1 } else { within_ms };
+        Resources {
+            cpu_millis: self.core_ms * 1_000 / within_ms,
+            memory_mb: self.memory_mb_s * 1_000 / within_ms,
+            gpus: 0,
+        }
+    }
+}
+
 impl StepSpec {
     /// Returns what a task of the step counts against a worker's capacity.
     ///
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -5,7 +5,7 @@
 use super::Leader;
 use crate::configuration::Queue;
 use crate::ids::{JobKey, QueueKey};
-use crate::job::{JobSpec, StepSpec};
+use crate::job::{JobSpec, Resources, StepSpec, Work};
 use crate::policy::admission::{self, Admission, Asked, PoolLoad};
 use crate::policy::durations::StepKind;
 use crate::policy::order;
@@ -52,8 +52,7 @@
         }
         let (load, asked) = (self.pool_load(&queue.pool, state), self.asked(queue, spec));
         if !spec.is_long_running() {
-            self.pool_plans
-                .note_arrival(&queue.pool, asked.work_core_ms);
+            self.pool_plans.note_arrival(&queue.pool, &asked.work);
         }
         let admission = if spec.schedule.is_some() || spec.is_long_running() {
             Admission::Accept
@@ -67,9 +66,9 @@
                     "event=job_admitted job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
                      work_core_ms={} slack_ms={}",
                     queue.name,
-                    load.backlog_core_ms,
-                    load.capacity_cpu_millis,
-                    asked.work_core_ms,
+                    load.backlog.core_ms,
+                    load.capacity.cpu_millis,
+                    asked.work.core_ms,
                     asked.slack_ms
                 ));
                 SubmitDecision::Propose
@@ -80,10 +79,10 @@
                     "event=job_refused job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
                      free_cpu_millis={} reserve_cpu_millis={} slack_ms={} come_back_ms={after_ms}",
                     queue.name,
-                    load.backlog_core_ms,
-                    load.capacity_cpu_millis,
-                    load.free_cpu_millis,
-                    load.reserve_cpu_millis,
+                    load.backlog.core_ms,
+                    load.capacity.cpu_millis,
+                    load.free.cpu_millis,
+                    load.reserve.cpu_millis,
                     asked.slack_ms
                 ));
                 SubmitDecision::ComeBack { after_ms }
@@ -97,16 +96,17 @@
             let kind = StepKind::new(&queue.key, step);
             self.durations.expect_ms(&kind, step.estimated_ms)
         };
-        let work = spec.steps.iter().map(|step| {
-            u64::from(step.tasks) * step.counted().cpu_millis * expect_ms(step) / 1_000
-        });
+        let all = |step: &StepSpec| step.counted().times(u64::from(step.tasks));
+        let work = spec
+            .steps
+            .iter()
+            .map(|step| Work::new(&all(step), expect_ms(step)));
         let first = spec.steps.iter().filter(|step| step.after.is_empty());
-        let first = first.map(|step| u64::from(step.tasks) * step.counted().cpu_millis);
         let chain_ms = order::longest_chain_ms(spec, expect_ms);
         let stretched_ms = chain_ms.saturating_mul(queue.stretch_millis) / 1_000;
         Asked {
-            work_core_ms: work.sum(),
-            first_cpu_millis: first.sum(),
+            work: work.fold(Work::default(), |sum, work| sum.plus(&work)),
+            first: first.fold(Resources::default(), |sum, step| sum.plus(&all(step))),
             slack_ms: (stretched_ms + queue.latency_target_ms).saturating_sub(chain_ms),
         }
     }
@@ -114,13 +114,13 @@
     /// Returns what a pool holds and what has been accepted for it.
     fn pool_load(&self, pool: &SmolStr, state: &JobsState) -> PoolLoad {
         let mut load = PoolLoad::default();
-        let mut instance_cpu_millis = 0;
+        let mut instance = Resources::default();
         for handle in self.by_pool.get(pool).into_iter().flatten() {
             let Some(worker) = self.workers.get(handle) else {
                 continue;
             };
-            let capacity = worker.heartbeat.capacity.cpu_millis;
-            instance_cpu_millis = instance_cpu_millis.max(capacity);
+            let capacity = worker.heartbeat.capacity;
+            instance = instance.most(&capacity);
             if worker.heartbeat.draining || worker.doubtful {
                 continue;
             }
@@ -128,42 +128,42 @@
                 .runs
                 .keys()
                 .filter(|_| worker.lasting_runs > 0)
-                .filter_map(|task| {
-                    let step = self.steps.get(&task.step_id())?;
-                    step.step()
-                        .long_running
-                        .then(|| step.step().counted().cpu_millis)
+                .filter_map(|task| self.steps.get(&task.step_id()))
+                .filter(|step| step.step().long_running)
+                .fold(Resources::default(), |sum, step| {
+                    sum.plus(&step.step().counted())
                 });
-            load.capacity_cpu_millis += capacity.saturating_sub(lasting.sum());
+            load.capacity = load.capacity.plus(&capacity.minus(&lasting));
             if !worker.emptying {
-                load.free_cpu_millis += worker.free().cpu_millis;
+                load.free = load.free.plus(&worker.free());
             }
         }
-        load.capacity_cpu_millis += self.pool_plans.coming(pool) as u64 * instance_cpu_millis;
-        load.reserve_cpu_millis = self.standby_instances(state) as u64 * instance_cpu_millis;
+        let coming = instance.times(self.pool_plans.coming(pool) as u64);
+        load.capacity = load.capacity.plus(&coming);
+        load.reserve = instance.times(self.standby_instances(state) as u64);
         load.reserve_after_ms = self.settings.move_ms;
-        let mut waiting_cpu_millis = 0;
+        let mut waiting_now = Resources::default();
         for (id, step) in self.steps.iter().filter(|(_, step)| step.pool == *pool) {
             let spec = step.step();
             if spec.long_running {
                 continue;
             }
-            let cpu_millis = spec.counted().cpu_millis;
             let waiting = step.waiting.len() as u64;
             if step.open && step.due_ms <= self.now.wall_ms {
-                waiting_cpu_millis += waiting * cpu_millis;
+                waiting_now = waiting_now.plus(&spec.counted().times(waiting));
             }
             let left = u64::from(spec.tasks.saturating_sub(step.done_count));
             let running = left.saturating_sub(waiting);
             let each_ms = self.durations.expect_ms(&step.kind, spec.estimated_ms);
             // A task that runs is half done on average.
-            load.backlog_core_ms += (waiting * 2 + running) * each_ms * cpu_millis / 2_000;
+            let halves = spec.counted().times(waiting * 2 + running);
+            load.backlog = load.backlog.plus(&Work::new(&halves, each_ms / 2));
             debug_assert!(
                 id.step as usize == step.position,
                 "steps are kept under their numbers"
             );
         }
-        load.free_cpu_millis = load.free_cpu_millis.saturating_sub(waiting_cpu_millis);
+        load.free = load.free.minus(&waiting_now);
         load
     }
 
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -6,7 +6,9 @@
 
 use super::fleet::InstanceAnswer;
 use super::{Effect, Leader, WorkerHandle};
+use crate::job::{Resources, Work};
 use crate::policy::pools::{PoolDemand, divide};
+use crate::policy::rises::{Rises, Turn};
 use crate::state::JobsState;
 
 /// How often pools are compared, in milliseconds; a tenth of what a move takes.
@@ -14,11 +16,21 @@
 /// How long a leader waits before its first order to an instance, in milliseconds: an earlier leader
 /// may have ordered just before, and two holders must not take turns within their lease.
 const FIRST_ORDER_AFTER_MS: u64 = 3_500;
-/// How long an instance may stay idle before it leaves its pool, in milliseconds; at the price of an
-/// instance this costs less than the two moves that it saves if it is needed again.
-const IDLE_BEFORE_LEAVING_MS: u64 = 800;
-/// The weight of the newest interval in the rate at which work arrives.
-const NEWEST_WEIGHT_PERCENT: u64 = 25;
+/// How long an instance stays idle before it may go to another pool that lacks it, in milliseconds;
+/// jobs come in bunches, and a move back takes longer than the next bunch.
+const IDLE_BEFORE_LENDING_MS: u64 = 800;
+/// The weight of the newest interval in the rate at which work arrives; averages over a second and a
+/// half, since jobs differ much in size. The first seconds of a rise are forecast instead.
+const NEWEST_WEIGHT_PERCENT: u64 = 10;
+/// How long before a rise is expected its pool is made ready, in milliseconds beyond what a move
+/// takes; an instance on its way may first have to end what it runs.
+const READY_BEFORE_MS: u64 = 500;
+/// How long an instance may idle at the price of the two moves that bring it back, in milliseconds,
+/// which is how long it stays before it goes to the standby pool; from the prices of the sites,
+/// where a move with its call costs as much as 1.35 s in a pool.
+const IDLE_WORTH_MOVES_MS: u64 = 2_700;
+/// How often the sizes of the pools are logged, in milliseconds.
+const LOG_INTERVAL_MS: u64 = 1_000;
 /// How long an order without an answer is taken as under way, in milliseconds.
 const ORDER_PATIENCE_MS: u64 = 4_000;
 /// How long an instance is given to end what runs on it, in milliseconds.
@@ -47,8 +59,9 @@
 /// Follows how much work arrives for a pool.
 #[derive(Debug, Clone, Copy, Default)]
 struct Arrivals {
-    since_last_core_ms: u64,
-    rate_cpu_millis: u64,
+    jobs: u32,
+    since_last: Work,
+    rate: Resources,
 }
 
 /// Holds the moves that are under way, and what they are decided by.
@@ -57,8 +70,10 @@
     moves: BTreeMap<SmolStr, Move>,
     arrivals: BTreeMap<SmolStr, Arrivals>,
     needed_lately: BTreeMap<SmolStr, Vec<(u64, usize)>>,
+    rises: Rises,
     forbidden: BTreeMap<(SmolStr, SmolStr), u64>,
     planned_at_ms: u64,
+    logged_at_ms: u64,
 }
 
 impl PoolPlans {
@@ -74,11 +89,10 @@
     }
 
     /// Notes work that a client has asked for, accepted or not.
-    pub(crate) fn note_arrival(&mut self, pool: &SmolStr, work_core_ms: u64) {
-        self.arrivals
-            .entry(pool.clone())
-            .or_default()
-            .since_last_core_ms += work_core_ms;
+    pub(crate) fn note_arrival(&mut self, pool: &SmolStr, work: &Work) {
+        let arrivals = self.arrivals.entry(pool.clone()).or_default();
+        arrivals.jobs += 1;
+        arrivals.since_last = arrivals.since_last.plus(work);
     }
 
     /// Returns how many instances are on their way to a pool.
@@ -97,12 +111,7 @@
             return;
         }
         self.pool_plans.planned_at_ms = now_ms;
-        for arrivals in self.pool_plans.arrivals.values_mut() {
-            let newest =
-                std::mem::take(&mut arrivals.since_last_core_ms) * 1_000 / passed_ms.max(1);
-            let kept = arrivals.rate_cpu_millis * (100 - NEWEST_WEIGHT_PERCENT);
-            arrivals.rate_cpu_millis = (kept + newest * NEWEST_WEIGHT_PERCENT) / 100;
-        }
+        self.follow_arrivals(passed_ms, state);
         if self.may_order_instances() && self.fleet.is_listed() {
             self.plan_moves(state);
         }
@@ -113,65 +122,187 @@
         self.first_run == 0 || self.now.steady_ms >= self.leads_since_ms + FIRST_ORDER_AFTER_MS
     }
 
+    /// Takes up what has arrived for every pool since the last call.
+    fn follow_arrivals(&mut self, passed_ms: u64, state: &JobsState) {
+        let now_ms = self.now.steady_ms;
+        for pool in self.pools_in_use(state) {
+            let arrivals = self.pool_plans.arrivals.entry(pool.clone()).or_default();
+            let jobs = std::mem::take(&mut arrivals.jobs);
+            let newest = std::mem::take(&mut arrivals.since_last).rate(passed_ms);
+            let weigh = |kept: u64, newest: u64| {
+                (kept * (100 - NEWEST_WEIGHT_PERCENT) + newest * NEWEST_WEIGHT_PERCENT) / 100
+            };
+            arrivals.rate = Resources {
+                cpu_millis: weigh(arrivals.rate.cpu_millis, newest.cpu_millis),
+                memory_mb: weigh(arrivals.rate.memory_mb, newest.memory_mb),
+                gpus: 0,
+            };
+            let rate = arrivals.rate;
+            let demand = self.demand(&pool);
+            let (millis, steady_millis) = (demand.millis_for(&newest), demand.millis_for(&rate));
+            let rises = &mut self.pool_plans.rises;
+            let at = (now_ms, passed_ms);
+            if let Some(turn) = rises.note(at, &pool, (jobs, millis), steady_millis) {
+                let height_millis = rises.height_millis(&pool).unwrap_or(0);
+                let event = match turn {
+                    Turn::Rise => "rise_began",
+                    Turn::Fall => "rise_ended",
+                };
+                self.note(format!(
+                    "event={event} pool={pool} arriving_millis={steady_millis} \
+                     height_millis={height_millis}"
+                ));
+            }
+        }
+    }
+
+    fn pools_in_use(&self, state: &JobsState) -> Vec<SmolStr> {
+        let pools = state.configuration.pools.iter();
+        let in_use = pools.filter(|pool| !pool.standby);
+        in_use.map(|pool| pool.name.clone()).collect()
+    }
+
     fn plan_moves(&mut self, state: &JobsState) {
         let now_ms = self.now.steady_ms;
-        let pools = state
-            .configuration
-            .pools
-            .iter()
-            .filter(|pool| !pool.standby);
-        let pools: Vec<SmolStr> = pools.map(|pool| pool.name.clone()).collect();
+        let pools = self.pools_in_use(state);
         let standby = state.configuration.pools.iter().find(|pool| pool.standby);
         let Some(standby) = standby.map(|pool| pool.name.clone()) else {
             return;
         };
         let demands: Vec<PoolDemand> = pools.iter().map(|pool| self.demand(pool)).collect();
         let mut needed = Vec::with_capacity(pools.len());
+        let mut kept = Vec::with_capacity(pools.len());
         for (pool, demand) in pools.iter().zip(&demands) {
-            let lately = self
-                .pool_plans
-                .needed_lately
-                .entry(pool.clone())
-                .or_default();
-            lately.retain(|(at_ms, _)| now_ms < at_ms + IDLE_BEFORE_LEAVING_MS);
-            lately.push((now_ms, demand.needed()));
-            needed.push(lately.iter().map(|(_, needed)| *needed).max().unwrap_or(0));
+            let (lending, leaving) = self.needed(pool, demand);
+            needed.push(lending);
+            kept.push(leaving);
         }
         let spare = self.instances_in(&standby).len();
         let total = spare + demands.iter().map(|demand| demand.instances).sum::<usize>();
-        let wanted = divide(&needed, total);
-        let lacking =
-            |position: usize| wanted[position].saturating_sub(demands[position].instances);
-        let mut surplus: Vec<(SmolStr, usize)> = Vec::new();
-        for (position, pool) in pools.iter().enumerate() {
-            let over = demands[position].instances.saturating_sub(wanted[position]);
-            surplus.push((pool.clone(), over));
+        let mut wanted = divide(&needed, total);
+        let lead_ms = self.settings.move_ms + READY_BEFORE_MS;
+        let rises = &self.pool_plans.rises;
+        let expected = rises.expected(now_ms, lead_ms, &pools);
+        self.make_ready(&pools, &demands, &expected, total, &mut wanted);
+        if now_ms >= self.pool_plans.logged_at_ms + LOG_INTERVAL_MS {
+            self.pool_plans.logged_at_ms = now_ms;
+            for ((pool, demand), wanted) in pools.iter().zip(&demands).zip(&wanted) {
+                self.log_pool(pool, demand, *wanted, expected.contains(pool));
+            }
         }
-        for (position, pool) in pools.iter().enumerate() {
-            for _ in 0..lacking(position) {
-                if self.move_one(&standby, pool) {
-                    continue;
-                }
-                let giver = surplus
-                    .iter_mut()
-                    .filter(|(from, over)| *over > 0 && from != pool);
-                let Some((from, over)) = giver.max_by_key(|(_, over)| *over) else {
+        let rises = &self.pool_plans.rises;
+        let is_rise_near = !rises
+            .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS, &pools)
+            .is_empty();
+        let over = |position: usize, wanted: usize| -> usize {
+            demands[position].instances.saturating_sub(wanted)
+        };
+        let positions = 0..pools.len();
+        let mut surplus: Vec<usize> = positions.clone().map(|at| over(at, wanted[at])).collect();
+        for position in positions.clone() {
+            let lacks = wanted[position].saturating_sub(demands[position].instances);
+            for _ in 0..lacks {
+                let to = &pools[position];
+                // One move instead of two, where an instance has nothing to do.
+                let idle = self.lend(&pools, &mut surplus, to, true);
+                if !idle
+                    && !self.move_one(&standby, to, false)
+                    && !self.lend(&pools, &mut surplus, to, false)
+                {
                     break;
-                };
-                *over -= 1;
-                let from = from.clone();
-                self.move_one(&from, pool);
+                }
             }
         }
-        for (pool, over) in surplus {
-            for _ in 0..over {
-                if !self.move_one(&pool, &standby) {
+        if is_rise_near {
+            return;
+        }
+        for position in positions {
+            let leaving = over(position, kept[position]).min(surplus[position]);
+            for _ in 0..leaving {
+                if !self.move_one(&pools[position], &standby, false) {
                     break;
                 }
             }
         }
     }
 
+    /// Moves an instance to a pool from the one that has most over; returns whether there was one.
+    fn lend(
+        &mut self,
+        pools: &[SmolStr],
+        surplus: &mut [usize],
+        to: &SmolStr,
+        only_idle: bool,
+    ) -> bool {
+        let mut givers: Vec<usize> = (0..pools.len())
+            .filter(|position| surplus[*position] > 0 && pools[*position] != *to)
+            .collect();
+        givers.sort_by_key(|position| std::cmp::Reverse(surplus[*position]));
+        let lent = givers
+            .into_iter()
+            .find(|position| self.move_one(&pools[*position], to, only_idle));
+        if let Some(position) = lent {
+            surplus[position] -= 1;
+        }
+        lent.is_some()
+    }
+
+    /// Returns how many instances a pool needs for what is there, arrives and is forecast: below
+    /// which it lends none, and below which it sends none to the standby pool.
+    fn needed(&mut self, pool: &SmolStr, demand: &PoolDemand) -> (usize, usize) {
+        let now_ms = self.now.steady_ms;
+        let building_up = self.pool_plans.rises.building_up_millis(now_ms, pool);
+        let forecast = building_up.map_or(0, |millis| demand.with_millis(millis));
+        let lately = self.pool_plans.needed_lately.entry(pool.clone());
+        let lately = lately.or_default();
+        lately.retain(|(at_ms, _)| now_ms < at_ms + IDLE_WORTH_MOVES_MS);
+        lately.push((now_ms, demand.needed().max(forecast)));
+        let most_within = |within_ms: u64| {
+            let within = lately
+                .iter()
+                .filter(|(at_ms, _)| now_ms < at_ms + within_ms);
+            within.map(|(_, needed)| *needed).max().unwrap_or(0)
+        };
+        (
+            most_within(IDLE_BEFORE_LENDING_MS),
+            most_within(IDLE_WORTH_MOVES_MS),
+        )
+    }
+
+    /// Gives what no pool needs to those of which one is expected to rise.
+    fn make_ready(
+        &self,
+        pools: &[SmolStr],
+        demands: &[PoolDemand],
+        expected: &[SmolStr],
+        total: usize,
+        wanted: &mut [usize],
+    ) {
+        let free = total.saturating_sub(wanted.iter().sum());
+        let share = free / expected.len().max(1);
+        for ((pool, demand), wanted) in pools.iter().zip(demands).zip(wanted) {
+            let height_millis = self.pool_plans.rises.height_millis(pool);
+            if let Some(height_millis) = height_millis.filter(|_| expected.contains(pool)) {
+                let lacks = demand.with_millis(height_millis).saturating_sub(*wanted);
+                *wanted += lacks.min(share);
+            }
+        }
+    }
+
+    fn log_pool(&mut self, pool: &SmolStr, demand: &PoolDemand, wanted: usize, expected: bool) {
+        self.note(format!(
+            "event=pool_sized pool={pool} instances={} wanted={wanted} needed={} pinned={} \
+             lasting_millis={} ready_millis={} arriving_millis={} rise_expected={expected} moved={}",
+            demand.instances,
+            demand.needed(),
+            demand.pinned,
+            demand.millis_for(&demand.lasting),
+            demand.millis_for(&demand.ready),
+            demand.millis_for(&demand.arriving),
+            self.counts.moved,
+        ));
+    }
+
     /// Returns the instances of a pool that are up and stay there.
     fn instances_in(&self, pool: &str) -> Vec<SmolStr> {
         let staying = self.fleet.instances.values().filter(|known| {
@@ -202,42 +333,26 @@
                 continue;
             };
             demand.pinned += usize::from(worker.lasting_runs > 0);
-            let capacity = worker.heartbeat.capacity.cpu_millis;
-            demand.instance_cpu_millis = demand.instance_cpu_millis.max(capacity);
+            demand.instance = demand.instance.most(&worker.heartbeat.capacity);
             for task in worker.runs.keys() {
                 let Some(step) = self.steps.get(&task.step_id()) else {
                     continue;
                 };
-                let cpu_millis = step.step().counted().cpu_millis;
-                if step.step().long_running {
-                    demand.lasting_cpu_millis += cpu_millis;
-                } else {
-                    demand.ready_cpu_millis += cpu_millis;
-                }
+                demand.add(step.step(), 1);
             }
         }
         for (_, id) in self.open_steps.get(pool).into_iter().flatten() {
             if let Some(step) = self.steps.get(id) {
-                let waiting = step.waiting.len() as u64 * step.step().counted().cpu_millis;
-                if step.step().long_running {
-                    demand.lasting_cpu_millis += waiting;
-                } else {
-                    demand.ready_cpu_millis += waiting;
-                }
+                demand.add(step.step(), step.waiting.len() as u64);
             }
         }
-        let arrivals = self
-            .pool_plans
-            .arrivals
-            .get(pool)
-            .copied()
-            .unwrap_or_default();
-        demand.arriving_cpu_millis = arrivals.rate_cpu_millis;
+        let arrivals = self.pool_plans.arrivals.get(pool);
+        demand.arriving = arrivals.map(|arrivals| arrivals.rate).unwrap_or_default();
         demand
     }
 
     /// Begins to move one instance; returns whether there was one to move.
-    fn move_one(&mut self, from: &SmolStr, to: &SmolStr) -> bool {
+    fn move_one(&mut self, from: &SmolStr, to: &SmolStr, only_idle: bool) -> bool {
         let now_ms = self.now.steady_ms;
         let pair = (from.clone(), to.clone());
         let forbidden = self.pool_plans.forbidden.get(&pair);
@@ -257,6 +372,9 @@
         let Some((used_cpu_millis, instance, worker)) = ranked.min() else {
             return false;
         };
+        if only_idle && used_cpu_millis > 0 {
+            return false;
+        }
         if let Some(worker) = worker.and_then(|handle| self.workers.get_mut(&handle)) {
             worker.emptying = true;
         }
--- a/crates/jasminefall-jobs/src/policy.rs
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -5,6 +5,7 @@
 //! - [`pace`]: at which share of its speed a task that fills may work
 //! - [`health`]: whether a worker fails what it is given
 //! - [`pools`]: how many instances a pool should have
+//! - [`rises`]: when the work of a pool rises, and to what
 //! - [`placement`]: which worker gets a task
 //! - [`admission`]: which jobs are refused at once, and when their clients may come back
 
@@ -15,3 +16,4 @@
 pub mod pace;
 pub mod placement;
 pub mod pools;
+pub mod rises;
--- a/crates/jasminefall-jobs/src/policy/admission.rs
+++ b/crates/jasminefall-jobs/src/policy/admission.rs
@@ -4,28 +4,30 @@
 //! job that would only wait until it is late is refused while its client can still act on that, and
 //! is told when the work before it will have been done.
 
+use crate::job::{Resources, Work};
+
 /// Describes a pool at the moment at which a job asks for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct PoolLoad {
-    /// What the pool holds for work that ends, in thousandths of a core.
-    pub capacity_cpu_millis: u64,
+    /// What the pool holds for work that ends.
+    pub capacity: Resources,
     /// What is free of that at this moment.
-    pub free_cpu_millis: u64,
+    pub free: Resources,
     /// What instances of other pools could add.
-    pub reserve_cpu_millis: u64,
+    pub reserve: Resources,
     /// How long those take to come, in milliseconds.
     pub reserve_after_ms: u64,
-    /// The work that has been accepted and not done, in core-milliseconds.
-    pub backlog_core_ms: u64,
+    /// The work that has been accepted and not done.
+    pub backlog: Work,
 }
 
 /// Describes a job that asks to be accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asked {
-    /// The work of the job, in core-milliseconds.
-    pub work_core_ms: u64,
-    /// What the tasks take up that can start at once, in thousandths of a core.
-    pub first_cpu_millis: u64,
+    /// The work of the job.
+    pub work: Work,
+    /// What the tasks take up that can start at once.
+    pub first: Resources,
     /// The time beyond its own work that the job can wait and still be in time, in milliseconds.
     pub slack_ms: u64,
 }
@@ -57,9 +59,9 @@
 impl PoolLoad {
     /// Returns how long work that is accepted now waits, with and without what others could add.
     const fn wait_ms(&self) -> u64 {
-        let alone_ms = drain_ms(self.backlog_core_ms, self.capacity_cpu_millis);
-        let more = self.capacity_cpu_millis + self.reserve_cpu_millis;
-        let helped_ms = self.reserve_after_ms + drain_ms(self.backlog_core_ms, more);
+        let alone_ms = drain_ms(&self.backlog, &self.capacity);
+        let more = self.capacity.plus(&self.reserve);
+        let helped_ms = self.reserve_after_ms + drain_ms(&self.backlog, &more);
         if helped_ms < alone_ms {
             helped_ms
         } else {
@@ -68,11 +70,22 @@
     }
 }
 
-/// Returns how long a backlog takes; core-milliseconds over cores are milliseconds.
-const fn drain_ms(backlog_core_ms: u64, capacity_cpu_millis: u64) -> u64 {
-    match capacity_cpu_millis * PACKED_MILLIS / 1_000 {
-        0 => u64::MAX / 2,
-        speed_millis => backlog_core_ms * 1_000 / speed_millis,
+/// Returns how long a backlog takes, by whichever resource takes longest.
+const fn drain_ms(backlog: &Work, capacity: &Resources) -> u64 {
+    let cpu_ms = drain_one_ms(backlog.core_ms, capacity.cpu_millis);
+    let memory_ms = drain_one_ms(backlog.memory_mb_s, capacity.memory_mb);
+    if cpu_ms > memory_ms {
+        cpu_ms
+    } else {
+        memory_ms
+    }
+}
+
+const fn drain_one_ms(backlog: u64, capacity: u64) -> u64 {
+    match (backlog, capacity * PACKED_MILLIS / 1_000) {
+        (0, _) => 0,
+        (_, 0) => u64::MAX / 2,
+        (backlog, speed) => backlog * 1_000 / speed,
     }
 }
 
@@ -82,7 +95,7 @@
     let wait_ms = load.wait_ms();
     let bearable_ms = asked.slack_ms * TOLERANCE_MILLIS / 1_000;
     // What can start at once is never kept waiting by a forecast.
-    if wait_ms <= bearable_ms || load.free_cpu_millis >= asked.first_cpu_millis {
+    if wait_ms <= bearable_ms || load.free.holds(&asked.first) {
         return Admission::Accept;
     }
     let after_ms = wait_ms - bearable_ms;
--- a/crates/jasminefall-jobs/src/policy/pools.rs
+++ b/crates/jasminefall-jobs/src/policy/pools.rs
@@ -4,6 +4,8 @@
 //! seconds, and fall to a twentieth. An instance that works for a few seconds earns many times what
 //! its moves cost; one that idles costs as long as its pool is not a standby pool.
 
+use crate::job::{Resources, StepSpec};
+
 /// Describes a pool at one moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct PoolDemand {
@@ -11,14 +13,14 @@
     pub instances: usize,
     /// The instances that tasks which last must not leave.
     pub pinned: usize,
-    /// What one instance holds, in thousandths of a core.
-    pub instance_cpu_millis: u64,
-    /// What tasks that last take up, in thousandths of a core.
-    pub lasting_cpu_millis: u64,
-    /// What tasks take up that run or could run at once, in thousandths of a core.
-    pub ready_cpu_millis: u64,
-    /// The work that arrives, in thousandths of a core.
-    pub arriving_cpu_millis: u64,
+    /// What one instance holds.
+    pub instance: Resources,
+    /// What tasks that last take up.
+    pub lasting: Resources,
+    /// What tasks take up that run or could run at once.
+    pub ready: Resources,
+    /// The work that arrives, as what it takes up on average.
+    pub arriving: Resources,
 }
 
 /// The part of an instance that work can be packed onto, in thousandths; the rest is lost to odd
@@ -28,16 +30,46 @@
 const FEWEST: usize = 1;
 
 impl PoolDemand {
+    /// Adds tasks of a step that run or could run at once.
+    pub fn add(&mut self, step: &StepSpec, tasks: u64) {
+        let taken = step.counted().times(tasks);
+        if step.long_running {
+            self.lasting = self.lasting.plus(&taken);
+        } else {
+            self.ready = self.ready.plus(&taken);
+        }
+    }
+
+    /// Returns how many instances the pool needs for its tasks that last and for work that keeps so
+    /// many at work, in thousandths.
+    #[must_use]
+    pub fn with_millis(&self, millis: u64) -> usize {
+        let all = self.millis_for(&self.lasting) + millis;
+        usize::try_from(all.div_ceil(1_000)).unwrap_or(usize::MAX)
+    }
+
     /// Returns how many instances the pool needs for what is there and what arrives.
     #[must_use]
     pub fn needed(&self) -> usize {
-        let work = self.ready_cpu_millis.max(self.arriving_cpu_millis);
-        let held = (self.instance_cpu_millis * PACKED_MILLIS / 1_000).max(1);
-        let needed = (work + self.lasting_cpu_millis).div_ceil(held);
-        usize::try_from(needed)
-            .unwrap_or(usize::MAX)
-            .max(self.pinned)
-            .max(FEWEST)
+        let work = self.ready.most(&self.arriving).plus(&self.lasting);
+        self.instances_for(&work).max(self.pinned).max(FEWEST)
+    }
+
+    /// Returns how many instances hold this, by whichever of its resources needs most.
+    #[must_use]
+    pub fn instances_for(&self, taken: &Resources) -> usize {
+        usize::try_from(self.millis_for(taken).div_ceil(1_000)).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the same in thousandths of an instance.
+    #[must_use]
+    pub fn millis_for(&self, taken: &Resources) -> u64 {
+        let hold = |taken: u64, each: u64| match each * PACKED_MILLIS / 1_000 {
+            0 => 0,
+            each => (taken * 1_000).div_ceil(each),
+        };
+        let cpu = hold(taken.cpu_millis, self.instance.cpu_millis);
+        cpu.max(hold(taken.memory_mb, self.instance.memory_mb))
     }
 }
 
--- /dev/null
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -0,0 +1,171 @@
+//! When the work of a pool rises, and to what.
+//!
+//! The load that this answers: queues rise in turn, each for some seconds, to several times what
+//! their pools hold. Instances take longer to come than a rise takes to build up, so that a pool
+//! that only follows what arrives is short for the first seconds of each rise. A rise is therefore
+//! recognised by its first jobs, taken to become as high as those before it, and expected when the
+//! one before it has lasted as long as they do.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use smol_str::SmolStr;
+
+/// Over how long arrivals are averaged to recognise a rise, in milliseconds; long enough for some
+/// jobs, short against the time that instances take to come.
+const WINDOW_MS: u64 = 750;
+/// The fewest jobs in the window that make a rise; one alone is chance.
+const FEWEST_JOBS: u32 = 2;
+/// The part of the expected height above which work counts as risen, in per cent.
+const RISEN_PERCENT: u64 = 30;
+/// The height above which a first rise is recognised, in thousandths of an instance.
+const FIRST_RISE_MILLIS: u64 = 2_000;
+/// How long a rise is taken to become as high as those before it, in milliseconds; after this what
+/// arrives tells more.
+const BUILDS_UP_MS: u64 = 3_000;
+/// The shortest rise, in milliseconds; what ends earlier was chance.
+const SHORTEST_MS: u64 = 2_000;
+
+/// Holds what arrived for a pool in one interval.
+#[derive(Debug, Clone, Copy)]
+struct Interval {
+    at_ms: u64,
+    jobs: u32,
+    /// How many instances would have worked for how long, in thousandths of an instance times
+    /// milliseconds.
+    millis_ms: u64,
+}
+
+/// Follows one pool.
+#[derive(Debug, Clone, Default)]
+struct Track {
+    recent: VecDeque<Interval>,
+    risen_since_ms: Option<u64>,
+    highest_millis: u64,
+}
+
+impl Track {
+    fn average_millis(&self) -> u64 {
+        let sum: u64 = self.recent.iter().map(|known| known.millis_ms).sum();
+        sum / WINDOW_MS
+    }
+}
+
+/// Says what changed for a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// A rise has begun.
+    Rise,
+    /// A rise is over.
+    Fall,
+}
+
+/// Follows the work that arrives for every pool.
+#[derive(Debug, Clone, Default)]
+pub struct Rises {
+    tracks: BTreeMap<SmolStr, Track>,
+    starts: Vec<(u64, SmolStr)>,
+    /// Whether a pool has risen again, so that the order of the others is known.
+    has_repeated: bool,
+}
+
+impl Rises {
+    /// Notes what arrived for a pool within `passed_ms`: how many jobs, and how many instances would
+    /// be kept at work by it, in thousandths.
+    ///
+    /// `steady_millis` is the same averaged over a longer time.
+    pub fn note(
+        &mut self,
+        (now_ms, passed_ms): (u64, u64),
+        pool: &SmolStr,
+        (jobs, millis): (u32, u64),
+        steady_millis: u64,
+    ) -> Option<Turn> {
+        let height_millis = self.height_millis(pool);
+        let track = self.tracks.entry(pool.clone()).or_default();
+        track.recent.push_back(Interval {
+            at_ms: now_ms,
+            jobs,
+            millis_ms: millis * passed_ms.min(WINDOW_MS),
+        });
+        while let Some(oldest) = track.recent.front()
+            && now_ms >= oldest.at_ms + WINDOW_MS
+        {
+            track.recent.pop_front();
+        }
+        let average_millis = track.average_millis();
+        let risen_millis = height_millis.map_or(FIRST_RISE_MILLIS, |height| {
+            (height * RISEN_PERCENT / 100).max(1)
+        });
+        if let Some(since_ms) = track.risen_since_ms {
+            track.highest_millis = track.highest_millis.max(steady_millis);
+            let over_millis = track.highest_millis * RISEN_PERCENT / 100;
+            if steady_millis.max(average_millis) >= over_millis || now_ms < since_ms + SHORTEST_MS {
+                return None;
+            }
+            track.risen_since_ms = None;
+            return Some(Turn::Fall);
+        }
+        let jobs: u32 = track.recent.iter().map(|interval| interval.jobs).sum();
+        if jobs < FEWEST_JOBS || average_millis < risen_millis {
+            return None;
+        }
+        track.risen_since_ms = Some(now_ms);
+        self.has_repeated |= self.starts.iter().any(|(_, known)| known == pool);
+        self.starts.retain(|(_, known)| known != pool);
+        self.starts.push((now_ms, pool.clone()));
+        Some(Turn::Rise)
+    }
+
+    /// Returns how high a rise of a pool is taken to become, in thousandths of an instance.
+    #[must_use]
+    pub fn height_millis(&self, pool: &str) -> Option<u64> {
+        let own = self.tracks.get(pool).map(|track| track.highest_millis);
+        if let Some(own) = own.filter(|own| *own > 0) {
+            return Some(own);
+        }
+        let others = self.tracks.values().map(|track| track.highest_millis);
+        let (count, sum) = others
+            .filter(|highest| *highest > 0)
+            .fold((0, 0), |(count, sum), highest| (count + 1, sum + highest));
+        (count > 0).then(|| sum / count)
+    }
+
+    /// Returns the height that a pool is building up to, where its rise has just begun; what arrives
+    /// already where no rise has been seen before.
+    #[must_use]
+    pub fn building_up_millis(&self, now_ms: u64, pool: &str) -> Option<u64> {
+        let track = self.tracks.get(pool)?;
+        let is_building_up = now_ms < track.risen_since_ms? + BUILDS_UP_MS;
+        let height_millis = self.height_millis(pool).unwrap_or(0);
+        is_building_up.then(|| height_millis.max(track.average_millis()))
+    }
+
+    /// Returns the pools of which one should rise next, if that should happen within `lead_ms`.
+    ///
+    /// Rises follow each other at like distances, and the pool that has waited longest is next;
+    /// where several have not risen yet, it may be any of them. Once all have risen, nothing is
+    /// expected until one of them has risen again.
+    #[must_use]
+    pub fn expected(&self, now_ms: u64, lead_ms: u64, pools: &[SmolStr]) -> Vec<SmolStr> {
+        let distance = |pair: &[(u64, SmolStr)]| pair[1].0 - pair[0].0;
+        let Some(distance_ms) = self.starts.windows(2).map(distance).max() else {
+            return Vec::new();
+        };
+        let last_ms = self.starts.last().map_or(0, |(at_ms, _)| *at_ms);
+        let next_ms = last_ms + distance_ms;
+        if now_ms + lead_ms < next_ms || now_ms >= next_ms + lead_ms {
+            return Vec::new();
+        }
+        let has_risen = |pool: &SmolStr| self.starts.iter().any(|(_, known)| known == pool);
+        let unrisen = pools.iter().filter(|pool| !has_risen(pool));
+        let unrisen: Vec<SmolStr> = unrisen.cloned().collect();
+        if !unrisen.is_empty() {
+            return unrisen;
+        }
+        let longest_ago = self.starts.first().filter(|_| self.has_repeated);
+        longest_ago
+            .map(|(_, pool)| pool.clone())
+            .into_iter()
+            .collect()
+    }
+}
--- a/crates/jasminefall-jobs/tests/policy.rs
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -1,6 +1,6 @@
 //! Decisions as pure functions.
 
-use jasminefall_jobs::job::{JobSpec, Resources, StepSpec};
+use jasminefall_jobs::job::{JobSpec, Resources, StepSpec, Work};
 use jasminefall_jobs::policy::admission::{Admission, Asked, PoolLoad, admit};
 use jasminefall_jobs::policy::durations::{Durations, StepKind};
 use jasminefall_jobs::policy::health::Health;
@@ -10,19 +10,34 @@
 use jasminefall_jobs::policy::pools::{PoolDemand, divide};
 use jasminefall_jobs::prelude::QueueKey;
 
+const fn cores(cpu_millis: u64) -> Resources {
+    Resources {
+        cpu_millis,
+        memory_mb: 0,
+        gpus: 0,
+    }
+}
+
+const fn core_ms(core_ms: u64) -> Work {
+    Work {
+        core_ms,
+        memory_mb_s: 0,
+    }
+}
+
 const fn load(backlog_core_ms: u64) -> PoolLoad {
     PoolLoad {
-        capacity_cpu_millis: 100_000,
-        free_cpu_millis: 0,
-        reserve_cpu_millis: 0,
+        capacity: cores(100_000),
+        free: cores(0),
+        reserve: cores(0),
         reserve_after_ms: 1_500,
-        backlog_core_ms,
+        backlog: core_ms(backlog_core_ms),
     }
 }
 
 const ASKED: Asked = Asked {
-    work_core_ms: 8_000,
-    first_cpu_millis: 4_000,
+    work: core_ms(8_000),
+    first: cores(4_000),
     slack_ms: 1_000,
 };
 
@@ -36,12 +51,12 @@
 #[test]
 fn room_that_is_free_or_can_be_lent_counts() {
     let free = PoolLoad {
-        free_cpu_millis: 4_000,
+        free: cores(4_000),
         ..load(450_000)
     };
     assert_eq!(admit(&free, &ASKED), Admission::Accept);
     let lent = PoolLoad {
-        reserve_cpu_millis: 1_000_000_000,
+        reserve: cores(1_000_000_000),
         reserve_after_ms: 1_000,
         ..load(450_000)
     };
@@ -153,20 +168,53 @@
     let demand = PoolDemand {
         instances: 4,
         pinned: 2,
-        instance_cpu_millis: 16_000,
-        lasting_cpu_millis: 10_000,
-        ready_cpu_millis: 60_000,
-        arriving_cpu_millis: 200_000,
+        instance: cores(16_000),
+        lasting: cores(10_000),
+        ready: cores(60_000),
+        arriving: cores(200_000),
     };
     assert_eq!(demand.needed(), 16);
     let idle = PoolDemand {
-        ready_cpu_millis: 0,
-        arriving_cpu_millis: 0,
+        ready: cores(0),
+        arriving: cores(0),
         ..demand
     };
     assert_eq!(idle.needed(), 2, "tasks that last hold their instances");
 }
 
+#[test]
+fn memory_counts_like_processors_where_it_is_what_lacks() {
+    let memory = |memory_mb| Resources {
+        memory_mb,
+        ..cores(1_000)
+    };
+    let demand = PoolDemand {
+        instance: Resources {
+            memory_mb: 32_000,
+            ..cores(16_000)
+        },
+        ready: memory(272_000),
+        ..PoolDemand::default()
+    };
+    assert_eq!(demand.needed(), 10);
+    let full = PoolLoad {
+        capacity: memory(100_000),
+        backlog: Work {
+            core_ms: 0,
+            memory_mb_s: 450_000,
+        },
+        ..load(0)
+    };
+    let asked = Asked {
+        first: memory(1_000),
+        ..ASKED
+    };
+    assert_eq!(
+        admit(&full, &asked),
+        Admission::ComeBack { after_ms: 3_500 }
+    );
+}
+
 #[test]
 fn too_few_instances_are_divided_by_what_is_lacking() {
     assert_eq!(divide(&[10, 2, 4], 20), [10, 2, 4]);
--- /dev/null
+++ b/crates/jasminefall-jobs/tests/rises.rs
@@ -0,0 +1,147 @@
+//! A load whose queues rise in turn, played against two ways of sizing pools.
+
+use jasminefall_jobs::policy::rises::{Rises, Turn};
+use smol_str::SmolStr;
+
+const STEP_MS: u64 = 150;
+const MOVE_MS: u64 = 1_500;
+const LEAD_MS: u64 = 2_000;
+const TURN_MS: u64 = 8_500;
+const RAMP_MS: u64 = 1_500;
+/// What a rise keeps at work, in thousandths of an instance.
+const HEIGHT_MILLIS: u64 = 100_000;
+/// How many times what an instance earns at work exceeds its price while it idles; from the sites'
+/// prices and the worth of their jobs.
+const WORK_OVER_IDLE: u64 = 15;
+
+fn pools() -> Vec<SmolStr> {
+    ["a", "b", "c", "d"].map(SmolStr::new).to_vec()
+}
+
+/// Returns what arrives for a pool, in thousandths of an instance: one of four rises at a time.
+fn arriving(pool: usize, at_ms: u64) -> u64 {
+    let begins_ms = TURN_MS * pool as u64;
+    let since_ms = (at_ms + 4 * TURN_MS - begins_ms) % (4 * TURN_MS);
+    if since_ms < RAMP_MS {
+        HEIGHT_MILLIS * since_ms / RAMP_MS
+    } else if since_ms < TURN_MS {
+        HEIGHT_MILLIS
+    } else {
+        HEIGHT_MILLIS / 100
+    }
+}
+
+/// Holds what a played day came to.
+#[derive(Debug, Default)]
+struct Outcome {
+    late_millis: u64,
+    arrived_millis: u64,
+    idle_millis: u64,
+}
+
+/// Plays two rounds of turns; instances come `MOVE_MS` after they are asked for.
+fn play(use_forecast: bool) -> Outcome {
+    let pools = pools();
+    let mut rises = Rises::default();
+    let mut steady = [0_u64; 4];
+    let mut ordered = vec![[1_000_u64; 4]];
+    let mut backlog = [0_u64; 4];
+    let mut outcome = Outcome::default();
+    for step in 0..(8 * TURN_MS / STEP_MS) {
+        let now_ms = step * STEP_MS;
+        let mut wanted = [1_000; 4];
+        for (position, pool) in pools.iter().enumerate() {
+            let millis = arriving(position, now_ms);
+            steady[position] = (steady[position] * 9 + millis) / 10;
+            let jobs = u32::from(millis > HEIGHT_MILLIS / 10);
+            rises.note((now_ms, STEP_MS), pool, (jobs, millis), steady[position]);
+            let forecast = rises.building_up_millis(now_ms, pool).unwrap_or(0);
+            let forecast = if use_forecast { forecast } else { 0 };
+            wanted[position] = steady[position].max(backlog[position]).max(forecast);
+        }
+        if use_forecast {
+            let expected = rises.expected(now_ms, LEAD_MS, &pools);
+            for (position, pool) in pools.iter().enumerate() {
+                if expected.contains(pool) {
+                    let height = rises.height_millis(pool).unwrap_or(0);
+                    wanted[position] = wanted[position].max(height / expected.len() as u64);
+                }
+            }
+        }
+        ordered.push(wanted);
+        let there = ordered[ordered
+            .len()
+            .saturating_sub((MOVE_MS / STEP_MS) as usize + 1)];
+        for position in 0..4 {
+            let millis = arriving(position, now_ms);
+            outcome.arrived_millis += millis;
+            let waiting = backlog[position] + millis;
+            // What waits longer than a second is late.
+            let bearable = there[position] * 1_000 / STEP_MS;
+            outcome.late_millis += waiting.saturating_sub(bearable).min(millis);
+            outcome.idle_millis += there[position].saturating_sub(waiting);
+            backlog[position] = waiting.saturating_sub(there[position]);
+        }
+    }
+    outcome
+}
+
+#[test]
+fn a_forecast_halves_what_is_late_when_queues_rise_in_turn() {
+    let (follows, forecasts) = (play(false), play(true));
+    assert!(
+        forecasts.late_millis * 2 <= follows.late_millis,
+        "{forecasts:?} against {follows:?}"
+    );
+    let saved = follows.late_millis - forecasts.late_millis;
+    let idle = forecasts.idle_millis.saturating_sub(follows.idle_millis);
+    assert!(
+        idle <= saved * WORK_OVER_IDLE,
+        "readiness costs less than it saves: {forecasts:?} against {follows:?}"
+    );
+}
+
+#[test]
+fn a_rise_is_expected_when_the_one_before_has_lasted_as_long_as_they_do() {
+    let pools = pools();
+    let mut rises = Rises::default();
+    let mut expected_at = None;
+    for step in 0..(3 * TURN_MS / STEP_MS) {
+        let now_ms = step * STEP_MS;
+        for (position, pool) in pools.iter().enumerate() {
+            let millis = arriving(position, now_ms);
+            let jobs = u32::from(millis > HEIGHT_MILLIS / 10);
+            rises.note((now_ms, STEP_MS), pool, (jobs, millis), millis);
+        }
+        let expected = rises.expected(now_ms, LEAD_MS, &pools);
+        if !expected.is_empty() && expected_at.is_none() {
+            assert_eq!(expected, pools[2..], "either may be next");
+            expected_at = Some(now_ms);
+        }
+    }
+    let third_begins_ms = 2 * TURN_MS;
+    let expected_at = expected_at.expect("a rise is expected");
+    assert!(
+        (third_begins_ms - LEAD_MS..=third_begins_ms).contains(&expected_at),
+        "{expected_at}"
+    );
+}
+
+#[test]
+fn one_job_is_no_rise_and_a_rise_that_falls_is_over() {
+    let pool = SmolStr::new("a");
+    let mut rises = Rises::default();
+    assert_eq!(
+        rises.note((0, STEP_MS), &pool, (1, 90_000), 9_000),
+        None,
+        "one job alone is chance"
+    );
+    let again = rises.note((STEP_MS, STEP_MS), &pool, (1, 90_000), 17_000);
+    assert_eq!(again, Some(Turn::Rise));
+    let mut turns = Vec::new();
+    for step in 2..40 {
+        let at = (step * STEP_MS, STEP_MS);
+        turns.extend(rises.note(at, &pool, (0, 0), 17_000 / step));
+    }
+    assert_eq!(turns, [Turn::Fall]);
+}
