feat(jobs): let a new leader move at once what its predecessor cannot just have ordered

Refused jobs were counted as new work with each attempt, so that forecasts after an outage reached 667 instances; a short bunch of jobs was remembered as the height of rises. Ruled out: waiting less for all, since an order just given by an earlier leader must be left alone. Change: instances in the standby pool, and those whose worker has been read and has lived for 3.5 s, may move at once; waves wait as before. A refused job counts once in 10 s. Only a rise that has built up tells a height, and one that falls before is forgotten.

--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -52,7 +52,7 @@
         }
         let (load, asked) = (self.pool_load(&queue.pool, state), self.asked(queue, spec));
         if !spec.is_long_running() {
-            self.pool_plans.note_arrival(&queue.pool, &asked.work);
+            self.pool_plans.note_arrival(key, &queue.pool, &asked.work);
         }
         let admission = if spec.schedule.is_some() || spec.is_long_running() {
             Admission::Accept
@@ -75,6 +75,7 @@
             }
             Admission::ComeBack { after_ms } => {
                 self.counts.jobs_refused += 1;
+                self.pool_plans.note_refusal(key, self.now.steady_ms);
                 self.note(format!(
                     "event=job_refused job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
                      free_cpu_millis={} reserve_cpu_millis={} slack_ms={} come_back_ms={after_ms}",
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -1,20 +1,21 @@
 //! Which instances change their pool.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use smol_str::SmolStr;
 
 use super::fleet::InstanceAnswer;
 use super::{Effect, Leader, WorkerHandle};
+use crate::ids::JobKey;
 use crate::job::{Resources, Work};
 use crate::policy::pools::{PoolDemand, divide};
-use crate::policy::rises::{Rises, Turn};
+use crate::policy::rises::{Arrived, Rises, Turn};
 use crate::state::JobsState;
 
 /// How often pools are compared, in milliseconds; a tenth of what a move takes.
 const PLAN_INTERVAL_MS: u64 = 150;
-/// How long a leader waits before its first order to an instance, in milliseconds: an earlier leader
-/// may have ordered just before, and two holders must not take turns within their lease.
+/// How long a leader waits before its first order to an instance that an earlier leader may have
+/// ordered just before, in milliseconds: two holders must not take turns within their lease, 3 s.
 const FIRST_ORDER_AFTER_MS: u64 = 3_500;
 /// How long an instance stays idle before it may go to another pool that lacks it, in milliseconds;
 /// jobs come in bunches, and a move back takes longer than the next bunch.
@@ -56,6 +57,10 @@
     phase: Phase,
 }
 
+/// How long a job that was refused is remembered, in milliseconds, so that its client's next attempt
+/// doesn't count as more work; longer than clients keep trying.
+const REFUSED_FOR_MS: u64 = 10_000;
+
 /// Follows how much work arrives for a pool.
 #[derive(Debug, Clone, Copy, Default)]
 struct Arrivals {
@@ -71,6 +76,8 @@
     arrivals: BTreeMap<SmolStr, Arrivals>,
     needed_lately: BTreeMap<SmolStr, Vec<(u64, usize)>>,
     rises: Rises,
+    /// Jobs that have arrived and were refused, and when.
+    refused: HashMap<JobKey, u64>,
     forbidden: BTreeMap<(SmolStr, SmolStr), u64>,
     planned_at_ms: u64,
     logged_at_ms: u64,
@@ -88,13 +95,21 @@
         planned.is_some_and(|planned| !matches!(planned.phase, Phase::UnderWay { .. }))
     }
 
-    /// Notes work that a client has asked for, accepted or not.
-    pub(crate) fn note_arrival(&mut self, pool: &SmolStr, work: &Work) {
+    /// Notes work that a client has asked for, accepted or not, at its first attempt.
+    pub(crate) fn note_arrival(&mut self, key: JobKey, pool: &SmolStr, work: &Work) {
+        if self.refused.contains_key(&key) {
+            return;
+        }
         let arrivals = self.arrivals.entry(pool.clone()).or_default();
         arrivals.jobs += 1;
         arrivals.since_last = arrivals.since_last.plus(work);
     }
 
+    /// Notes that a job was refused for now.
+    pub(crate) fn note_refusal(&mut self, key: JobKey, now_ms: u64) {
+        self.refused.insert(key, now_ms);
+    }
+
     /// Returns how many instances are on their way to a pool.
     pub(crate) fn coming(&self, pool: &str) -> usize {
         self.moves.values().filter(|known| known.to == pool).count()
@@ -112,12 +127,14 @@
         }
         self.pool_plans.planned_at_ms = now_ms;
         self.follow_arrivals(passed_ms, state);
-        if self.may_order_instances() && self.fleet.is_listed() {
+        let refused = &mut self.pool_plans.refused;
+        refused.retain(|_, at_ms| now_ms < *at_ms + REFUSED_FOR_MS);
+        if self.fleet.is_listed() {
             self.plan_moves(state);
         }
     }
 
-    /// Returns whether no order of an earlier leader about an instance can be under way.
+    /// Returns whether no order of an earlier leader about any instance can be recent.
     pub(super) const fn may_order_instances(&self) -> bool {
         self.first_run == 0 || self.now.steady_ms >= self.leads_since_ms + FIRST_ORDER_AFTER_MS
     }
@@ -125,6 +142,7 @@
     /// Takes up what has arrived for every pool since the last call.
     fn follow_arrivals(&mut self, passed_ms: u64, state: &JobsState) {
         let now_ms = self.now.steady_ms;
+        let total_instances = self.fleet.instances.len();
         for pool in self.pools_in_use(state) {
             let arrivals = self.pool_plans.arrivals.entry(pool.clone()).or_default();
             let jobs = std::mem::take(&mut arrivals.jobs);
@@ -139,10 +157,16 @@
             };
             let rate = arrivals.rate;
             let demand = self.demand(&pool);
-            let (millis, steady_millis) = (demand.millis_for(&newest), demand.millis_for(&rate));
+            let steady_millis = demand.millis_for(&rate);
+            let arrived = Arrived {
+                within_ms: passed_ms,
+                jobs,
+                millis: demand.millis_for(&newest),
+                steady_millis,
+                total_instances,
+            };
             let rises = &mut self.pool_plans.rises;
-            let at = (now_ms, passed_ms);
-            if let Some(turn) = rises.note(at, &pool, (jobs, millis), steady_millis) {
+            if let Some(turn) = rises.note(now_ms, &pool, &arrived) {
                 let height_millis = rises.height_millis(&pool).unwrap_or(0);
                 let event = match turn {
                     Turn::Rise => "rise_began",
@@ -206,7 +230,7 @@
                 // One move instead of two, where an instance has nothing to do.
                 let idle = self.lend(&pools, &mut surplus, to, true);
                 if !idle
-                    && !self.move_one(&standby, to, false)
+                    && !self.move_one((&standby, true), to, false)
                     && !self.lend(&pools, &mut surplus, to, false)
                 {
                     break;
@@ -219,7 +243,7 @@
         for position in positions {
             let leaving = over(position, kept[position]).min(surplus[position]);
             for _ in 0..leaving {
-                if !self.move_one(&pools[position], &standby, false) {
+                if !self.move_one((&pools[position], false), &standby, false) {
                     break;
                 }
             }
@@ -240,7 +264,7 @@
         givers.sort_by_key(|position| std::cmp::Reverse(surplus[*position]));
         let lent = givers
             .into_iter()
-            .find(|position| self.move_one(&pools[*position], to, only_idle));
+            .find(|position| self.move_one((&pools[*position], false), to, only_idle));
         if let Some(position) = lent {
             surplus[position] -= 1;
         }
@@ -352,15 +376,24 @@
     }
 
     /// Begins to move one instance; returns whether there was one to move.
-    fn move_one(&mut self, from: &SmolStr, to: &SmolStr, only_idle: bool) -> bool {
+    fn move_one(
+        &mut self,
+        (from, is_standby): (&SmolStr, bool),
+        to: &SmolStr,
+        only_idle: bool,
+    ) -> bool {
         let now_ms = self.now.steady_ms;
         let pair = (from.clone(), to.clone());
         let forbidden = self.pool_plans.forbidden.get(&pair);
         if forbidden.is_some_and(|until_ms| now_ms < *until_ms) {
             return false;
         }
+        let settled = self.may_order_instances();
         let ranked = self.instances_in(from).into_iter().filter_map(|instance| {
             let worker = self.worker_on(&instance);
+            if !settled && !self.is_left_alone(worker, is_standby) {
+                return None;
+            }
             let rank = match worker.and_then(|handle| self.workers.get(&handle)) {
                 Some(worker) if worker.heartbeat.draining || worker.emptying => return None,
                 Some(worker) if worker.lasting_runs > 0 => return None,
@@ -426,6 +459,16 @@
         }
     }
 
+    /// Returns whether an earlier leader cannot just have ordered an instance: it waits in a standby
+    /// pool, or its worker has been read and has lived for some time.
+    fn is_left_alone(&self, worker: Option<WorkerHandle>, is_standby: bool) -> bool {
+        let Some(worker) = worker.and_then(|handle| self.workers.get(&handle)) else {
+            return is_standby;
+        };
+        let lived_ms = self.now.wall_ms.saturating_sub(worker.life().born_ms);
+        worker.adopted && lived_ms >= FIRST_ORDER_AFTER_MS
+    }
+
     fn is_empty(&self, handle: WorkerHandle) -> bool {
         self.workers
             .get(&handle)
--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -17,8 +17,9 @@
 const FEWEST_JOBS: u32 = 2;
 /// The part of the expected height above which work counts as risen, in per cent.
 const RISEN_PERCENT: u64 = 30;
-/// The height above which a first rise is recognised, in thousandths of an instance.
-const FIRST_RISE_MILLIS: u64 = 2_000;
+/// The part of all instances that a first rise must keep at work to be recognised, in per cent; a
+/// pool between its rises needs far less.
+const FIRST_RISE_PERCENT: u64 = 5;
 /// How long a rise is taken to become as high as those before it, in milliseconds; after this what
 /// arrives tells more.
 const BUILDS_UP_MS: u64 = 3_000;
@@ -40,7 +41,10 @@
 struct Track {
     recent: VecDeque<Interval>,
     risen_since_ms: Option<u64>,
-    highest_millis: u64,
+    /// How high the rise that is under way has become.
+    rise_millis: u64,
+    /// How high its rises become; zero until one has built up.
+    height_millis: u64,
 }
 
 impl Track {
@@ -50,6 +54,21 @@
     }
 }
 
+/// Describes what arrived for a pool since it was last asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Arrived {
+    /// The time since then, in milliseconds.
+    pub within_ms: u64,
+    /// How many jobs there were.
+    pub jobs: u32,
+    /// How many instances they would keep at work, in thousandths.
+    pub millis: u64,
+    /// The same averaged over a longer time.
+    pub steady_millis: u64,
+    /// How many instances there are in all pools.
+    pub total_instances: usize,
+}
+
 /// Says what changed for a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
@@ -69,23 +88,14 @@
 }
 
 impl Rises {
-    /// Notes what arrived for a pool within `passed_ms`: how many jobs, and how many instances would
-    /// be kept at work by it, in thousandths.
-    ///
-    /// `steady_millis` is the same averaged over a longer time.
-    pub fn note(
-        &mut self,
-        (now_ms, passed_ms): (u64, u64),
-        pool: &SmolStr,
-        (jobs, millis): (u32, u64),
-        steady_millis: u64,
-    ) -> Option<Turn> {
+    /// Notes what arrived for a pool since the last call.
+    pub fn note(&mut self, now_ms: u64, pool: &SmolStr, arrived: &Arrived) -> Option<Turn> {
         let height_millis = self.height_millis(pool);
         let track = self.tracks.entry(pool.clone()).or_default();
         track.recent.push_back(Interval {
             at_ms: now_ms,
-            jobs,
-            millis_ms: millis * passed_ms.min(WINDOW_MS),
+            jobs: arrived.jobs,
+            millis_ms: arrived.millis * arrived.within_ms.min(WINDOW_MS),
         });
         while let Some(oldest) = track.recent.front()
             && now_ms >= oldest.at_ms + WINDOW_MS
@@ -93,23 +103,34 @@
             track.recent.pop_front();
         }
         let average_millis = track.average_millis();
-        let risen_millis = height_millis.map_or(FIRST_RISE_MILLIS, |height| {
-            (height * RISEN_PERCENT / 100).max(1)
-        });
         if let Some(since_ms) = track.risen_since_ms {
-            track.highest_millis = track.highest_millis.max(steady_millis);
-            let over_millis = track.highest_millis * RISEN_PERCENT / 100;
-            if steady_millis.max(average_millis) >= over_millis || now_ms < since_ms + SHORTEST_MS {
+            track.rise_millis = track.rise_millis.max(arrived.steady_millis);
+            if now_ms >= since_ms + BUILDS_UP_MS {
+                track.height_millis = track.height_millis.max(track.rise_millis);
+            }
+            let over_millis = track.rise_millis * RISEN_PERCENT / 100;
+            let is_high = arrived.steady_millis.max(average_millis) >= over_millis;
+            if is_high || now_ms < since_ms + SHORTEST_MS {
                 return None;
             }
             track.risen_since_ms = None;
+            if now_ms < since_ms + BUILDS_UP_MS {
+                // It was chance, and says nothing about when the next is due.
+                self.starts.retain(|(_, known)| known != pool);
+            }
             return Some(Turn::Fall);
         }
+        let total_millis = arrived.total_instances as u64 * 1_000;
+        let risen_millis = height_millis
+            .map_or(total_millis * FIRST_RISE_PERCENT / 100, |height| {
+                height * RISEN_PERCENT / 100
+            });
         let jobs: u32 = track.recent.iter().map(|interval| interval.jobs).sum();
-        if jobs < FEWEST_JOBS || average_millis < risen_millis {
+        if jobs < FEWEST_JOBS || average_millis < risen_millis.max(1) {
             return None;
         }
         track.risen_since_ms = Some(now_ms);
+        track.rise_millis = average_millis;
         self.has_repeated |= self.starts.iter().any(|(_, known)| known == pool);
         self.starts.retain(|(_, known)| known != pool);
         self.starts.push((now_ms, pool.clone()));
@@ -119,14 +140,14 @@
     /// Returns how high a rise of a pool is taken to become, in thousandths of an instance.
     #[must_use]
     pub fn height_millis(&self, pool: &str) -> Option<u64> {
-        let own = self.tracks.get(pool).map(|track| track.highest_millis);
+        let own = self.tracks.get(pool).map(|track| track.height_millis);
         if let Some(own) = own.filter(|own| *own > 0) {
             return Some(own);
         }
-        let others = self.tracks.values().map(|track| track.highest_millis);
+        let others = self.tracks.values().map(|track| track.height_millis);
         let (count, sum) = others
-            .filter(|highest| *highest > 0)
-            .fold((0, 0), |(count, sum), highest| (count + 1, sum + highest));
+            .filter(|height| *height > 0)
+            .fold((0, 0), |(count, sum), height| (count + 1, sum + height));
         (count > 0).then(|| sum / count)
     }
 
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -304,3 +304,26 @@
         .filter(|effect| matches!(effect, Effect::Look(_)));
     assert!(looks.count() <= 2);
 }
+
+#[test]
+fn a_new_leader_moves_at_once_what_waits_in_the_standby_pool() {
+    let mut site = Site::new(1);
+    site.submit(1, site::job(&[40], 4_000));
+    site.change_leader();
+    site.take_effects();
+    let listed = |instance: &str, pool: &str| ListedInstance {
+        instance: instance.into(),
+        pool: pool.into(),
+        worker: None,
+        up: true,
+    };
+    site.list(&[listed("m-0", site::POOL), listed("m-9", site::STANDBY)]);
+    site.pass(500);
+    let moved = site.take_effects().into_iter().any(|effect| {
+        matches!(effect, Effect::Move { instance, pool } if instance == "m-9" && pool == site::POOL)
+    });
+    assert!(
+        moved,
+        "no earlier order can be about an instance that is off"
+    );
+}
--- a/crates/jasminefall-jobs/tests/rises.rs
+++ b/crates/jasminefall-jobs/tests/rises.rs
@@ -1,6 +1,6 @@
 //! A load whose queues rise in turn, played against two ways of sizing pools.
 
-use jasminefall_jobs::policy::rises::{Rises, Turn};
+use jasminefall_jobs::policy::rises::{Arrived, Rises, Turn};
 use smol_str::SmolStr;
 
 const STEP_MS: u64 = 150;
@@ -31,6 +31,16 @@
     }
 }
 
+fn arrived(jobs: u32, millis: u64, steady_millis: u64) -> Arrived {
+    Arrived {
+        within_ms: STEP_MS,
+        jobs,
+        millis,
+        steady_millis,
+        total_instances: 300,
+    }
+}
+
 /// Holds what a played day came to.
 #[derive(Debug, Default)]
 struct Outcome {
@@ -54,7 +64,7 @@
             let millis = arriving(position, now_ms);
             steady[position] = (steady[position] * 9 + millis) / 10;
             let jobs = u32::from(millis > HEIGHT_MILLIS / 10);
-            rises.note((now_ms, STEP_MS), pool, (jobs, millis), steady[position]);
+            rises.note(now_ms, pool, &arrived(jobs, millis, steady[position]));
             let forecast = rises.building_up_millis(now_ms, pool).unwrap_or(0);
             let forecast = if use_forecast { forecast } else { 0 };
             wanted[position] = steady[position].max(backlog[position]).max(forecast);
@@ -111,7 +121,7 @@
         for (position, pool) in pools.iter().enumerate() {
             let millis = arriving(position, now_ms);
             let jobs = u32::from(millis > HEIGHT_MILLIS / 10);
-            rises.note((now_ms, STEP_MS), pool, (jobs, millis), millis);
+            rises.note(now_ms, pool, &arrived(jobs, millis, millis));
         }
         let expected = rises.expected(now_ms, LEAD_MS, &pools);
         if !expected.is_empty() && expected_at.is_none() {
@@ -132,16 +142,37 @@
     let pool = SmolStr::new("a");
     let mut rises = Rises::default();
     assert_eq!(
-        rises.note((0, STEP_MS), &pool, (1, 90_000), 9_000),
+        rises.note(0, &pool, &arrived(1, 90_000, 9_000)),
         None,
         "one job alone is chance"
     );
-    let again = rises.note((STEP_MS, STEP_MS), &pool, (1, 90_000), 17_000);
+    let again = rises.note(STEP_MS, &pool, &arrived(1, 90_000, 17_000));
     assert_eq!(again, Some(Turn::Rise));
     let mut turns = Vec::new();
     for step in 2..40 {
-        let at = (step * STEP_MS, STEP_MS);
-        turns.extend(rises.note(at, &pool, (0, 0), 17_000 / step));
+        let arrived = arrived(0, 0, 17_000 / step);
+        turns.extend(rises.note(step * STEP_MS, &pool, &arrived));
     }
     assert_eq!(turns, [Turn::Fall]);
 }
+
+#[test]
+fn a_short_bunch_of_jobs_does_not_spoil_what_is_expected() {
+    let pools = pools();
+    let mut rises = Rises::default();
+    let mut expected = Vec::new();
+    for step in 0..(5 * TURN_MS / STEP_MS) {
+        let now_ms = step * STEP_MS;
+        for (position, pool) in pools.iter().enumerate() {
+            let bunch = position == 3 && (20..24).contains(&step);
+            let millis = arriving(position, now_ms).max(if bunch { 20_000 } else { 0 });
+            let jobs = u32::from(millis > HEIGHT_MILLIS / 10);
+            rises.note(now_ms, pool, &arrived(jobs, millis, millis));
+        }
+        if now_ms + 500 >= 3 * TURN_MS && expected.is_empty() {
+            expected = rises.expected(now_ms, LEAD_MS, &pools);
+        }
+    }
+    assert_eq!(expected, pools[3..], "the last pool has not risen yet");
+    assert!(rises.height_millis("d") > Some(HEIGHT_MILLIS / 2));
+}
