feat(jobs): do not wait for lives whose instance was sent away

Ruled out: starting them without waiting, since they may still run on a worker that is only silent. Change: the platform's list, read at the start of a leadership, ends lives of before it whose instance is moving, in maintenance or carries another worker.

--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -27,6 +27,8 @@
     pub worker: Option<SmolStr>,
     /// Whether it is up.
     pub up: bool,
+    /// Whether it is changing its pool or in maintenance; whatever ran there has ended.
+    pub is_away: bool,
 }
 
 /// Says what the platform answered to an order about an instance.
@@ -97,6 +99,33 @@
         found.next().map(|(handle, _)| *handle)
     }
 
+    /// Ends lives of before this leadership whose instance has been sent away or carries another
+    /// worker by now: nothing that an earlier leader started there can still run.
+    fn end_replaced_lives(&mut self, state: &JobsState) {
+        let mut over = Vec::new();
+        for life in self.unsettled.keys() {
+            let Some(handle) = self.by_life.get(life).copied() else {
+                continue;
+            };
+            let worker = self.workers.get(&handle);
+            let instance = worker.and_then(|worker| worker.heartbeat.instance.as_ref());
+            let listed = instance.and_then(|instance| self.fleet.instances.get(instance));
+            let is_over = listed.is_some_and(|listed| {
+                let other = listed
+                    .worker
+                    .as_ref()
+                    .is_some_and(|worker| *worker != life.worker);
+                listed.is_away || other
+            });
+            if is_over {
+                over.push(handle);
+            }
+        }
+        for handle in over {
+            self.end_life(handle, "replaced", state);
+        }
+    }
+
     /// Takes the platform's list of instances.
     pub fn take_instances(&mut self, listed: &[ListedInstance], state: &JobsState) {
         self.fleet.listed = true;
@@ -104,6 +133,7 @@
             .iter()
             .map(|known| (known.instance.clone(), known.clone()));
         self.fleet.instances = known.collect();
+        self.end_replaced_lives(state);
         let mut gone = Vec::new();
         for (number, wave) in &state.waves {
             for instance in &wave.instances {
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -208,6 +208,7 @@
         pool: site::STANDBY.into(),
         worker: None,
         up: true,
+        is_away: false,
     };
     site.list(&[idle]);
     site.start_wave(&["m-idle"]);
@@ -224,6 +225,7 @@
         pool: site::POOL.into(),
         worker: None,
         up: true,
+        is_away: false,
     };
     site.list(&[coming]);
     site.start_wave(&["m-0"]);
@@ -316,6 +318,7 @@
         pool: pool.into(),
         worker: None,
         up: true,
+        is_away: false,
     };
     site.list(&[listed("m-0", site::POOL), listed("m-9", site::STANDBY)]);
     site.pass(500);
@@ -386,3 +389,26 @@
         .collect();
     assert_eq!(keys, [JobKey(1), JobKey(4)]);
 }
+
+#[test]
+fn a_life_whose_instance_was_sent_away_does_not_hold_up_a_new_leader() {
+    let mut site = Site::new(2);
+    site.submit(1, site::job(&[4], 8_000));
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    let gone = site.forget_worker("i-1");
+    site.change_leader();
+    site.answer_looks();
+    assert!(site.take_starts().is_empty(), "they may still run there");
+    let listed = |instance: &str, worker: Option<&str>| ListedInstance {
+        instance: instance.into(),
+        pool: site::POOL.into(),
+        worker: worker.map(Into::into),
+        up: worker.is_some(),
+        is_away: worker.is_none(),
+    };
+    site.list(&[listed("m-0", Some("i-0")), listed("m-1", None)]);
+    site.end_running("i-0");
+    let tasks: Vec<_> = site.take_starts().iter().map(|start| start.task).collect();
+    assert_eq!(tasks, gone, "what ran on the instance that was sent away");
+}
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -344,6 +344,13 @@
                 return;
             };
             self.learn(look.worker);
+            if !self.workers.contains_key(&self.names[&look.worker]) {
+                let unanswered = Err(OrderAnswer::Unknown);
+                self.leader
+                    .take_look(look.worker, look.lane, unanswered, &self.state);
+                self.settle();
+                continue;
+            }
             let clock_ms = self.now.steady_ms;
             let worker = self.worker(look.worker);
             worker
@@ -383,6 +390,28 @@
         self.settle();
     }
 
+    /// Takes a worker away for good, without a word; returns the tasks that ran there.
+    pub(crate) fn forget_worker(&mut self, name: &str) -> Vec<TaskId> {
+        let worker = self.workers.remove(name).expect("the worker is modelled");
+        worker.running.into_keys().collect()
+    }
+
+    /// Ends everything that runs on a worker as done, and lets the leader read it.
+    pub(crate) fn end_running(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).expect("the worker is modelled");
+        for (task, row) in std::mem::take(&mut worker.running) {
+            worker.ends += 1;
+            worker.ended.push(RunEnd {
+                number: worker.ends,
+                task,
+                run: row.run,
+                kind: EndKind::Done,
+                checkpoint: SmolStr::default(),
+            });
+        }
+        self.answer_looks();
+    }
+
     /// Lets one more worker join and be read.
     pub(crate) fn join(&mut self) {
         let name = format_smolstr!("i-{}", self.workers.len());
@@ -435,6 +464,7 @@
                 pool: POOL.into(),
                 worker: Some(name.clone()),
                 up: true,
+                is_away: false,
             });
         let listed: Vec<_> = listed.collect();
         self.list(&listed);
