fix(jobs): maintain instances that come up after the list was read, and let go after a fall

After a rise had ended its instances stayed 2.7 s more as if it could come back. Calls were held for up to 2.8 s for a new leader, past their clients' limit. Ruled out: tasks that last holding the wave up (the four were empty). Change: an instance whose worker is heard is up; the list is read again while a wave waits for one that is not; outside a rise instances leave after 0.8 s; entries hold calls 1.8 s at most.

--- a/crates/jasminefall-dispatch/src/entry.rs
+++ b/crates/jasminefall-dispatch/src/entry.rs
@@ -16,8 +16,9 @@
 use crate::settings::{peer_address, site_key};
 use crate::stop::{Activity, asked_to_stop, follow_settings};
 
-/// The longest that a call may wait for the leader; the default time-out of a queue.
-const CALL_LIMIT: Duration = Duration::from_millis(2_800);
+/// The longest that a call may wait for the leader; one is found again within a second and a half,
+/// and a client that is told to come back still has time to.
+const CALL_LIMIT: Duration = Duration::from_millis(1_800);
 /// The part of a client's own limit that is kept for the answer's way back, in milliseconds.
 const ANSWER_RESERVE_MS: u64 = 100;
 /// The largest body of a client; the default of the platform's configuration.
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -287,10 +287,13 @@
                 .filter(|(at_ms, _)| now_ms < at_ms + within_ms);
             within.map(|(_, needed)| *needed).max().unwrap_or(0)
         };
-        (
-            most_within(IDLE_BEFORE_LENDING_MS),
-            most_within(IDLE_WORTH_MOVES_MS),
-        )
+        let lends_below = most_within(IDLE_BEFORE_LENDING_MS);
+        if self.pool_plans.rises.is_risen(pool) {
+            (lends_below, most_within(IDLE_WORTH_MOVES_MS))
+        } else {
+            // Between rises nothing is expected that instances could wait for.
+            (lends_below, lends_below)
+        }
     }
 
     /// Gives what no pool needs to those of which one is expected to rise.
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -88,6 +88,7 @@
             }
             self.begin_emptying(*number, wave);
         }
+        self.doubt_what_is_down(state);
         let keys: Vec<_> = self.upkeep.phases.keys().cloned().collect();
         for (wave, instance) in keys {
             self.tend_instance(wave, &instance);
@@ -130,11 +131,7 @@
             !wave.maintained.contains(*instance)
                 && !self.upkeep.is_under_way(instance)
                 && !self.pool_plans.is_moving(instance)
-                && self
-                    .fleet
-                    .instances
-                    .get(*instance)
-                    .is_some_and(|known| known.up)
+                && self.is_up(instance)
         };
         let ranked = wave.instances.iter().filter(waits).map(|instance| {
             let worker = self
@@ -160,6 +157,32 @@
         }
     }
 
+    /// Returns whether an instance is up: the list says so, or its worker has been heard since.
+    fn is_up(&self, instance: &SmolStr) -> bool {
+        let listed = self.fleet.instances.get(instance);
+        let heard = self
+            .worker_on(instance)
+            .and_then(|handle| self.workers.get(&handle))
+            .is_some_and(|worker| worker.registered && !self.is_silent(worker));
+        listed.is_some_and(|known| known.up || heard)
+    }
+
+    /// Asks for a new list where a wave waits for instances that the last one does not show as up.
+    fn doubt_what_is_down(&mut self, state: &JobsState) {
+        let waves = state.waves.iter().filter(|(_, wave)| !wave.is_complete());
+        let is_down = |wave: &Wave| {
+            wave.instances.iter().any(|instance| {
+                !wave.maintained.contains(instance)
+                    && !self.upkeep.is_under_way(instance)
+                    && !self.pool_plans.is_moving(instance)
+                    && !self.is_up(instance)
+            })
+        };
+        if waves.into_iter().any(|(_, wave)| is_down(wave)) {
+            self.fleet.doubt();
+        }
+    }
+
     fn tend_instance(&mut self, wave: u64, instance: &SmolStr) {
         let now_ms = self.now.steady_ms;
         let key = (wave, instance.clone());
--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -151,6 +151,13 @@
         (count > 0).then(|| sum / count)
     }
 
+    /// Returns whether a rise of a pool is under way.
+    #[must_use]
+    pub fn is_risen(&self, pool: &str) -> bool {
+        let track = self.tracks.get(pool);
+        track.is_some_and(|track| track.risen_since_ms.is_some())
+    }
+
     /// Returns the height that a pool is building up to, where its rise has just begun; what arrives
     /// already where no rise has been seen before.
     #[must_use]
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -412,3 +412,19 @@
     let tasks: Vec<_> = site.take_starts().iter().map(|start| start.task).collect();
     assert_eq!(tasks, gone, "what ran on the instance that was sent away");
 }
+
+#[test]
+fn an_instance_that_came_up_after_the_list_was_read_is_maintained() {
+    let mut site = Site::new(1);
+    let down = ListedInstance {
+        instance: "m-0".into(),
+        pool: site::POOL.into(),
+        worker: None,
+        up: false,
+        is_away: false,
+    };
+    site.list(&[down]);
+    site.start_wave(&["m-0"]);
+    site.pass(500);
+    assert_eq!(site.take_maintenance(), ["m-0"], "its worker is heard");
+}
