--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -10,6 +10,7 @@
 //! - [`workers`]: heartbeats, lives and leases
 //! - [`orders`]: answers of workers to orders, and their lists of runs
 //! - [`steps`]: which steps are open and what waits in them
+//! - [`runs`]: the runs that take up room
 //! - [`placing`]: starting what waits
 //! - [`upkeep`]: maintenance waves
 //! - [`fleet`]: where every instance is
@@ -24,6 +25,7 @@
 mod orders;
 mod placing;
 mod pools;
+mod runs;
 mod steps;
 mod upkeep;
 mod workers;
@@ -38,6 +40,7 @@
 use self::fleet::Fleet;
 pub use self::fleet::{InstanceAnswer, ListedInstance};
 use self::pools::PoolPlans;
+pub(crate) use self::runs::{Run, RunState};
 use self::steps::StepRun;
 use self::upkeep::Upkeep;
 pub use self::workers::{Worker, WorkerHandle};
@@ -197,45 +200,6 @@
     pub wait_ms: u64,
 }
 
-/// Says what is known of a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RunState {
-    /// The start has been ordered; there is no answer yet.
-    Sending,
-    /// The start got no answer: it may have taken effect, or may until its deadline.
-    Unsure,
-    /// The run is under way.
-    Running,
-    /// The run has been told to stop.
-    Stopping {
-        /// When the latest order to stop was sent.
-        ordered_at_ms: u64,
-    },
-}
-
-/// Holds a run that takes up room on a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Run {
-    pub(crate) task: TaskId,
-    pub(crate) number: u64,
-    pub(crate) worker: WorkerHandle,
-    pub(crate) state: RunState,
-    pub(crate) counted: crate::job::Resources,
-    /// Whether the task runs until its job is cancelled.
-    pub(crate) lasts: bool,
-    /// Until when the start could take effect, on the worker's clock.
-    pub(crate) start_deadline_ms: u64,
-    pub(crate) ordered_at_ms: u64,
-    pub(crate) checkpoint: SmolStr,
-    pub(crate) percent: u64,
-    pub(crate) gauge: Option<u64>,
-    /// When the percentage last moved.
-    pub(crate) moved_at_ms: u64,
-    pub(crate) pace_percent: u64,
-    /// Whether the run must not go on: its task is done, cancelled or runs elsewhere.
-    pub(crate) unwanted: bool,
-}
-
 /// Counts what the leader decided, for metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Counts {
--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -5,14 +5,12 @@
 use smol_str::SmolStr;
 
 use super::workers::LookState;
-use super::{Effect, Leader, LookLane, Run, RunState, StartOrder, WorkerHandle};
+use super::{Leader, LookLane, Run, RunState, StartOrder, WorkerHandle};
 use crate::ids::{LifeId, TaskId};
 use crate::job::Resources;
 use crate::state::{Command, JobsState};
 use crate::worker::{EndKind, OrderAnswer, Refusal, RunEnd, RunList, RunRow};
 
-/// How long after an order to stop, beyond the worker's own limit, the order is repeated.
-const STOP_REPEAT_MS: u64 = 400;
 /// How long a worker that had no room is taken as full, in milliseconds, unless a run ends there.
 const FULL_FOR_MS: u64 = 300;
 /// How long a worker that called itself unhealthy is left alone, in milliseconds.
@@ -321,7 +319,7 @@
         let runs = self.runs.get(&task).into_iter().flatten();
         let numbers: Vec<_> = runs.map(|run| run.number).collect();
         for number in numbers {
-            self.stop_run(task, number, true);
+            self.stop_run(task, number, "done-elsewhere");
         }
     }
 
@@ -420,108 +418,12 @@
             gauge: row.gauge,
             moved_at_ms: self.now.steady_ms,
             pace_percent: 100,
-            unwanted: false,
         });
         if !wanted {
-            self.stop_run(row.task, row.run, true);
+            self.stop_run(row.task, row.run, "not-wanted");
         }
     }
 
-    /// Notes a run that takes up room.
-    pub(super) fn add_run(&mut self, run: Run) {
-        if let Some(worker) = self.workers.get_mut(&run.worker) {
-            worker.runs.insert(run.task, run.number);
-            worker.used = worker.used.plus(&run.counted);
-            worker.lasting_runs += usize::from(run.lasts);
-        }
-        if let Some(step) = self.steps.get_mut(&run.task.step_id()) {
-            step.waiting.remove(&run.task.index);
-            *step.per_worker.entry(run.worker).or_default() += 1;
-        }
-        self.runs.entry(run.task).or_default().push(run);
-    }
-
-    pub(super) fn run_mut(&mut self, task: TaskId, number: u64) -> Option<&mut Run> {
-        let runs = self.runs.get_mut(&task)?;
-        runs.iter_mut().find(|run| run.number == number)
-    }
-
-    /// Frees the room of a run that is over.
-    pub(super) fn remove_run(&mut self, task: TaskId, number: u64) -> Option<Run> {
-        let runs = self.runs.get_mut(&task)?;
-        let position = runs.iter().position(|run| run.number == number)?;
-        let run = runs.swap_remove(position);
-        if runs.is_empty() {
-            self.runs.remove(&task);
-        }
-        if let Some(step) = self.steps.get_mut(&task.step_id())
-            && let Some(count) = step.per_worker.get_mut(&run.worker)
-        {
-            *count = count.saturating_sub(1);
-        }
-        if let Some(worker) = self.workers.get_mut(&run.worker) {
-            if worker.runs.get(&task) == Some(&number) {
-                worker.runs.remove(&task);
-            }
-            worker.used = worker.used.minus(&run.counted);
-            worker.lasting_runs = worker.lasting_runs.saturating_sub(usize::from(run.lasts));
-            self.dirty_pools.insert(worker.heartbeat.pool.clone());
-        }
-        Some(run)
-    }
-
-    /// Lets the task of a run that never was, or is gone without an end, wait again.
-    pub(super) fn drop_run(&mut self, task: TaskId, number: u64) {
-        self.remove_run(task, number);
-        self.pacing.forget(task);
-        self.requeue(task);
-    }
-
-    /// Orders a run to stop; `unwanted` where it must not go on at all.
-    pub(super) fn stop_run(&mut self, task: TaskId, number: u64, unwanted: bool) {
-        let now_ms = self.now.steady_ms;
-        let Some(run) = self.run_mut(task, number) else {
-            return;
-        };
-        run.unwanted |= unwanted;
-        if matches!(run.state, RunState::Stopping { .. }) {
-            return;
-        }
-        run.state = RunState::Stopping {
-            ordered_at_ms: now_ms,
-        };
-        let worker = run.worker;
-        self.counts.stops += 1;
-        self.note(format!(
-            "event=stop_ordered task={task} run={number} unwanted={unwanted}"
-        ));
-        self.effects.push(Effect::Stop {
-            worker,
-            task,
-            run: number,
-        });
-    }
-
-    /// Repeats orders to stop that have not taken effect.
-    pub(super) fn repeat_stops(&mut self) {
-        let now_ms = self.now.steady_ms;
-        let patience_ms = self.settings.stop_ms + STOP_REPEAT_MS;
-        let mut effects = Vec::new();
-        for run in self.runs.values_mut().flatten() {
-            if let RunState::Stopping { ordered_at_ms } = &mut run.state
-                && now_ms >= *ordered_at_ms + patience_ms
-            {
-                *ordered_at_ms = now_ms;
-                effects.push(Effect::Stop {
-                    worker: run.worker,
-                    task: run.task,
-                    run: run.number,
-                });
-            }
-        }
-        self.effects.extend(effects);
-    }
-
     /// Follows a command that has been applied to the replicated state.
     pub fn take_applied(&mut self, command: &Command, state: &JobsState) {
         match command {
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -254,7 +254,6 @@
             gauge: None,
             moved_at_ms: now_ms,
             pace_percent: 100,
-            unwanted: false,
         });
         self.effects.push(Effect::Start(StartOrder {
             worker: handle,
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/runs.rs
@@ -0,0 +1,142 @@
+//! The runs that take up room, by task.
+
+use smol_str::SmolStr;
+
+use super::{Effect, Leader, WorkerHandle};
+use crate::ids::TaskId;
+
+/// How long after an order to stop, beyond the worker's own limit, the order is repeated.
+const STOP_REPEAT_MS: u64 = 400;
+
+/// Says what is known of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunState {
+    /// The start has been ordered; there is no answer yet.
+    Sending,
+    /// The start got no answer: it may have taken effect, or may until its deadline.
+    Unsure,
+    /// The run is under way.
+    Running,
+    /// The run has been told to stop.
+    Stopping {
+        /// When the latest order to stop was sent.
+        ordered_at_ms: u64,
+    },
+}
+
+/// Holds a run that takes up room on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Run {
+    pub(crate) task: TaskId,
+    pub(crate) number: u64,
+    pub(crate) worker: WorkerHandle,
+    pub(crate) state: RunState,
+    pub(crate) counted: crate::job::Resources,
+    /// Whether the task runs until its job is cancelled.
+    pub(crate) lasts: bool,
+    /// Until when the start could take effect, on the worker's clock.
+    pub(crate) start_deadline_ms: u64,
+    pub(crate) ordered_at_ms: u64,
+    pub(crate) checkpoint: SmolStr,
+    pub(crate) percent: u64,
+    pub(crate) gauge: Option<u64>,
+    /// When the percentage last moved.
+    pub(crate) moved_at_ms: u64,
+    pub(crate) pace_percent: u64,
+}
+
+impl Leader {
+    /// Notes a run that takes up room.
+    pub(super) fn add_run(&mut self, run: Run) {
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.runs.insert(run.task, run.number);
+            worker.used = worker.used.plus(&run.counted);
+            worker.lasting_runs += usize::from(run.lasts);
+        }
+        if let Some(step) = self.steps.get_mut(&run.task.step_id()) {
+            step.waiting.remove(&run.task.index);
+            *step.per_worker.entry(run.worker).or_default() += 1;
+        }
+        self.runs.entry(run.task).or_default().push(run);
+    }
+
+    pub(super) fn run_mut(&mut self, task: TaskId, number: u64) -> Option<&mut Run> {
+        let runs = self.runs.get_mut(&task)?;
+        runs.iter_mut().find(|run| run.number == number)
+    }
+
+    /// Frees the room of a run that is over.
+    pub(super) fn remove_run(&mut self, task: TaskId, number: u64) -> Option<Run> {
+        let runs = self.runs.get_mut(&task)?;
+        let position = runs.iter().position(|run| run.number == number)?;
+        let run = runs.swap_remove(position);
+        if runs.is_empty() {
+            self.runs.remove(&task);
+        }
+        if let Some(step) = self.steps.get_mut(&task.step_id())
+            && let Some(count) = step.per_worker.get_mut(&run.worker)
+        {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            if worker.runs.get(&task) == Some(&number) {
+                worker.runs.remove(&task);
+            }
+            worker.used = worker.used.minus(&run.counted);
+            worker.lasting_runs = worker.lasting_runs.saturating_sub(usize::from(run.lasts));
+            self.dirty_pools.insert(worker.heartbeat.pool.clone());
+        }
+        Some(run)
+    }
+
+    /// Lets the task of a run that never was, or is gone without an end, wait again.
+    pub(super) fn drop_run(&mut self, task: TaskId, number: u64) {
+        self.remove_run(task, number);
+        self.pacing.forget(task);
+        self.requeue(task);
+    }
+
+    /// Orders a run to stop, for a cause that the log tells.
+    pub(super) fn stop_run(&mut self, task: TaskId, number: u64, cause: &str) {
+        let now_ms = self.now.steady_ms;
+        let Some(run) = self.run_mut(task, number) else {
+            return;
+        };
+        if matches!(run.state, RunState::Stopping { .. }) {
+            return;
+        }
+        run.state = RunState::Stopping {
+            ordered_at_ms: now_ms,
+        };
+        let worker = run.worker;
+        self.counts.stops += 1;
+        self.note(format!(
+            "event=stop_ordered task={task} run={number} cause={cause}"
+        ));
+        self.effects.push(Effect::Stop {
+            worker,
+            task,
+            run: number,
+        });
+    }
+
+    /// Repeats orders to stop that have not taken effect.
+    pub(super) fn repeat_stops(&mut self) {
+        let now_ms = self.now.steady_ms;
+        let patience_ms = self.settings.stop_ms + STOP_REPEAT_MS;
+        let mut effects = Vec::new();
+        for run in self.runs.values_mut().flatten() {
+            if let RunState::Stopping { ordered_at_ms } = &mut run.state
+                && now_ms >= *ordered_at_ms + patience_ms
+            {
+                *ordered_at_ms = now_ms;
+                effects.push(Effect::Stop {
+                    worker: run.worker,
+                    task: run.task,
+                    run: run.number,
+                });
+            }
+        }
+        self.effects.extend(effects);
+    }
+}
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -245,7 +245,7 @@
             }
         }
         for (task, run) in orders {
-            self.stop_run(task, run, true);
+            self.stop_run(task, run, "job-ended");
         }
     }
 
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -239,7 +239,7 @@
                 !patient
             };
             if may_stop {
-                self.stop_run(*task, *number, false);
+                self.stop_run(*task, *number, "maintenance");
             }
         }
         self.workers
