--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -218,36 +218,47 @@
         let is_rise_near = !rises
             .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS, &pools)
             .is_empty();
-        let over = |position: usize, wanted: usize| -> usize {
-            demands[position].instances.saturating_sub(wanted)
-        };
-        let positions = 0..pools.len();
-        let mut surplus: Vec<usize> = positions.clone().map(|at| over(at, wanted[at])).collect();
-        for position in positions.clone() {
-            let lacks = wanted[position].saturating_sub(demands[position].instances);
-            for _ in 0..lacks {
-                let to = &pools[position];
-                // One move instead of two, where an instance has nothing to do.
-                let idle = self.lend(&pools, &mut surplus, to, true);
-                if !idle
-                    && !self.move_one((&standby, true), to, false)
-                    && !self.lend(&pools, &mut surplus, to, false)
-                {
+        let surplus = self.supply(&pools, &demands, &wanted, &standby);
+        if is_rise_near {
+            return;
+        }
+        for (position, pool) in pools.iter().enumerate() {
+            let unneeded = demands[position].instances.saturating_sub(kept[position]);
+            for _ in 0..unneeded.min(surplus[position]) {
+                if !self.move_one((pool, false), &standby, false) {
                     break;
                 }
             }
         }
-        if is_rise_near {
-            return;
-        }
-        for position in positions {
-            let leaving = over(position, kept[position]).min(surplus[position]);
-            for _ in 0..leaving {
-                if !self.move_one((&pools[position], false), &standby, false) {
+    }
+
+    /// Moves instances to the pools that lack some; returns how many each pool still has over.
+    fn supply(
+        &mut self,
+        pools: &[SmolStr],
+        demands: &[PoolDemand],
+        wanted: &[usize],
+        standby: &SmolStr,
+    ) -> Vec<usize> {
+        let held = demands.iter().map(|demand| demand.instances);
+        let compared: Vec<(usize, usize)> = held.zip(wanted.iter().copied()).collect();
+        let over = compared
+            .iter()
+            .map(|(held, wanted)| held.saturating_sub(*wanted));
+        let mut surplus: Vec<usize> = over.collect();
+        for (to, (held, wanted)) in pools.iter().zip(compared) {
+            for _ in 0..wanted.saturating_sub(held) {
+                // One move instead of two, where an instance has nothing to do.
+                let idle = self.lend(pools, &mut surplus, to, true);
+                if !idle
+                    && !self.move_one((standby, true), to, false)
+                    && !self.lend(pools, &mut surplus, to, false)
+                {
                     break;
                 }
             }
         }
+        surplus
     }
 
     /// Moves an instance to a pool from the one that has most over; returns whether there was one.
