test(dispatch): a silent control instance is passed over for a while

The rule by which entries pass over a silent leader had no test by itself; it stands in a struct of its own now and is tested without a network.

--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -11,16 +11,13 @@
 use jasminefall_wire::link::LinkError;
 
 use crate::message::{Answer, Request};
+use crate::silences::Silences;
 
 /// The pause after every known control instance has been asked in vain; an election takes a second.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 /// How long one instance may take to answer; a commit on slow disks takes a few hundred milliseconds.
 const TRY_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long an instance that left a call unanswered is passed over, also where others say that it
-/// leads; they take about as long to notice that it is gone.
-const SILENT_FOR: Duration = Duration::from_millis(600);
-
 /// Says why a call was not answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ForwardError {
@@ -41,8 +38,7 @@
     seeds: Vec<SocketAddr>,
     members: BTreeSet<SocketAddr>,
     leader: Option<SocketAddr>,
-    /// Instances that left a call unanswered, and until when they are passed over.
-    silent: BTreeMap<SocketAddr, Instant>,
+    silences: Silences,
     links: BTreeMap<SocketAddr, Rc<ControlLink>>,
 }
 
@@ -114,7 +110,7 @@
                 Ok(answer) => {
                     let mut known = self.known.borrow_mut();
                     known.leader = Some(address);
-                    known.silent.remove(&address);
+                    known.silences.clear(address);
                     return Ok(answer);
                 }
                 Err(LinkError::NotSent(error)) => {
@@ -139,30 +135,25 @@
     fn next_to_try(&self, tried: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
         let known = self.known.borrow();
         let members = known.members.iter().copied();
-        let now = Instant::now();
-        let is_silent = |address: &SocketAddr| {
-            let until = known.silent.get(address);
-            until.is_some_and(|until| now < *until)
-        };
         let order = known
             .leader
             .into_iter()
             .chain(members)
             .chain(known.seeds.iter().copied());
+        let now = Instant::now();
         order
             .into_iter()
-            .find(|address| !tried.contains(address) && !is_silent(address))
+            .find(|address| !tried.contains(address) && !known.silences.holds(*address, now))
     }
 
     fn is_silent(&self, address: SocketAddr) -> bool {
         let known = self.known.borrow();
-        let until = known.silent.get(&address);
-        until.is_some_and(|until| Instant::now() < *until)
+        known.silences.holds(address, Instant::now())
     }
 
     fn note_silence(&self, address: SocketAddr) {
-        let until = Instant::now() + SILENT_FOR;
-        self.known.borrow_mut().silent.insert(address, until);
+        let mut known = self.known.borrow_mut();
+        known.silences.note(address, Instant::now());
     }
 
     fn link(&self, address: SocketAddr) -> Rc<ControlLink> {
--- a/crates/jasminefall-dispatch/src/lib.rs
+++ b/crates/jasminefall-dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`http`]: HTTP listeners and connections
 //! - [`entry`]: the entry program
 //! - [`control`]: the control program
+//! - [`silences`]: which control instances are passed over
 //! - [`metrics`]: what a metrics collector sees
 //! - [`stop`]: signals to stop and to reload
 
@@ -21,6 +22,7 @@
 pub mod message;
 pub mod metrics;
 pub mod settings;
+pub mod silences;
 pub mod stop;
 
 /// Returns the path of the settings file that the command line names.
