refactor: one piece each for the repair step, the stop, the waiting instances and a pool's demand

Cause: read-through of the change. Change: RepairPlan::carry_on, Activity::finish, NO_LEADER_RETRY_S in forwarding, waiting_instances, and demands taken once and handed on. Behaviour stays: the control node still sends only where there was a change, what arrives is added to a demand before pools are compared, log lines are the same.

--- a/crates/jasminefall-dispatch/src/control.rs
+++ b/crates/jasminefall-dispatch/src/control.rs
@@ -24,7 +24,6 @@
 
 /// The largest body of a worker or an operator; the limit of the platform's page.
 const MAX_BODY_BYTES: usize = 4 << 20;
-const STOP_CHECK: Duration = Duration::from_millis(20);
 /// How long calls under way are waited for at a stop, as a part of the grace.
 const STOP_WAIT_PART: f64 = 0.3;
 
@@ -107,12 +106,7 @@
 async fn stop(activity: &Activity, settings: &PlatformSettings) -> anyhow::Result<()> {
     asked_to_stop().await?;
     activity.begin_stop();
-    log::info!("event=stopping under_way={}", activity.under_way());
     let grace = Duration::from_millis(settings.stop_grace_ms).mul_f64(STOP_WAIT_PART);
-    let until = tokio::time::Instant::now() + grace;
-    while activity.under_way() > 0 && tokio::time::Instant::now() < until {
-        tokio::time::sleep(STOP_CHECK).await;
-    }
-    tokio::time::sleep(STOP_CHECK).await;
+    activity.finish(grace).await;
     Ok(())
 }
--- a/crates/jasminefall-dispatch/src/control/edge.rs
+++ b/crates/jasminefall-dispatch/src/control/edge.rs
@@ -12,14 +12,12 @@
 use smol_str::SmolStr;
 
 use super::node::{Node, ProposeError};
-use crate::forwarding::ForwardError;
+use crate::forwarding::{ForwardError, NO_LEADER_RETRY_S};
 use crate::http::server::{Call, Reply};
 use crate::message::{Answer, ClientCall, Request};
 
 /// How long a call on a follower may take; callers turn to another instance after a second.
 const FORWARD_LIMIT: Duration = Duration::from_millis(900);
-/// How long a client should wait while no leader is known, in seconds; an election takes one.
-const NO_LEADER_RETRY_S: u64 = 1;
 
 /// Answers a worker or an operator.
 pub(super) async fn answer(node: Node, call: Call) -> Reply {
--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -312,7 +312,8 @@
         inner.ticks += 1;
         inner.replica.tick(monotonic_ms());
         if inner.ticks.is_multiple_of(REPAIR_TICKS) {
-            inner.repair();
+            let Inner { plan, replica, .. } = &mut *inner;
+            plan.carry_on(replica, monotonic_ms());
         }
         inner.outdated = inner.replica.is_outdated();
         if inner.refresh(self) {
--- a/crates/jasminefall-dispatch/src/control/node/inner.rs
+++ b/crates/jasminefall-dispatch/src/control/node/inner.rs
@@ -300,24 +300,6 @@
         }
     }
 
-    /// Begins the change that the membership needs next, where this replica leads.
-    pub(super) fn repair(&mut self) {
-        if !self.replica.is_leader() {
-            return;
-        }
-        let members = self.replica.members();
-        let asking: Vec<_> = self.replica.asking().collect();
-        let Some(change) = self.plan.next_change(self.replica.id(), &members, &asking) else {
-            return;
-        };
-        match self.replica.change_membership(monotonic_ms(), change) {
-            Ok(index) => log::info!("event=membership_change change=\"{change:?}\" index={index}"),
-            Err(error) => {
-                log::debug!("event=membership_waits change=\"{change:?}\" cause=\"{error}\"");
-            }
-        }
-    }
-
     /// Starts what has found room meanwhile, unless another replica may have been elected.
     pub(super) fn place(&mut self, node: &Node) {
         if self.holds_lease()
--- a/crates/jasminefall-dispatch/src/entry.rs
+++ b/crates/jasminefall-dispatch/src/entry.rs
@@ -9,7 +9,7 @@
 use jasminefall_platform::settings::PlatformSettings;
 use smol_str::SmolStr;
 
-use crate::forwarding::{ForwardError, Forwarder};
+use crate::forwarding::{ForwardError, Forwarder, NO_LEADER_RETRY_S};
 use crate::http::server::{Call, Reply, listen, serve as serve_http};
 use crate::message::{Answer, ClientCall, Request};
 use crate::metrics::Metrics;
@@ -23,13 +23,12 @@
 const ANSWER_RESERVE_MS: u64 = 100;
 /// The largest body of a client; the default of the platform's configuration.
 const MAX_BODY_BYTES: usize = 256 << 10;
-/// How long clients stay away after a call that no leader took, in seconds; an election takes one.
-const NO_LEADER_RETRY_S: u64 = 1;
 /// How often it is checked that a leader can be found.
 const LEADER_CHECK: Duration = Duration::from_millis(500);
 /// How long the balancer takes to notice that this entry is not ready: two misses, a second apart.
 const BALANCER_NOTICE: Duration = Duration::from_millis(2_300);
-const STOP_CHECK: Duration = Duration::from_millis(20);
+/// How long a stop may take, as a part of the grace; the rest is left for the process's end.
+const STOP_WAIT_PART: f64 = 0.8;
 
 /// Holds what the tasks of an entry share.
 struct Entry {
@@ -118,17 +117,11 @@
 /// Waits to be asked to stop, lets the balancer notice, and finishes the calls under way.
 async fn stop(entry: &Entry, settings: &PlatformSettings) -> anyhow::Result<()> {
     asked_to_stop().await?;
-    let activity = &entry.activity;
-    activity.begin_stop();
-    log::info!("event=stopping under_way={}", activity.under_way());
+    entry.activity.begin_stop();
     tokio::time::sleep(BALANCER_NOTICE).await;
-    let grace = Duration::from_millis(settings.stop_grace_ms).mul_f64(0.8);
-    let until = tokio::time::Instant::now() + grace.saturating_sub(BALANCER_NOTICE);
-    while activity.under_way() > 0 && tokio::time::Instant::now() < until {
-        tokio::time::sleep(STOP_CHECK).await;
-    }
-    // The last answers have been handed over; they leave before the process does.
-    tokio::time::sleep(STOP_CHECK).await;
+    let grace = Duration::from_millis(settings.stop_grace_ms).mul_f64(STOP_WAIT_PART);
+    let left = grace.saturating_sub(BALANCER_NOTICE);
+    entry.activity.finish(left).await;
     Ok(())
 }
 
--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -13,6 +13,8 @@
 use crate::message::{Answer, Request};
 use crate::silences::Silences;
 
+/// How long callers stay away after a call that no leader took, in seconds; an election takes one.
+pub const NO_LEADER_RETRY_S: u64 = 1;
 /// The pause after every known control instance has been asked in vain; an election takes a second.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 /// How long one instance may take to answer; a commit on slow disks takes a few hundred milliseconds.
--- a/crates/jasminefall-dispatch/src/stop.rs
+++ b/crates/jasminefall-dispatch/src/stop.rs
@@ -6,11 +6,14 @@
 
 use jasminefall_platform::settings::PlatformSettings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{Instant, sleep};
 
 use crate::settings::load;
 
 /// How often the settings file is looked at without a signal.
 const SETTINGS_CHECK: Duration = Duration::from_secs(2);
+/// How often it is looked whether the calls under way have been answered.
+const STOP_CHECK: Duration = Duration::from_millis(20);
 
 /// Counts the calls that are being answered, and says whether the process is about to stop.
 #[derive(Debug, Default)]
@@ -42,6 +45,17 @@
     /// Says that the process is about to stop.
     pub fn begin_stop(&self) {
         self.stopping.set(true);
+        log::info!("event=stopping under_way={}", self.under_way());
+    }
+
+    /// Waits until every call has been answered, for a limited time.
+    pub async fn finish(&self, limit: Duration) {
+        let until = Instant::now() + limit;
+        while self.under_way() > 0 && Instant::now() < until {
+            sleep(STOP_CHECK).await;
+        }
+        // The last answers have been handed over; they leave before the process does.
+        sleep(STOP_CHECK).await;
     }
 }
 
@@ -104,6 +118,6 @@
 async fn wait(hangup: &mut Signal) -> bool {
     tokio::select! {
         _ = hangup.recv() => true,
-        () = tokio::time::sleep(SETTINGS_CHECK) => false,
+        () = sleep(SETTINGS_CHECK) => false,
     }
 }
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -126,11 +126,15 @@
             return;
         }
         self.pool_plans.planned_at_ms = now_ms;
-        self.follow_arrivals(passed_ms, state);
+        let pools = self.pools_in_use(state);
+        let mut demands: Vec<PoolDemand> = pools.iter().map(|pool| self.demand(pool)).collect();
+        for (pool, demand) in pools.iter().zip(&mut demands) {
+            self.follow_arrivals(pool, demand, passed_ms);
+        }
         let refused = &mut self.pool_plans.refused;
         refused.retain(|_, at_ms| now_ms < *at_ms + REFUSED_FOR_MS);
         if self.fleet.is_listed() {
-            self.plan_moves(state);
+            self.plan_moves(&pools, &demands, state);
         }
     }
 
@@ -139,44 +143,39 @@
         self.first_run == 0 || self.now.steady_ms >= self.leads_since_ms + FIRST_ORDER_AFTER_MS
     }
 
-    /// Takes up what has arrived for every pool since the last call.
-    fn follow_arrivals(&mut self, passed_ms: u64, state: &JobsState) {
-        let now_ms = self.now.steady_ms;
-        let total_instances = self.fleet.instances.len();
-        for pool in self.pools_in_use(state) {
-            let arrivals = self.pool_plans.arrivals.entry(pool.clone()).or_default();
-            let jobs = std::mem::take(&mut arrivals.jobs);
-            let newest = std::mem::take(&mut arrivals.since_last).rate(passed_ms);
-            let weigh = |kept: u64, newest: u64| {
-                (kept * (100 - NEWEST_WEIGHT_PERCENT) + newest * NEWEST_WEIGHT_PERCENT) / 100
-            };
-            arrivals.rate = Resources {
-                cpu_millis: weigh(arrivals.rate.cpu_millis, newest.cpu_millis),
-                memory_mb: weigh(arrivals.rate.memory_mb, newest.memory_mb),
-                gpus: 0,
-            };
-            let rate = arrivals.rate;
-            let demand = self.demand(&pool);
-            let steady_millis = demand.millis_for(&rate);
-            let arrived = Arrived {
-                within_ms: passed_ms,
-                jobs,
-                millis: demand.millis_for(&newest),
-                steady_millis,
-                total_instances,
+    /// Takes up what has arrived for a pool since the last call.
+    fn follow_arrivals(&mut self, pool: &SmolStr, demand: &mut PoolDemand, passed_ms: u64) {
+        let arrivals = self.pool_plans.arrivals.entry(pool.clone()).or_default();
+        let jobs = std::mem::take(&mut arrivals.jobs);
+        let newest = std::mem::take(&mut arrivals.since_last).rate(passed_ms);
+        let weigh = |kept: u64, newest: u64| {
+            (kept * (100 - NEWEST_WEIGHT_PERCENT) + newest * NEWEST_WEIGHT_PERCENT) / 100
+        };
+        arrivals.rate = Resources {
+            cpu_millis: weigh(arrivals.rate.cpu_millis, newest.cpu_millis),
+            memory_mb: weigh(arrivals.rate.memory_mb, newest.memory_mb),
+            gpus: 0,
+        };
+        demand.arriving = arrivals.rate;
+        let steady_millis = demand.millis_for(&demand.arriving);
+        let arrived = Arrived {
+            within_ms: passed_ms,
+            jobs,
+            millis: demand.millis_for(&newest),
+            steady_millis,
+            total_instances: self.fleet.instances.len(),
+        };
+        let rises = &mut self.pool_plans.rises;
+        if let Some(turn) = rises.note(self.now.steady_ms, pool, &arrived) {
+            let height_millis = rises.height_millis(pool).unwrap_or(0);
+            let event = match turn {
+                Turn::Rise => "rise_began",
+                Turn::Fall => "rise_ended",
             };
-            let rises = &mut self.pool_plans.rises;
-            if let Some(turn) = rises.note(now_ms, &pool, &arrived) {
-                let height_millis = rises.height_millis(&pool).unwrap_or(0);
-                let event = match turn {
-                    Turn::Rise => "rise_began",
-                    Turn::Fall => "rise_ended",
-                };
-                self.note(format!(
-                    "event={event} pool={pool} arriving_millis={steady_millis} \
-                     height_millis={height_millis}"
-                ));
-            }
+            self.note(format!(
+                "event={event} pool={pool} arriving_millis={steady_millis} \
+                 height_millis={height_millis}"
+            ));
         }
     }
 
@@ -186,17 +185,15 @@
         in_use.map(|pool| pool.name.clone()).collect()
     }
 
-    fn plan_moves(&mut self, state: &JobsState) {
+    fn plan_moves(&mut self, pools: &[SmolStr], demands: &[PoolDemand], state: &JobsState) {
         let now_ms = self.now.steady_ms;
-        let pools = self.pools_in_use(state);
         let standby = state.configuration.pools.iter().find(|pool| pool.standby);
         let Some(standby) = standby.map(|pool| pool.name.clone()) else {
             return;
         };
-        let demands: Vec<PoolDemand> = pools.iter().map(|pool| self.demand(pool)).collect();
         let mut needed = Vec::with_capacity(pools.len());
         let mut kept = Vec::with_capacity(pools.len());
-        for (pool, demand) in pools.iter().zip(&demands) {
+        for (pool, demand) in pools.iter().zip(demands) {
             let (lending, leaving) = self.needed(pool, demand);
             needed.push(lending);
             kept.push(leaving);
@@ -206,19 +203,19 @@
         let mut wanted = divide(&needed, total);
         let lead_ms = self.settings.move_ms + READY_BEFORE_MS;
         let rises = &self.pool_plans.rises;
-        let expected = rises.expected(now_ms, lead_ms, &pools);
-        self.make_ready(&pools, &demands, &expected, total, &mut wanted);
+        let expected = rises.expected(now_ms, lead_ms, pools);
+        self.make_ready(pools, demands, &expected, total, &mut wanted);
         if now_ms >= self.pool_plans.logged_at_ms + LOG_INTERVAL_MS {
             self.pool_plans.logged_at_ms = now_ms;
-            for ((pool, demand), wanted) in pools.iter().zip(&demands).zip(&wanted) {
+            for ((pool, demand), wanted) in pools.iter().zip(demands).zip(&wanted) {
                 self.log_pool(pool, demand, *wanted, expected.contains(pool));
             }
         }
         let rises = &self.pool_plans.rises;
         let is_rise_near = !rises
-            .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS, &pools)
+            .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS, pools)
             .is_empty();
-        let surplus = self.supply(&pools, &demands, &wanted, &standby);
+        let surplus = self.supply(pools, demands, &wanted, &standby);
         if is_rise_near {
             return;
         }
@@ -360,6 +357,7 @@
             .sum()
     }
 
+    /// Returns what a pool holds and what takes it up; what arrives is taken up afterwards.
     fn demand(&self, pool: &SmolStr) -> PoolDemand {
         let staying = self.instances_in(pool);
         let mut demand = PoolDemand {
@@ -384,8 +382,6 @@
                 demand.add(step.step(), step.waiting.len() as u64);
             }
         }
-        let arrivals = self.pool_plans.arrivals.get(pool);
-        demand.arriving = arrivals.map(|arrivals| arrivals.rate).unwrap_or_default();
         demand
     }
 
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -127,13 +127,9 @@
             .filter(|(of, _)| *of == number)
             .count();
         let room = (wave.max_down as usize).saturating_sub(under_way);
-        let waits = |instance: &&SmolStr| {
-            !wave.maintained.contains(*instance)
-                && !self.upkeep.is_under_way(instance)
-                && !self.pool_plans.is_moving(instance)
-                && self.is_up(instance)
-        };
-        let ranked = wave.instances.iter().filter(waits).map(|instance| {
+        let waiting = self.waiting_instances(wave);
+        let ready = waiting.filter(|instance| self.is_up(instance));
+        let ranked = ready.map(|instance| {
             let worker = self
                 .worker_on(instance)
                 .and_then(|handle| self.workers.get(&handle));
@@ -157,6 +153,15 @@
         }
     }
 
+    /// Returns the instances of a wave that wait for their maintenance to be taken up.
+    fn waiting_instances<'a>(&self, wave: &'a Wave) -> impl Iterator<Item = &'a SmolStr> {
+        wave.instances.iter().filter(|instance| {
+            !wave.maintained.contains(*instance)
+                && !self.upkeep.is_under_way(instance)
+                && !self.pool_plans.is_moving(instance)
+        })
+    }
+
     /// Returns whether an instance is up: the list says so, or its worker has been heard since.
     fn is_up(&self, instance: &SmolStr) -> bool {
         let listed = self.fleet.instances.get(instance);
@@ -169,16 +174,9 @@
 
     /// Asks for a new list where a wave waits for instances that the last one does not show as up.
     fn doubt_what_is_down(&mut self, state: &JobsState) {
-        let waves = state.waves.iter().filter(|(_, wave)| !wave.is_complete());
-        let is_down = |wave: &Wave| {
-            wave.instances.iter().any(|instance| {
-                !wave.maintained.contains(instance)
-                    && !self.upkeep.is_under_way(instance)
-                    && !self.pool_plans.is_moving(instance)
-                    && !self.is_up(instance)
-            })
-        };
-        if waves.into_iter().any(|(_, wave)| is_down(wave)) {
+        let mut open = state.waves.values().filter(|wave| !wave.is_complete());
+        let is_down = |instance: &SmolStr| !self.is_up(instance);
+        if open.any(|wave| self.waiting_instances(wave).any(is_down)) {
             self.fleet.doubt();
         }
     }
--- a/crates/jasminefall-replica/src/repair.rs
+++ b/crates/jasminefall-replica/src/repair.rs
@@ -1,11 +1,11 @@
 //! Which change of the membership a group needs next.
 //!
-//! The function decides from what the leader knows and does nothing itself; the leader then checks
-//! that the change is safe to begin.
+//! The plan decides from what the leader knows; the leader then checks that the change is safe to
+//! begin.
 
 use std::collections::BTreeMap;
 
-use crate::replica::{Change, MemberStatus};
+use crate::replica::{Change, MemberStatus, Replica};
 use crate::types::{Incarnation, ReplicaId};
 
 /// Names the data centre of a replica.
@@ -44,6 +44,26 @@
         self
     }
 
+    /// Begins the change that the group needs next, where the replica leads; returns whether there
+    /// was one, and the replica may have something to send.
+    pub fn carry_on(&self, replica: &mut Replica, now_ms: u64) -> bool {
+        if !replica.is_leader() {
+            return false;
+        }
+        let members = replica.members();
+        let asking: Vec<_> = replica.asking().collect();
+        let Some(change) = self.next_change(replica.id(), &members, &asking) else {
+            return false;
+        };
+        match replica.change_membership(now_ms, change) {
+            Ok(index) => log::info!("event=membership_change change=\"{change:?}\" index={index}"),
+            Err(error) => {
+                log::debug!("event=membership_waits change=\"{change:?}\" cause=\"{error}\"");
+            }
+        }
+        true
+    }
+
     /// Returns the change that the group needs next, if any.
     ///
     /// A voter that lost its files is removed at once: it can never count again. One that is only
