--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -3,7 +3,7 @@
 #[path = "leader/site.rs"]
 mod site;
 
-use jasminefall_jobs::leader::{Effect, InstanceAnswer, ListedInstance, LookLane};
+use jasminefall_jobs::leader::{Effect, InstanceAnswer, ListedInstance, LookLane, StartOrder};
 use jasminefall_jobs::prelude::*;
 use site::{Site, lasting, task};
 
@@ -203,13 +203,7 @@
 #[test]
 fn an_instance_in_standby_is_maintained_without_a_worker() {
     let mut site = Site::new(1);
-    let idle = ListedInstance {
-        instance: "m-idle".into(),
-        pool: site::STANDBY.into(),
-        worker: None,
-        up: true,
-        is_away: false,
-    };
+    let idle = site::listed("m-idle", site::STANDBY);
     site.list(&[idle]);
     site.start_wave(&["m-idle"]);
     site.pass(300);
@@ -220,13 +214,7 @@
 #[test]
 fn an_instance_that_came_up_meanwhile_is_emptied_before_it_is_ordered_away_again() {
     let mut site = Site::new(0);
-    let coming = ListedInstance {
-        instance: "m-0".into(),
-        pool: site::POOL.into(),
-        worker: None,
-        up: true,
-        is_away: false,
-    };
+    let coming = site::listed("m-0", site::POOL);
     site.list(&[coming]);
     site.start_wave(&["m-0"]);
     site.pass(300);
@@ -245,8 +233,8 @@
     assert_eq!(ordered, ["m-0"], "an empty worker does not hold it up");
 }
 
-#[test]
-fn a_step_never_misses_more_than_it_may_for_a_wave() {
+/// Returns a site of four workers with three tasks at work that last, of which one may be unavailable.
+fn site_with_at_most_one_unavailable() -> (Site, Vec<StartOrder>) {
     let mut site = Site::new(4);
     site.list_instances();
     let mut job = lasting(3);
@@ -256,6 +244,12 @@
     let starts = site.take_starts();
     site.accept_all(&starts);
     site.at_work(&starts);
+    (site, starts)
+}
+
+#[test]
+fn a_step_never_misses_more_than_it_may_for_a_wave() {
+    let (mut site, _) = site_with_at_most_one_unavailable();
     site.start_wave_of(&["m-0", "m-1", "m-2", "m-3"], 4);
     site.pass(300);
     let stops = site.take_stops();
@@ -265,15 +259,7 @@
 /// A worker that does not answer may be gone: what ran there counts as away.
 #[test]
 fn tasks_on_a_worker_that_does_not_answer_count_as_away() {
-    let mut site = Site::new(4);
-    site.list_instances();
-    let mut job = lasting(3);
-    job.steps[0].max_unavailable = 1;
-    job.steps[0].max_per_worker = Some(1);
-    site.submit(1, job);
-    let starts = site.take_starts();
-    site.accept_all(&starts);
-    site.at_work(&starts);
+    let (mut site, starts) = site_with_at_most_one_unavailable();
     site.fail_look_at(&starts[0]);
     let instances: Vec<String> = (0..4).map(|number| format!("m-{number}")).collect();
     let instances: Vec<&str> = instances.iter().map(String::as_str).collect();
@@ -313,14 +299,10 @@
     site.submit(1, site::job(&[40], 4_000));
     site.change_leader();
     site.take_effects();
-    let listed = |instance: &str, pool: &str| ListedInstance {
-        instance: instance.into(),
-        pool: pool.into(),
-        worker: None,
-        up: true,
-        is_away: false,
-    };
-    site.list(&[listed("m-0", site::POOL), listed("m-9", site::STANDBY)]);
+    site.list(&[
+        site::listed("m-0", site::POOL),
+        site::listed("m-9", site::STANDBY),
+    ]);
     site.pass(500);
     let moved = site.take_effects().into_iter().any(|effect| {
         matches!(effect, Effect::Move { instance, pool } if instance == "m-9" && pool == site::POOL)
@@ -400,14 +382,16 @@
     site.change_leader();
     site.answer_looks();
     assert!(site.take_starts().is_empty(), "they may still run there");
-    let listed = |instance: &str, worker: Option<&str>| ListedInstance {
-        instance: instance.into(),
-        pool: site::POOL.into(),
-        worker: worker.map(Into::into),
-        up: worker.is_some(),
-        is_away: worker.is_none(),
+    let carrying = ListedInstance {
+        worker: Some("i-0".into()),
+        ..site::listed("m-0", site::POOL)
+    };
+    let sent_away = ListedInstance {
+        up: false,
+        is_away: true,
+        ..site::listed("m-1", site::POOL)
     };
-    site.list(&[listed("m-0", Some("i-0")), listed("m-1", None)]);
+    site.list(&[carrying, sent_away]);
     site.end_running("i-0");
     let tasks: Vec<_> = site.take_starts().iter().map(|start| start.task).collect();
     assert_eq!(tasks, gone, "what ran on the instance that was sent away");
@@ -417,11 +401,8 @@
 fn an_instance_that_came_up_after_the_list_was_read_is_maintained() {
     let mut site = Site::new(1);
     let down = ListedInstance {
-        instance: "m-0".into(),
-        pool: site::POOL.into(),
-        worker: None,
         up: false,
-        is_away: false,
+        ..site::listed("m-0", site::POOL)
     };
     site.list(&[down]);
     site.start_wave(&["m-0"]);
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -455,17 +455,11 @@
 
     /// Lets the leader read which instances there are.
     pub(crate) fn list_instances(&mut self) {
-        let listed = self
-            .workers
-            .keys()
-            .enumerate()
-            .map(|(number, name)| ListedInstance {
-                instance: format_smolstr!("m-{number}"),
-                pool: POOL.into(),
-                worker: Some(name.clone()),
-                up: true,
-                is_away: false,
-            });
+        let names = self.workers.keys().enumerate();
+        let listed = names.map(|(number, name)| ListedInstance {
+            worker: Some(name.clone()),
+            ..listed(&format!("m-{number}"), POOL)
+        });
         let listed: Vec<_> = listed.collect();
         self.list(&listed);
     }
@@ -499,6 +493,17 @@
     }
 }
 
+/// Returns an instance that is up and carries no worker that the list names.
+pub(crate) fn listed(instance: &str, pool: &str) -> ListedInstance {
+    ListedInstance {
+        instance: instance.into(),
+        pool: pool.into(),
+        worker: None,
+        up: true,
+        is_away: false,
+    }
+}
+
 fn configuration() -> Configuration {
     let pool = |name: &str, standby| Pool {
         name: name.into(),
