--- a/crates/jasminefall-dispatch/src/control.rs
+++ b/crates/jasminefall-dispatch/src/control.rs
@@ -18,7 +18,8 @@
 use jasminefall_wire::server::{ControlService, serve_control};
 
 use self::node::Node;
-use crate::http::server::{listen, serve as serve_http};
+use crate::http::budget::ConnectionBudget;
+use crate::http::server::{Limits, listen, serve as serve_http};
 use crate::settings::{peer_address, site_key};
 use crate::stop::{Activity, asked_to_stop, follow_settings};
 
@@ -50,7 +51,11 @@
         let node = node.clone();
         move |call| edge::answer(node.clone(), call)
     };
-    let edge = serve_http(listen(control)?, MAX_BODY_BYTES, activity.clone(), answer);
+    let limits = Limits::new(
+        MAX_BODY_BYTES,
+        ConnectionBudget::accepted(settings.max_descriptors),
+    );
+    let edge = serve_http(listen(control)?, limits, activity.clone(), answer);
     let metrics = crate::metrics::serve(&settings, node.metrics());
     let reload = {
         let node = node.clone();
--- a/crates/jasminefall-dispatch/src/control/edge.rs
+++ b/crates/jasminefall-dispatch/src/control/edge.rs
@@ -150,6 +150,7 @@
     // That a worker drains must outlast this leader before the worker relies on it.
     let drains = heartbeat.draining;
     let life = heartbeat.life.clone();
+    let worker = life.worker.clone();
     let held = heartbeat.clone();
     let noted = node.turn(|leader, state| leader.take_heartbeat(heartbeat, state));
     match noted {
@@ -169,7 +170,7 @@
         None => return node.not_leader(),
     }
     Answer::HeartbeatNoted {
-        next: node.control_address(),
+        next: node.receiver_of(&worker),
     }
 }
 
--- a/crates/jasminefall-dispatch/src/control/lines.rs
+++ b/crates/jasminefall-dispatch/src/control/lines.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use super::node::Node;
+use crate::http::budget::ConnectionBudget;
 use crate::http::client::{CallError, Connection};
 
 /// How long a worker may take to answer an order; it answers within a few milliseconds, and an order
@@ -22,6 +23,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// How many orders may be under way to one worker; more cost connections.
 const ORDER_LINES: usize = 2;
+/// How long a connection without orders is kept; workers that are in use get some each second.
+const IDLE_KEPT: Duration = Duration::from_secs(2);
 
 /// Carries an order to a worker's line.
 #[derive(Debug)]
@@ -116,8 +119,9 @@
     mut orders: UnboundedReceiver<Order>,
     pending: Rc<Cell<usize>>,
 ) {
-    let mut connection = Connection::new(target.address);
-    while let Some(order) = orders.recv().await {
+    let budget = node.worker_connections();
+    let mut connection = Connection::new(target.address).with_budget(budget.clone());
+    while let Some(order) = next_order(&mut orders, &mut connection, &budget).await {
         let token = target.fencing_token;
         let (encoded, limit) = match &order {
             Order::Start(start) => (encode_start(start, token), ORDER_TIMEOUT),
@@ -136,6 +140,23 @@
     }
 }
 
+/// Waits for the next order, and closes a connection that is not needed meanwhile.
+async fn next_order(
+    orders: &mut UnboundedReceiver<Order>,
+    connection: &mut Connection,
+    budget: &ConnectionBudget,
+) -> Option<Order> {
+    if !budget.is_scarce() {
+        match tokio::time::timeout(IDLE_KEPT, orders.recv()).await {
+            Ok(order) => return order,
+            Err(_) => connection.close(),
+        }
+    } else if orders.is_empty() {
+        connection.close();
+    }
+    orders.recv().await
+}
+
 async fn send(
     connection: &mut Connection,
     target: &Target,
--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -12,6 +12,7 @@
 
 use anyhow::Context;
 use jasminefall_jobs::leader::{Leader, Now};
+use jasminefall_jobs::policy::receivers::{Receiver, receiver};
 use jasminefall_jobs::prelude::*;
 use jasminefall_platform::settings::PlatformSettings;
 use jasminefall_replica::disk::{self, DiskDone};
@@ -23,8 +24,10 @@
 use tokio::sync::oneshot;
 
 use self::inner::Inner;
+use super::instances::PlatformClient;
 use super::lines::AllLines;
 use crate::forwarding::Forwarder;
+use crate::http::budget::ConnectionBudget;
 use crate::message::Answer;
 use crate::metrics::Metrics;
 use crate::settings::{address_of, peer_address, replica_at, site_key};
@@ -43,6 +46,9 @@
 const REPLACE_AFTER_MS: u64 = 4_000;
 /// With this many jobs waiting for the disk, messages of other replicas are dropped.
 const MAX_DISK_JOBS: usize = 1_024;
+/// The part of the accepted connections that heartbeats may take up at the leader, in per cent; the
+/// others are left for operators and for workers that have not been told where to go.
+const HEARTBEATS_PERCENT: usize = 50;
 /// The most proposals that may wait to be committed.
 const MAX_WAITING: usize = 20_000;
 
@@ -60,6 +66,8 @@
 pub(super) struct Node {
     inner: Rc<RefCell<Inner>>,
     metrics: Metrics,
+    worker_connections: ConnectionBudget,
+    platform: Rc<PlatformClient>,
     synced: Rc<Cell<Option<UnboundedReceiver<DiskDone>>>>,
 }
 
@@ -120,6 +128,8 @@
         Ok(Self {
             inner: Rc::new(RefCell::new(inner)),
             metrics: Metrics::new(),
+            worker_connections: ConnectionBudget::opened(settings.max_descriptors),
+            platform: Rc::default(),
             synced: Rc::new(Cell::new(Some(receiver))),
         })
     }
@@ -154,6 +164,16 @@
         self.metrics.clone()
     }
 
+    /// Returns the budget for connections to workers.
+    pub(super) fn worker_connections(&self) -> ConnectionBudget {
+        self.worker_connections.clone()
+    }
+
+    /// Returns what calls the platform.
+    pub(super) fn platform(&self) -> Rc<PlatformClient> {
+        self.platform.clone()
+    }
+
     pub(super) fn set_seeds(&self, settings: &PlatformSettings) {
         let mut inner = self.inner.borrow_mut();
         let own = inner.replica.id();
@@ -169,6 +189,12 @@
         inner.leader.is_some() && inner.holds_lease()
     }
 
+    /// Returns whether this instance leads for certain, in the leadership with this token.
+    pub(super) fn leads_with(&self, fencing_token: u64) -> bool {
+        let inner = self.inner.borrow();
+        inner.fencing_token == fencing_token && inner.leader.is_some() && inner.holds_lease()
+    }
+
     /// Returns where the leader that this instance follows is reached.
     pub(super) fn known_leader(&self) -> Option<SocketAddr> {
         let inner = self.inner.borrow();
@@ -208,13 +234,27 @@
             .clone()
     }
 
-    /// Returns where workers reach this instance, as IP:PORT.
-    pub(super) fn control_address(&self) -> Option<SmolStr> {
+    /// Returns where a worker had better send its heartbeats, as IP:PORT.
+    pub(super) fn receiver_of(&self, worker: &str) -> Option<SmolStr> {
         let inner = self.inner.borrow();
-        inner
-            .settings
-            .control
-            .map(|address| address.to_string().into())
+        let own = inner.settings.control?;
+        let workers = inner.leader.as_ref().map_or(0, Leader::worker_count);
+        let accepted = ConnectionBudget::accepted(inner.settings.max_descriptors).total();
+        let most_at_leader = accepted * HEARTBEATS_PERCENT / 100;
+        if workers <= most_at_leader {
+            return Some(own.to_string().into());
+        }
+        let members = inner.replica.members().into_iter();
+        let receivers = members.filter_map(|member| {
+            let is_own = member.id == inner.replica.id();
+            Some(Receiver {
+                address: SocketAddr::new(address_of(member.id)?.ip(), own.port()),
+                silent_ms: if is_own { 0 } else { member.silent_ms },
+            })
+        });
+        let receivers: Vec<_> = receivers.collect();
+        let chosen = receiver(worker, workers, most_at_leader, own, &receivers);
+        Some(chosen.to_string().into())
     }
 
     /// Looks at the state where it is fresh.
--- a/crates/jasminefall-dispatch/src/entry.rs
+++ b/crates/jasminefall-dispatch/src/entry.rs
@@ -10,7 +10,8 @@
 use smol_str::SmolStr;
 
 use crate::forwarding::{ForwardError, Forwarder, NO_LEADER_RETRY_S};
-use crate::http::server::{Call, Reply, listen, serve as serve_http};
+use crate::http::budget::ConnectionBudget;
+use crate::http::server::{Call, Limits, Reply, listen, serve as serve_http};
 use crate::message::{Answer, ClientCall, Request};
 use crate::metrics::Metrics;
 use crate::settings::{peer_address, site_key};
@@ -23,6 +24,8 @@
 const ANSWER_RESERVE_MS: u64 = 100;
 /// The largest body of a client; the default of the platform's configuration.
 const MAX_BODY_BYTES: usize = 256 << 10;
+/// How many connections may ask whether the entry is ready; the balancer keeps a few.
+const MAX_READINESS_CONNECTIONS: usize = 64;
 /// How often it is checked that a leader can be found.
 const LEADER_CHECK: Duration = Duration::from_millis(500);
 /// How long the balancer takes to notice that this entry is not ready: two misses, a second apart.
@@ -62,7 +65,10 @@
     };
     let clients = serve_http(
         listen(clients)?,
-        MAX_BODY_BYTES,
+        Limits::new(
+            MAX_BODY_BYTES,
+            ConnectionBudget::accepted(settings.max_descriptors),
+        ),
         entry.activity.clone(),
         answer,
     );
@@ -74,7 +80,8 @@
         }
     };
     // Asking whether the entry is ready must not hold up its stop.
-    let readiness = serve_http(listen(readiness)?, 0, Rc::default(), ready);
+    let asking = Limits::new(0, ConnectionBudget::new(MAX_READINESS_CONNECTIONS));
+    let readiness = serve_http(listen(readiness)?, asking, Rc::default(), ready);
     let metrics = crate::metrics::serve(&settings, entry.metrics.clone());
     let path = crate::settings_path();
     let reload = {
--- a/crates/jasminefall-dispatch/src/http.rs
+++ b/crates/jasminefall-dispatch/src/http.rs
@@ -1,4 +1,5 @@
 //! HTTP listeners and connections.
 
+pub mod budget;
 pub mod client;
 pub mod server;
--- a/crates/jasminefall-dispatch/src/http/client.rs
+++ b/crates/jasminefall-dispatch/src/http/client.rs
@@ -12,6 +12,8 @@
 use tokio::time::timeout;
 use tokio_util::codec::Decoder;
 
+use super::budget::{ConnectionBudget, ConnectionPermit};
+
 /// How long a connection may take to open; a round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long sent bytes may stay without acknowledgement before the connection counts as dead.
@@ -42,8 +44,16 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    stream: Option<TcpStream>,
+    stream: Option<Stream>,
     opened: u64,
+    budget: Option<ConnectionBudget>,
+}
+
+/// Holds an open connection and its place in the budget.
+#[derive(Debug)]
+struct Stream {
+    socket: TcpStream,
+    _permit: Option<ConnectionPermit>,
 }
 
 impl Connection {
@@ -54,9 +64,22 @@
             address,
             stream: None,
             opened: 0,
+            budget: None,
         }
     }
 
+    /// Takes a place of a budget whenever it is open.
+    #[must_use]
+    pub fn with_budget(mut self, budget: ConnectionBudget) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
+    /// Closes the connection; the next call opens it again.
+    pub fn close(&mut self) {
+        self.stream = None;
+    }
+
     /// Returns how often the connection has been opened.
     #[must_use]
     pub const fn opened(&self) -> u64 {
@@ -79,18 +102,19 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> Result<(u16, Bytes), CallError> {
-        if self.stream.as_ref().is_some_and(is_closed) {
+        if self
+            .stream
+            .as_ref()
+            .is_some_and(|kept| is_closed(&kept.socket))
+        {
             self.stream = None;
         }
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
-            None => {
-                self.opened += 1;
-                open(self.address).await.map_err(|_| CallError::NotSent)?
-            }
+            None => self.open(limit).await?,
         };
         let request = self.encode(method, path, headers, body);
-        let exchange = exchange(&mut stream, request.as_bytes());
+        let exchange = exchange(&mut stream.socket, request.as_bytes());
         match timeout(limit, exchange).await {
             Ok(Ok((status, answer, keeps))) => {
                 self.stream = keeps.then_some(stream);
@@ -100,6 +124,23 @@
         }
     }
 
+    /// Opens the connection; waits for a place in the budget for up to `limit`.
+    async fn open(&mut self, limit: Duration) -> Result<Stream, CallError> {
+        let permit = match &self.budget {
+            Some(budget) => {
+                let taken = timeout(limit, budget.take()).await;
+                Some(taken.ok().flatten().ok_or(CallError::NotSent)?)
+            }
+            None => None,
+        };
+        self.opened += 1;
+        let socket = open(self.address).await.map_err(|_| CallError::NotSent)?;
+        Ok(Stream {
+            socket,
+            _permit: permit,
+        })
+    }
+
     fn encode(&self, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> String {
         use std::fmt::Write;
         let mut text = String::with_capacity(256 + body.len());
--- a/crates/jasminefall-dispatch/src/http/server.rs
+++ b/crates/jasminefall-dispatch/src/http/server.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{ConnectionType, HttpMessage, HttpService, Request, Response, StatusCode};
@@ -15,6 +15,7 @@
 use socket2::{Domain, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::budget::{ConnectionBudget, ConnectionPermit};
 use crate::stop::Activity;
 
 /// How many connections may wait to be accepted; a burst of clients arrives within one wake-up.
@@ -27,6 +28,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// How long accepting rests after a failure such as a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How often refused connections are logged; they come in hundreds.
+const REFUSALS_LOGGED_EVERY: Duration = Duration::from_secs(1);
 
 /// Holds one call.
 #[derive(Debug)]
@@ -120,14 +123,36 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Serves calls on a listener for ever; a body over `max_body_bytes` is refused.
+/// Bounds what callers can take up.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    max_body_bytes: usize,
+    connections: ConnectionBudget,
+}
+
+impl Limits {
+    /// Creates limits for bodies and connections.
+    #[must_use]
+    pub const fn new(max_body_bytes: usize, connections: ConnectionBudget) -> Self {
+        Self {
+            max_body_bytes,
+            connections,
+        }
+    }
+}
+
+/// Serves calls on a listener for ever.
+///
+/// Bodies above the limit are refused. A connection above the limit is closed at once, so that its
+/// caller turns to another instance; when half of them are taken, connections are closed after each
+/// answer.
 ///
 /// # Errors
 ///
 /// Returns an error where the HTTP service cannot be made.
 pub async fn serve<F>(
     listener: TcpListener,
-    max_body_bytes: usize,
+    limits: Limits,
     activity: Rc<Activity>,
     answer: impl Fn(Call) -> F + Clone + 'static,
 ) -> anyhow::Result<()>
@@ -135,15 +160,21 @@
     F: Future<Output = Reply> + 'static,
 {
     let held = activity.clone();
+    let Limits {
+        max_body_bytes,
+        connections,
+    } = limits;
+    let budget = connections.clone();
     let handler = move |request: Request| {
         let (answer, activity) = (answer.clone(), held.clone());
+        let connections = connections.clone();
         async move {
             let under_way = activity.begin();
             let reply = match read(request, max_body_bytes).await {
                 Ok(call) => answer(call).await,
                 Err(refusal) => refusal,
             };
-            let closes = activity.is_stopping();
+            let closes = activity.is_stopping() || connections.is_scarce();
             drop(under_way);
             Ok::<_, actix_http::Error>(encode(reply, closes))
         }
@@ -157,9 +188,13 @@
     let service = service.new_service(()).await;
     let service = service.map_err(|()| anyhow::anyhow!("the HTTP service cannot be made"))?;
     let service = Rc::new(service);
+    let mut refusals = Refusals::default();
     loop {
         match listener.accept().await {
-            Ok((stream, peer)) => serve_connection(&service, stream, peer),
+            Ok((stream, peer)) => match budget.try_take() {
+                Some(permit) => serve_connection(&service, stream, peer, permit),
+                None => refusals.note(budget.total()),
+            },
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -168,8 +203,34 @@
     }
 }
 
-fn serve_connection<S>(service: &Rc<S>, stream: TcpStream, peer: SocketAddr)
-where
+/// Counts connections that are refused, and logs the count from time to time.
+#[derive(Debug, Default)]
+struct Refusals {
+    count: u64,
+    logged_at: Option<Instant>,
+}
+
+impl Refusals {
+    fn note(&mut self, limit: usize) {
+        self.count += 1;
+        let is_recent = |at: Instant| at.elapsed() < REFUSALS_LOGGED_EVERY;
+        if self.logged_at.is_some_and(is_recent) {
+            return;
+        }
+        self.logged_at = Some(Instant::now());
+        log::warn!(
+            "event=connections_refused count={} limit={limit} remedy=\"raise the limit of descriptors\"",
+            std::mem::take(&mut self.count)
+        );
+    }
+}
+
+fn serve_connection<S>(
+    service: &Rc<S>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    permit: ConnectionPermit,
+) where
     S: Service<TcpStream, Response = ()> + 'static,
     S::Error: std::fmt::Debug,
 {
@@ -179,6 +240,7 @@
     }
     let served = service.call(stream);
     actix_rt::spawn(async move {
+        let _permit = permit;
         if let Err(error) = served.await {
             log::debug!("event=connection_ended peer={peer} error=\"{error:?}\"");
         }
--- a/crates/jasminefall-dispatch/src/metrics.rs
+++ b/crates/jasminefall-dispatch/src/metrics.rs
@@ -13,8 +13,11 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::http::server::{Reply, listen, serve as serve_http};
+use crate::http::budget::ConnectionBudget;
+use crate::http::server::{Limits, Reply, listen, serve as serve_http};
 
+/// How many connections of metrics collectors are served; there are one or two.
+const MAX_COLLECTORS: usize = 16;
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Labels an answered call.
@@ -113,5 +116,6 @@
 pub async fn serve(settings: &PlatformSettings, metrics: Metrics) -> anyhow::Result<()> {
     let address = SocketAddr::new(settings.address, settings.own_ports.1);
     let answer = move |_| std::future::ready(metrics.page());
-    serve_http(listen(address)?, 0, Rc::default(), answer).await
+    let limits = Limits::new(0, ConnectionBudget::new(MAX_COLLECTORS));
+    serve_http(listen(address)?, limits, Rc::default(), answer).await
 }
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -7,6 +7,7 @@
 //! workers keep, so that a start need not wait for a commit.
 //!
 //! - [`clients`]: submissions, states and cancels
+//! - [`directory`]: finding workers by what they say of themselves
 //! - [`workers`]: heartbeats, lives and leases
 //! - [`orders`]: answers of workers to orders, and their lists of runs
 //! - [`steps`]: which steps are open and what waits in them
@@ -20,6 +21,7 @@
 
 mod advice;
 mod clients;
+mod directory;
 mod filling;
 mod fleet;
 mod orders;
@@ -36,6 +38,7 @@
 use smol_str::SmolStr;
 
 pub use self::clients::{Reply, SubmitDecision};
+use self::directory::Directory;
 use self::filling::Pacing;
 use self::fleet::Fleet;
 pub use self::fleet::{InstanceAnswer, ListedInstance};
@@ -48,6 +51,7 @@
 use crate::job::JobSpec;
 use crate::policy::admission::PoolLoad;
 use crate::policy::durations::Durations;
+use crate::policy::order_rate::OrderRate;
 use crate::state::{Command, JobsState};
 
 /// Runs of one leadership are numbered from a multiple of this, so that they are above earlier ones.
@@ -73,6 +77,9 @@
     pub move_ms: u64,
     /// By how much a task is slower away from its data, in thousandths; from the platform's settings.
     pub far_millis: u64,
+    /// How many orders about instances the platform accepts in a second; from the platform's
+    /// settings, none where it names no limit.
+    pub instance_orders_per_s: Option<u64>,
     /// How long a job that has ended is remembered, in milliseconds.
     pub remember_ms: u64,
 }
@@ -87,6 +94,7 @@
             maintenance_ms: 2_000,
             move_ms: 1_500,
             far_millis: 2_000,
+            instance_orders_per_s: None,
             remember_ms: 600_000,
         }
     }
@@ -232,9 +240,7 @@
     first_run: u64,
     next_handle: u32,
     workers: BTreeMap<WorkerHandle, Worker>,
-    by_life: HashMap<LifeId, WorkerHandle>,
-    by_instance: HashMap<SmolStr, WorkerHandle>,
-    by_pool: HashMap<SmolStr, BTreeSet<WorkerHandle>>,
+    directory: Directory,
     /// Lives on which an earlier leader may have started tasks and that have not answered yet.
     unsettled: BTreeMap<LifeId, SmolStr>,
     steps: BTreeMap<StepId, StepRun>,
@@ -246,10 +252,13 @@
     fleet: Fleet,
     upkeep: Upkeep,
     pool_plans: PoolPlans,
+    /// Bounds the orders about instances.
+    order_rate: OrderRate,
     /// The load of every pool and when it was taken.
     loads: HashMap<SmolStr, (u64, PoolLoad)>,
     pacing: Pacing,
     dirty_pools: BTreeSet<SmolStr>,
+    placing_retried_at_ms: u64,
     stamp_at_ms: u64,
     /// Until when answers are taken to get lost, so that looks are doubled.
     lossy_until_ms: u64,
@@ -269,9 +278,7 @@
             first_run: state.leaderships.saturating_sub(1) * RUNS_PER_LEADERSHIP,
             next_handle: 0,
             workers: BTreeMap::new(),
-            by_life: HashMap::new(),
-            by_instance: HashMap::new(),
-            by_pool: HashMap::new(),
+            directory: Directory::default(),
             unsettled: BTreeMap::new(),
             steps: BTreeMap::new(),
             open_steps: BTreeMap::new(),
@@ -282,9 +289,11 @@
             fleet: Fleet::default(),
             upkeep: Upkeep::default(),
             pool_plans: PoolPlans::default(),
+            order_rate: OrderRate::new(settings.instance_orders_per_s, now.steady_ms),
             loads: HashMap::new(),
             pacing: Pacing::default(),
             dirty_pools: BTreeSet::new(),
+            placing_retried_at_ms: now.steady_ms,
             stamp_at_ms: now.steady_ms,
             lossy_until_ms: 0,
             counts: Counts::default(),
@@ -314,6 +323,7 @@
     pub fn tick(&mut self, state: &JobsState) {
         self.check_workers(state);
         self.open_due_steps();
+        self.retry_placing();
         self.repeat_stops();
         self.tend_fleet();
         self.tend_upkeep(state);
@@ -348,6 +358,12 @@
         self.workers.get(&handle)
     }
 
+    /// Returns how many workers are known.
+    #[must_use]
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Returns how many tasks run, and how many wait, in every pool.
     #[must_use]
     pub fn load(&self) -> (usize, usize) {
--- a/crates/jasminefall-jobs/src/leader/advice.rs
+++ b/crates/jasminefall-jobs/src/leader/advice.rs
@@ -28,8 +28,8 @@
         }
         step.advice_asked_at_ms = Some(now_ms);
         let pool = step.pool.clone();
-        let handles = self.by_pool.get(&pool).into_iter().flatten();
-        let workers = handles.filter_map(|handle| self.workers.get(handle));
+        let handles = self.directory.in_pool(&pool);
+        let workers = handles.filter_map(|handle| self.workers.get(&handle));
         let workers = workers.filter(|worker| worker.adopted && !worker.heartbeat.draining);
         let workers = workers
             .map(|worker| worker.life().worker.clone())
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -140,8 +140,8 @@
     fn pool_load(&self, pool: &SmolStr, state: &JobsState) -> PoolLoad {
         let mut load = PoolLoad::default();
         let mut instance = Resources::default();
-        for handle in self.by_pool.get(pool).into_iter().flatten() {
-            let Some(worker) = self.workers.get(handle) else {
+        for handle in self.directory.in_pool(pool) {
+            let Some(worker) = self.workers.get(&handle) else {
                 continue;
             };
             let capacity = worker.heartbeat.capacity;
--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -87,16 +87,15 @@
 
     /// Returns the worker on an instance.
     pub(super) fn worker_on(&self, instance: &str) -> Option<WorkerHandle> {
-        if let Some(handle) = self.by_instance.get(instance) {
-            return Some(*handle);
+        if let Some(handle) = self.directory.on_instance(instance) {
+            return Some(handle);
         }
         let listed = self.fleet.instances.get(instance)?.worker.as_ref()?;
-        let unnamed = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.heartbeat.instance.is_none());
-        let mut found = unnamed.filter(|(_, worker)| *listed == worker.life().worker);
-        found.next().map(|(handle, _)| *handle)
+        let mut unnamed = self.directory.without_instance();
+        unnamed.find(|handle| {
+            let worker = self.workers.get(handle);
+            worker.is_some_and(|worker| *listed == worker.life().worker)
+        })
     }
 
     /// Ends lives of before this leadership whose instance has been sent away or carries another
@@ -104,7 +103,7 @@
     fn end_replaced_lives(&mut self, state: &JobsState) {
         let mut over = Vec::new();
         for life in self.unsettled.keys() {
-            let Some(handle) = self.by_life.get(life).copied() else {
+            let Some(handle) = self.directory.of_life(life) else {
                 continue;
             };
             let worker = self.workers.get(&handle);
--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -438,11 +438,10 @@
             Command::Cancel(job) => self.close_job(*job),
             Command::Configure(_) => self.follow_configuration(state),
             Command::Register(heartbeat) => {
-                if let Some(handle) = self.by_life.get(&heartbeat.life)
-                    && let Some(worker) = self.workers.get_mut(handle)
+                if let Some(handle) = self.directory.of_life(&heartbeat.life)
+                    && let Some(worker) = self.workers.get_mut(&handle)
                 {
                     worker.registered = true;
-                    let handle = *handle;
                     self.dirty_pools.insert(heartbeat.pool.clone());
                     self.look_if_due(handle, state);
                 }
@@ -472,7 +471,7 @@
                 _ => {}
             }
         }
-        let Some(handle) = self.by_life.get(life).copied() else {
+        let Some(handle) = self.directory.of_life(life) else {
             return;
         };
         if let Some(worker) = self.workers.get_mut(&handle) {
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -24,7 +24,21 @@
     is_pinned: bool,
 }
 
+/// How often what waits is looked at again without an event, in milliseconds: workers that were full,
+/// silent or set aside may be given tasks again after some time. Short beside each of these.
+const RETRY_INTERVAL_MS: u64 = 50;
+
 impl Leader {
+    /// Looks again at every pool in which steps are open, from time to time.
+    pub(super) fn retry_placing(&mut self) {
+        let now_ms = self.now.steady_ms;
+        if now_ms < self.placing_retried_at_ms + RETRY_INTERVAL_MS {
+            return;
+        }
+        self.placing_retried_at_ms = now_ms;
+        self.dirty_pools.extend(self.open_steps.keys().cloned());
+    }
+
     /// Places what waits in every pool where something has changed.
     pub(super) fn place_all(&mut self, state: &JobsState) {
         for pool in std::mem::take(&mut self.dirty_pools) {
@@ -40,6 +54,9 @@
 
     fn place_pool(&mut self, pool: &SmolStr) {
         let ids = self.in_order(pool);
+        if ids.is_empty() {
+            return;
+        }
         let mut places = self.places(pool);
         let unsettled = self.is_unsettled(pool);
         let mut too_large: Vec<Resources> = Vec::new();
@@ -129,11 +146,11 @@
                 && !worker.health.is_aside(now_ms)
                 && !self.is_silent(worker)
         };
-        let of_pool = self.by_pool.get(pool).into_iter().flatten();
-        let of_pool = of_pool.filter_map(|handle| Some((handle, self.workers.get(handle)?)));
+        let of_pool = self.directory.in_pool(pool);
+        let of_pool = of_pool.filter_map(|handle| Some((handle, self.workers.get(&handle)?)));
         let fit = of_pool.filter(|(_, worker)| may_start(worker));
         fit.map(|(handle, worker)| Place {
-            handle: *handle,
+            handle,
             worker: worker.life().worker.clone(),
             free: worker.free(),
             recent_failures: worker.health.failures_in_a_row(),
@@ -143,6 +160,7 @@
     }
 
     fn place_step(&mut self, id: StepId, places: &mut [Place]) {
+        let mut chosen = None;
         loop {
             let Some(step) = self.steps.get(&id) else {
                 return;
@@ -150,9 +168,13 @@
             let Some(index) = step.waiting.first().copied() else {
                 return;
             };
-            let Some(position) = self.choose(step, places) else {
+            // The place that was best has less room left than before, so that it stays the best
+            // for the next task of the same size as long as that fits.
+            let again = chosen.filter(|position| self.still_fits(step, &places[*position]));
+            let Some(position) = again.or_else(|| self.choose(step, places)) else {
                 return;
             };
+            chosen = Some(position);
             let counted = step.step().counted();
             let lasts = step.step().long_running;
             let place = &mut places[position];
@@ -164,6 +186,14 @@
         }
     }
 
+    /// Returns whether another task of a step fits at a place.
+    fn still_fits(&self, step: &StepRun, place: &Place) -> bool {
+        let spec = step.step();
+        let worker = self.workers.get(&place.handle);
+        place.free.holds(&spec.counted())
+            && worker.is_some_and(|worker| candidate(step, spec, place, worker).is_some())
+    }
+
     /// Places all members of a gang at once, or none.
     fn place_gang(&mut self, id: StepId, places: &mut [Place]) {
         let Some(step) = self.steps.get(&id) else {
@@ -205,6 +235,9 @@
         let mut positions = Vec::with_capacity(places.len());
         let mut candidates = Vec::with_capacity(places.len());
         for (position, place) in places.iter().enumerate() {
+            if !place.free.holds(&spec.counted()) {
+                continue;
+            }
             let Some(worker) = self.workers.get(&place.handle) else {
                 continue;
             };
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -57,6 +57,19 @@
     phase: Phase,
 }
 
+/// Describes an instance that may be moved; the least has the least work to end.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct MovableInstance {
+    used_cpu_millis: u64,
+    instance: SmolStr,
+    worker: Option<WorkerHandle>,
+}
+
+/// Holds the instances of each pool that may be moved, as long as moves are planned; finding them
+/// takes a pass over the whole fleet.
+#[derive(Debug, Default)]
+struct Movable(HashMap<SmolStr, Vec<MovableInstance>>);
+
 /// How long a job that was refused is remembered, in milliseconds, so that its client's next attempt
 /// doesn't count as more work; longer than clients keep trying.
 const REFUSED_FOR_MS: u64 = 10_000;
@@ -198,7 +211,7 @@
             needed.push(lending);
             kept.push(leaving);
         }
-        let spare = self.instances_in(&standby).len();
+        let spare = self.staying(&standby).count();
         let total = spare + demands.iter().map(|demand| demand.instances).sum::<usize>();
         let mut wanted = divide(&needed, total);
         let lead_ms = self.settings.move_ms + READY_BEFORE_MS;
@@ -215,14 +228,15 @@
         let is_rise_near = !rises
             .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS, pools)
             .is_empty();
-        let surplus = self.supply(pools, demands, &wanted, &standby);
+        let mut movable = Movable::default();
+        let surplus = self.supply(pools, demands, &wanted, (&standby, &mut movable));
         if is_rise_near {
             return;
         }
         for (position, pool) in pools.iter().enumerate() {
             let unneeded = demands[position].instances.saturating_sub(kept[position]);
             for _ in 0..unneeded.min(surplus[position]) {
-                if !self.move_one((pool, false), &standby, false) {
+                if !self.move_one(&mut movable, (pool, false), &standby, false) {
                     break;
                 }
             }
@@ -235,7 +249,7 @@
         pools: &[SmolStr],
         demands: &[PoolDemand],
         wanted: &[usize],
-        standby: &SmolStr,
+        (standby, movable): (&SmolStr, &mut Movable),
     ) -> Vec<usize> {
         let held = demands.iter().map(|demand| demand.instances);
         let compared: Vec<(usize, usize)> = held.zip(wanted.iter().copied()).collect();
@@ -246,10 +260,10 @@
         for (to, (held, wanted)) in pools.iter().zip(compared) {
             for _ in 0..wanted.saturating_sub(held) {
                 // One move instead of two, where an instance has nothing to do.
-                let idle = self.lend(pools, &mut surplus, to, true);
+                let idle = self.lend((pools, &mut surplus), movable, to, true);
                 if !idle
-                    && !self.move_one((standby, true), to, false)
-                    && !self.lend(pools, &mut surplus, to, false)
+                    && !self.move_one(movable, (standby, true), to, false)
+                    && !self.lend((pools, &mut surplus), movable, to, false)
                 {
                     break;
                 }
@@ -261,8 +275,8 @@
     /// Moves an instance to a pool from the one that has most over; returns whether there was one.
     fn lend(
         &mut self,
-        pools: &[SmolStr],
-        surplus: &mut [usize],
+        (pools, surplus): (&[SmolStr], &mut [usize]),
+        movable: &mut Movable,
         to: &SmolStr,
         only_idle: bool,
     ) -> bool {
@@ -272,7 +286,7 @@
         givers.sort_by_key(|position| std::cmp::Reverse(surplus[*position]));
         let lent = givers
             .into_iter()
-            .find(|position| self.move_one((&pools[*position], false), to, only_idle));
+            .find(|position| self.move_one(movable, (&pools[*position], false), to, only_idle));
         if let Some(position) = lent {
             surplus[position] -= 1;
         }
@@ -339,33 +353,30 @@
     }
 
     /// Returns the instances of a pool that are up and stay there.
-    fn instances_in(&self, pool: &str) -> Vec<SmolStr> {
-        let staying = self.fleet.instances.values().filter(|known| {
+    fn staying(&self, pool: &str) -> impl Iterator<Item = &SmolStr> {
+        let staying = self.fleet.instances.values().filter(move |known| {
             known.pool == pool
                 && known.up
                 && !self.pool_plans.is_moving(&known.instance)
                 && !self.upkeep.is_under_way(&known.instance)
         });
-        staying.map(|known| known.instance.clone()).collect()
+        staying.map(|known| &known.instance)
     }
 
     /// Returns how many instances wait in the standby pools.
     pub(super) fn standby_instances(&self, state: &JobsState) -> usize {
         let standby = state.configuration.pools.iter().filter(|pool| pool.standby);
-        standby
-            .map(|pool| self.instances_in(&pool.name).len())
-            .sum()
+        standby.map(|pool| self.staying(&pool.name).count()).sum()
     }
 
     /// Returns what a pool holds and what takes it up; what arrives is taken up afterwards.
     fn demand(&self, pool: &SmolStr) -> PoolDemand {
-        let staying = self.instances_in(pool);
         let mut demand = PoolDemand {
-            instances: staying.len() + self.pool_plans.coming(pool),
+            instances: self.staying(pool).count() + self.pool_plans.coming(pool),
             ..PoolDemand::default()
         };
-        for handle in self.by_pool.get(pool).into_iter().flatten() {
-            let Some(worker) = self.workers.get(handle) else {
+        for handle in self.directory.in_pool(pool) {
+            let Some(worker) = self.workers.get(&handle) else {
                 continue;
             };
             demand.pinned += usize::from(worker.lasting_runs > 0);
@@ -385,9 +396,35 @@
         demand
     }
 
+    /// Returns the instances of a pool that may be moved, the one with the least work last.
+    fn movable(&self, from: &SmolStr, is_standby: bool) -> Vec<MovableInstance> {
+        let settled = self.may_order_instances();
+        let ranked = self.staying(from).filter_map(|instance| {
+            let worker = self.worker_on(instance);
+            if !settled && !self.is_left_alone(worker, is_standby) {
+                return None;
+            }
+            let used_cpu_millis = match worker.and_then(|handle| self.workers.get(&handle)) {
+                Some(worker) if worker.heartbeat.draining || worker.emptying => return None,
+                Some(worker) if worker.lasting_runs > 0 => return None,
+                Some(worker) => worker.used.cpu_millis,
+                None => 0,
+            };
+            Some(MovableInstance {
+                used_cpu_millis,
+                instance: instance.clone(),
+                worker,
+            })
+        });
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable_by(|one, other| other.cmp(one));
+        ranked
+    }
+
     /// Begins to move one instance; returns whether there was one to move.
     fn move_one(
         &mut self,
+        movable: &mut Movable,
         (from, is_standby): (&SmolStr, bool),
         to: &SmolStr,
         only_idle: bool,
@@ -398,29 +435,24 @@
         if forbidden.is_some_and(|until_ms| now_ms < *until_ms) {
             return false;
         }
-        let settled = self.may_order_instances();
-        let ranked = self.instances_in(from).into_iter().filter_map(|instance| {
-            let worker = self.worker_on(&instance);
-            if !settled && !self.is_left_alone(worker, is_standby) {
-                return None;
-            }
-            let rank = match worker.and_then(|handle| self.workers.get(&handle)) {
-                Some(worker) if worker.heartbeat.draining || worker.emptying => return None,
-                Some(worker) if worker.lasting_runs > 0 => return None,
-                Some(worker) => worker.used.cpu_millis,
-                None => 0,
-            };
-            Some((rank, instance, worker))
-        });
-        let Some((used_cpu_millis, instance, worker)) = ranked.min() else {
-            return false;
-        };
-        if only_idle && used_cpu_millis > 0 {
+        if !self.order_rate.allows(now_ms) {
             return false;
         }
+        let of_pool = movable.0.entry(from.clone());
+        let of_pool = of_pool.or_insert_with(|| self.movable(from, is_standby));
+        let fits = |least: &mut MovableInstance| !only_idle || least.used_cpu_millis == 0;
+        let Some(MovableInstance {
+            used_cpu_millis,
+            instance,
+            worker,
+        }) = of_pool.pop_if(fits)
+        else {
+            return false;
+        };
         if let Some(worker) = worker.and_then(|handle| self.workers.get_mut(&handle)) {
             worker.emptying = true;
         }
+        self.order_rate.note();
         self.note(format!(
             "event=move_decided instance={instance} from={from} to={to} used_cpu_millis={used_cpu_millis}"
         ));
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -195,7 +195,8 @@
                     Some(handle) => self.empty_worker(handle, patient),
                     None => true,
                 };
-                if is_empty {
+                if is_empty && self.order_rate.allows(now_ms) {
+                    self.order_rate.note();
                     self.order_maintenance(key);
                 }
             }
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -142,14 +142,7 @@
     pub(super) fn add_worker(&mut self, heartbeat: Heartbeat, registered: bool) -> WorkerHandle {
         let handle = WorkerHandle(self.next_handle);
         self.next_handle += 1;
-        self.by_life.insert(heartbeat.life.clone(), handle);
-        if let Some(instance) = &heartbeat.instance {
-            self.by_instance.insert(instance.clone(), handle);
-        }
-        self.by_pool
-            .entry(heartbeat.pool.clone())
-            .or_default()
-            .insert(handle);
+        self.directory.add(handle, &heartbeat);
         let now_ms = self.now.steady_ms;
         let leaves = heartbeat.instance.as_ref().is_some_and(|instance| {
             self.upkeep.awaits(instance) || self.pool_plans.awaits(instance)
@@ -184,7 +177,7 @@
     /// Takes a heartbeat; returns whether it is from the life that is known, or a new one.
     pub fn take_heartbeat(&mut self, heartbeat: Heartbeat, state: &JobsState) -> bool {
         self.end_earlier_lives(&heartbeat, state);
-        let known = self.by_life.get(&heartbeat.life).copied();
+        let known = self.directory.of_life(&heartbeat.life);
         let Some(handle) = known else {
             if self.has_later_life(&heartbeat.life, &heartbeat.address) {
                 return false;
@@ -203,13 +196,23 @@
         let Some(worker) = self.workers.get_mut(&handle) else {
             return false;
         };
+        let was_silent = is_silent(worker, now_ms, self.settings.heartbeat_ms);
         worker.heard_at_ms = now_ms;
         worker.read_clock(heartbeat.clock_ms, now_ms);
         if heartbeat.sequence < worker.heartbeat.sequence {
             return true;
         }
         let starts_draining = heartbeat.draining && !worker.heartbeat.draining;
+        let before = &worker.heartbeat;
+        let may_hold_more = was_silent
+            || before.capacity != heartbeat.capacity
+            || before.labels != heartbeat.labels
+            || before.draining != heartbeat.draining;
         let (life, pool) = (heartbeat.life.clone(), heartbeat.pool.clone());
+        let (before, address) = (&worker.heartbeat.address, &heartbeat.address);
+        if before != address {
+            self.directory.move_address(handle, before, address);
+        }
         // A life stays in the pool and on the instance where it began.
         worker.heartbeat = Heartbeat {
             instance: worker.heartbeat.instance.clone(),
@@ -220,19 +223,19 @@
             self.note(format!("event=worker_drains worker={life} pool={pool}"));
             self.propose(Command::Register(Box::new(heartbeat)));
         }
-        self.dirty_pools.insert(pool);
+        if may_hold_more {
+            self.dirty_pools.insert(pool);
+        }
         true
     }
 
     /// Takes the word of a worker that it ends; nothing runs on it afterwards.
     pub fn take_departure(&mut self, worker: &str, state: &JobsState) {
-        let leaving = |known: &Worker| known.life().worker == worker;
-        let handles: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, known)| leaving(known) && known.heartbeat.draining)
-            .map(|(handle, _)| *handle)
-            .collect();
+        let drains = |handle: &WorkerHandle| {
+            let known = self.workers.get(handle);
+            known.is_some_and(|known| known.heartbeat.draining)
+        };
+        let handles: Vec<_> = self.directory.named(worker).filter(drains).collect();
         for handle in handles {
             self.end_life(handle, "left", state);
         }
@@ -240,31 +243,22 @@
 
     /// Ends the lives of a worker that the one speaking now has replaced.
     fn end_earlier_lives(&mut self, heartbeat: &Heartbeat, state: &JobsState) {
-        let replaced = |known: &Worker| {
-            let life = known.life();
-            let same_worker =
-                life.worker == heartbeat.life.worker && life.born_ms < heartbeat.life.born_ms;
-            let same_address =
-                life.born_ms < heartbeat.life.born_ms && *known.address() == heartbeat.address;
-            same_worker || (same_address && life.worker != heartbeat.life.worker)
+        let is_earlier = |handle: &WorkerHandle| {
+            let known = self.workers.get(handle);
+            known.is_some_and(|known| known.life().born_ms < heartbeat.life.born_ms)
         };
-        let handles: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, known)| replaced(known))
-            .map(|(handle, _)| *handle)
-            .collect();
-        for handle in handles {
+        let (name, address) = (&heartbeat.life.worker, &heartbeat.address);
+        let mut earlier = self.directory.named_or_at(name, address);
+        earlier.retain(is_earlier);
+        for handle in earlier {
             self.end_life(handle, "replaced", state);
         }
     }
 
     fn has_later_life(&self, life: &LifeId, address: &SmolStr) -> bool {
-        let is_later = |known: &Worker| {
-            let same = known.life().worker == life.worker || known.address() == address;
-            same && known.life().born_ms > life.born_ms
-        };
-        self.workers.values().any(is_later)
+        let alike = self.directory.named_or_at(&life.worker, address);
+        let mut known = alike.iter().filter_map(|handle| self.workers.get(handle));
+        known.any(|known| known.life().born_ms > life.born_ms)
     }
 
     /// Forgets a life on which nothing can run any more; what ran there waits again.
@@ -273,15 +267,7 @@
             return;
         };
         let life = worker.life().clone();
-        self.by_life.remove(&life);
-        if let Some(instance) = &worker.heartbeat.instance
-            && self.by_instance.get(instance) == Some(&handle)
-        {
-            self.by_instance.remove(instance);
-        }
-        if let Some(workers) = self.by_pool.get_mut(&worker.heartbeat.pool) {
-            workers.remove(&handle);
-        }
+        self.directory.remove(handle, &worker.heartbeat);
         self.note(format!(
             "event=worker_gone worker={life} cause={cause} runs={} heard_ms_ago={}",
             worker.runs.len(),
@@ -476,7 +462,10 @@
 
     /// Returns whether a worker has been silent for so long that nothing new goes there.
     pub(super) const fn is_silent(&self, worker: &Worker) -> bool {
-        let silent_ms = self.now.steady_ms.saturating_sub(worker.heard_at_ms);
-        silent_ms > self.settings.heartbeat_ms * DOUBT_AFTER_HEARTBEATS
+        is_silent(worker, self.now.steady_ms, self.settings.heartbeat_ms)
     }
 }
+
+const fn is_silent(worker: &Worker, now_ms: u64, heartbeat_ms: u64) -> bool {
+    now_ms.saturating_sub(worker.heard_at_ms) > heartbeat_ms * DOUBT_AFTER_HEARTBEATS
+}
--- a/crates/jasminefall-jobs/src/policy.rs
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -7,13 +7,17 @@
 //! - [`pools`]: how many instances a pool should have
 //! - [`rises`]: when the work of a pool rises, and to what
 //! - [`placement`]: which worker gets a task
+//! - [`order_rate`]: how many orders about instances may be given
+//! - [`receivers`]: which control instance takes the heartbeats of a worker
 //! - [`admission`]: which jobs are refused at once, and when their clients may come back
 
 pub mod admission;
 pub mod durations;
 pub mod health;
 pub mod order;
+pub mod order_rate;
 pub mod pace;
 pub mod placement;
 pub mod pools;
+pub mod receivers;
 pub mod rises;
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -3,9 +3,12 @@
 #[path = "leader/site.rs"]
 mod site;
 
-use jasminefall_jobs::leader::{Effect, InstanceAnswer, ListedInstance, LookLane, StartOrder};
+use jasminefall_jobs::leader::{
+    Effect, InstanceAnswer, LeaderSettings, ListedInstance, LookLane, StartOrder,
+};
 use jasminefall_jobs::prelude::*;
 use site::{Site, lasting, task};
+use smol_str::SmolStr;
 
 #[test]
 fn a_task_is_started_once_and_its_job_completes() {
@@ -409,3 +412,47 @@
     site.pass(500);
     assert_eq!(site.take_maintenance(), ["m-0"], "its worker is heard");
 }
+
+#[test]
+fn a_later_life_at_an_address_ends_the_one_that_has_moved_there() {
+    let mut site = Site::new(3);
+    let taken: SmolStr = "10.0.0.9:80".into();
+    assert!(site.hear(0, |heartbeat| heartbeat.address = taken.clone()));
+    assert!(site.hear(7, |heartbeat| {
+        heartbeat.life.born_ms = 2;
+        heartbeat.address = taken.clone();
+    }));
+    assert_eq!(site.worker_count(), 3, "i-7 has taken the place of i-0");
+    let late = site.hear(0, |heartbeat| heartbeat.address = taken.clone());
+    assert!(
+        !late,
+        "a late heartbeat does not bring the earlier life back"
+    );
+    // Its former address is free for a life of any age.
+    assert!(site.hear(8, |heartbeat| heartbeat.address = "10.0.0.0:80".into()));
+    assert_eq!(site.worker_count(), 4);
+}
+
+#[test]
+fn no_more_instances_are_emptied_than_the_platform_takes_orders() {
+    const ORDERS_PER_S: u64 = 20;
+    let settings = LeaderSettings {
+        instance_orders_per_s: Some(ORDERS_PER_S),
+        ..LeaderSettings::default()
+    };
+    let mut site = Site::with_settings(60, settings);
+    let listed: Vec<_> = (0..60)
+        .map(|number| site::listed(&format!("m-{number}"), site::POOL))
+        .collect();
+    site.list(&listed);
+    site.take_effects();
+    let mut moved = 0;
+    for _ in 0..20 {
+        site.pass(50);
+        let effects = site.take_effects().into_iter();
+        let moves = effects.filter(|effect| matches!(effect, Effect::Move { .. }));
+        moved += moves.count() as u64;
+    }
+    assert!(moved > 0, "idle instances are sent to the standby pool");
+    assert!(moved <= ORDERS_PER_S * 3 / 2, "{moved} orders in a second");
+}
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -80,6 +80,11 @@
 impl Site {
     /// Creates a site with so many workers of 16 cores in one pool.
     pub(crate) fn new(workers: usize) -> Self {
+        Self::with_settings(workers, LeaderSettings::default())
+    }
+
+    /// Creates such a site with a leader that goes by other settings.
+    pub(crate) fn with_settings(workers: usize, settings: LeaderSettings) -> Self {
         let mut state = JobsState::default();
         state.apply(Command::Configure(Arc::new(configuration())));
         state.apply(Command::Lead);
@@ -87,7 +92,7 @@
             steady_ms: 100_000,
             wall_ms: 1_000_000,
         };
-        let leader = Leader::new(LeaderSettings::default(), now, &state);
+        let leader = Leader::new(settings, now, &state);
         let mut site = Self {
             state,
             leader,
@@ -135,6 +140,22 @@
         }
     }
 
+    /// Lets a worker speak of another address or a later life than the site models.
+    pub(crate) fn hear(&mut self, number: usize, changed: impl FnOnce(&mut Heartbeat)) -> bool {
+        let name = format_smolstr!("i-{number}");
+        let mut heartbeat = self.heartbeat(number, &name);
+        heartbeat.sequence += 1;
+        changed(&mut heartbeat);
+        let known = self.leader.take_heartbeat(heartbeat, &self.state);
+        self.settle();
+        known
+    }
+
+    /// Returns how many workers the leader knows.
+    pub(crate) fn worker_count(&self) -> usize {
+        self.leader.worker_count()
+    }
+
     /// Lets every worker say that it is there.
     pub(crate) fn beat(&mut self) {
         let names: Vec<_> = self.workers.keys().cloned().enumerate().collect();
