fix(jobs): count instances that come up between two lists; let lasting tasks share instances

An instance that was on its way when the list was read stayed "not up" for up to 8 s: its pool was sized without it, brought in another, and nobody sent the first away. After a rise that did not come, every release waited for 4.7 s. Tasks that last were packed by processor time though memory binds them, put on the fullest instance where nothing fits beside them, and on instances of the wave that were emptied next. Change: a worker's first heartbeat and the end of a move mark the instance as up, and a list does not overrule what is newer; releases wait only where that saves a move; placement goes by what the task needs most of, and lasting tasks share, avoiding instances due for maintenance; those that fit nowhere ask for instances by how many one holds.

--- a/crates/jasminefall-dispatch/src/control/lines.rs
+++ b/crates/jasminefall-dispatch/src/control/lines.rs
@@ -23,8 +23,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// How many orders may be under way to one worker; more cost connections.
 const ORDER_LINES: usize = 2;
-/// How long a connection without orders is kept; workers that are in use get some each second.
-const IDLE_KEPT: Duration = Duration::from_secs(2);
+/// How long a connection without orders is kept, where there are places; the platform prices new ones.
+const IDLE_KEPT: Duration = Duration::from_secs(15);
 
 /// Carries an order to a worker's line.
 #[derive(Debug)]
--- a/crates/jasminefall-dispatch/src/http/budget.rs
+++ b/crates/jasminefall-dispatch/src/http/budget.rs
@@ -14,7 +14,7 @@
 /// is left for links between our own processes, one for each entry, and for files.
 const OPENED_PERCENT: usize = 35;
 /// The part of a budget that must be free for idle connections to be kept, in per cent.
-const KEEP_IDLE_ABOVE_PERCENT: usize = 50;
+const KEEP_IDLE_ABOVE_PERCENT: usize = 20;
 
 /// Lends out a fixed number of connections.
 #[derive(Debug, Clone)]
--- a/crates/jasminefall-dispatch/src/http/server.rs
+++ b/crates/jasminefall-dispatch/src/http/server.rs
@@ -144,8 +144,7 @@
 /// Serves calls on a listener for ever.
 ///
 /// Bodies above the limit are refused. A connection above the limit is closed at once, so that its
-/// caller turns to another instance; when half of them are taken, connections are closed after each
-/// answer.
+/// caller turns to another instance; when few are left, connections are closed after each answer.
 ///
 /// # Errors
 ///
--- a/crates/jasminefall-jobs/src/job.rs
+++ b/crates/jasminefall-jobs/src/job.rs
@@ -91,6 +91,15 @@
             && self.gpus >= needs.gpus
     }
 
+    /// Returns how many times `needs` fits into this; the largest number where it needs nothing.
+    #[must_use]
+    pub fn holds_times(&self, needs: &Self) -> u64 {
+        let times = |has: u64, needs: u64| has.checked_div(needs).unwrap_or(u64::MAX);
+        times(self.cpu_millis, needs.cpu_millis)
+            .min(times(self.memory_mb, needs.memory_mb))
+            .min(times(self.gpus, needs.gpus))
+    }
+
     /// Returns the sum of both.
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -7,7 +7,7 @@
 
 use smol_str::SmolStr;
 
-use super::{Effect, Leader, WorkerHandle};
+use super::{Effect, Leader, Worker, WorkerHandle};
 use crate::state::{Command, JobsState};
 
 /// How often the list of instances is read, in milliseconds; instances come and go within seconds,
@@ -61,6 +61,24 @@
         self.listed
     }
 
+    /// Notes that an instance is up in a pool: its worker has just begun a life there.
+    pub(crate) fn note_up(&mut self, instance: &str, pool: &SmolStr, worker: &SmolStr) {
+        if let Some(known) = self.instances.get_mut(instance) {
+            known.pool = pool.clone();
+            known.worker = Some(worker.clone());
+            known.up = true;
+            known.is_away = false;
+        }
+    }
+
+    /// Notes that an instance should have come to its pool; where it has not, the next list tells.
+    pub(crate) fn note_arrived(&mut self, instance: &str) {
+        if let Some(known) = self.instances.get_mut(instance) {
+            known.up = true;
+            known.is_away = false;
+        }
+    }
+
     /// Asks for another reading, since something does not fit.
     pub(crate) const fn doubt(&mut self) {
         self.wanted = true;
@@ -125,6 +143,26 @@
         }
     }
 
+    /// Corrects what a list shows as it was before an order was carried out, or before a worker was
+    /// heard: the list takes some time to arrive.
+    fn keep_what_is_newer_than_the_list(&mut self) {
+        for (instance, pool) in self.pool_plans.under_way() {
+            if let Some(known) = self.fleet.instances.get_mut(instance) {
+                known.pool = pool.clone();
+                known.up = false;
+            }
+        }
+        let asked_at_ms = self.fleet.asked_at_ms.unwrap_or(0);
+        let has_joined_since = |worker: &&Worker| worker.joined_at_ms >= asked_at_ms;
+        for worker in self.workers.values().filter(has_joined_since) {
+            if let Some(instance) = &worker.heartbeat.instance {
+                let heartbeat = &worker.heartbeat;
+                let fleet = &mut self.fleet;
+                fleet.note_up(instance, &heartbeat.pool, &heartbeat.life.worker);
+            }
+        }
+    }
+
     /// Takes the platform's list of instances.
     pub fn take_instances(&mut self, listed: &[ListedInstance], state: &JobsState) {
         self.fleet.listed = true;
@@ -133,6 +171,7 @@
             .map(|known| (known.instance.clone(), known.clone()));
         self.fleet.instances = known.collect();
         self.end_replaced_lives(state);
+        self.keep_what_is_newer_than_the_list();
         let mut gone = Vec::new();
         for (number, wave) in &state.waves {
             for instance in &wave.instances {
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -6,7 +6,7 @@
 use super::{Effect, Leader, Run, RunState, StartOrder, Worker, WorkerHandle};
 use crate::ids::StepId;
 use crate::job::{Resources, StepSpec};
-use crate::policy::placement::{self, Candidate};
+use crate::policy::placement::{self, Candidate, Needs};
 use crate::state::JobsState;
 
 /// How long an order to start may take until it has effect, in milliseconds on the worker's clock;
@@ -22,6 +22,8 @@
     recent_failures: u32,
     /// Whether tasks that last run there.
     is_pinned: bool,
+    /// Whether its instance is soon to be emptied for its maintenance.
+    is_leaving: bool,
 }
 
 /// How often what waits is looked at again without an event, in milliseconds: workers that were full,
@@ -155,6 +157,7 @@
             free: worker.free(),
             recent_failures: worker.health.failures_in_a_row(),
             is_pinned: worker.lasting_runs > 0,
+            is_leaving: self.upkeep.is_due(worker.heartbeat.instance.as_deref()),
         })
         .collect()
     }
@@ -246,7 +249,11 @@
                 candidates.push(candidate);
             }
         }
-        let best = placement::choose(&candidates, &spec.counted())?;
+        let needs = Needs {
+            room: spec.counted(),
+            lasts: spec.long_running,
+        };
+        let best = placement::choose(&candidates, &needs)?;
         Some(positions[best])
     }
 
@@ -311,8 +318,10 @@
     let lacks_ticket = step.needs_advice && !step.tickets.contains_key(&place.worker);
     (!lacks_ticket).then_some(Candidate {
         free: place.free,
+        capacity: worker.heartbeat.capacity,
         near: has(&spec.rack_affinity),
         recent_failures: place.recent_failures,
         is_pinned: place.is_pinned,
+        is_leaving: place.is_leaving,
     })
 }
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -108,6 +108,14 @@
         planned.is_some_and(|planned| !matches!(planned.phase, Phase::UnderWay { .. }))
     }
 
+    /// Returns the instances that are on their way, with the pools that they go to.
+    pub(crate) fn under_way(&self) -> impl Iterator<Item = (&SmolStr, &SmolStr)> {
+        let under_way = |planned: &Move| matches!(planned.phase, Phase::UnderWay { .. });
+        let moves = self.moves.iter();
+        let moves = moves.filter(move |(_, planned)| under_way(planned));
+        moves.map(|(instance, planned)| (instance, &planned.to))
+    }
+
     /// Notes work that a client has asked for, accepted or not, at its first attempt.
     pub(crate) fn note_arrival(&mut self, key: JobKey, pool: &SmolStr, work: &Work) {
         if self.refused.contains_key(&key) {
@@ -224,10 +232,12 @@
                 self.log_pool(pool, demand, *wanted, expected.contains(pool));
             }
         }
+        // An instance that waits a little goes to the next rise in one move instead of two.
         let rises = &self.pool_plans.rises;
-        let is_rise_near = !rises
-            .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS, pools)
-            .is_empty();
+        let is_rise_near = rises.is_before_next(now_ms)
+            && !rises
+                .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS / 2, pools)
+                .is_empty();
         let mut movable = Movable::default();
         let surplus = self.supply(pools, demands, &wanted, (&standby, &mut movable));
         if is_rise_near {
@@ -390,7 +400,7 @@
         }
         for (_, id) in self.open_steps.get(pool).into_iter().flatten() {
             if let Some(step) = self.steps.get(id) {
-                demand.add(step.step(), step.waiting.len() as u64);
+                demand.add_waiting(step.step(), step.waiting.len() as u64);
             }
         }
         demand
@@ -495,6 +505,7 @@
                 let late = now_ms >= since_ms + self.settings.move_ms + self.settings.heartbeat_ms;
                 if arrived || late {
                     self.pool_plans.moves.remove(instance);
+                    self.fleet.note_arrived(instance);
                 }
             }
             Phase::Ordered { .. } | Phase::UnderWay { .. } => {}
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -3,7 +3,7 @@
 //! An instance is emptied first: tasks that last are stopped within what their steps may miss and
 //! start elsewhere, the others are waited for. Then the instance is sent into maintenance.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use smol_str::SmolStr;
 
@@ -41,6 +41,8 @@
 pub(crate) struct Upkeep {
     phases: BTreeMap<(u64, SmolStr), Phase>,
     busy: BTreeSet<SmolStr>,
+    /// The instances of open waves whose maintenance has not begun.
+    due: HashSet<SmolStr>,
     tended_at_ms: u64,
 }
 
@@ -60,6 +62,20 @@
         self.busy.contains(instance) && phases.any(|(_, phase)| !is_down(phase))
     }
 
+    /// Returns whether an instance waits for its maintenance.
+    pub(crate) fn is_due(&self, instance: Option<&str>) -> bool {
+        instance.is_some_and(|instance| self.due.contains(instance))
+    }
+
+    /// Notes which instances wait for their maintenance.
+    fn note_due<'a>(&mut self, waves: impl Iterator<Item = &'a Wave>) {
+        let due = waves.flat_map(|wave| {
+            let instances = wave.instances.iter();
+            instances.filter(|instance| !wave.maintained.contains(*instance))
+        });
+        self.due = due.cloned().collect();
+    }
+
     /// Forgets an instance that is gone.
     pub(crate) fn forget(&mut self, wave: u64, instance: &SmolStr) {
         self.phases.remove(&(wave, instance.clone()));
@@ -82,6 +98,7 @@
         }
         self.upkeep.tended_at_ms = now_ms;
         self.note_returned();
+        self.upkeep.note_due(state.waves.values());
         for (number, wave) in &state.waves {
             if wave.is_complete() {
                 continue;
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -51,6 +51,8 @@
 pub struct Worker {
     /// The latest heartbeat.
     pub(crate) heartbeat: Heartbeat,
+    /// When this leader first heard of it.
+    pub(crate) joined_at_ms: u64,
     pub(crate) heard_at_ms: u64,
     /// When the list of runs was last read.
     pub(crate) read_at_ms: u64,
@@ -151,6 +153,7 @@
             // The clock of a life that only an earlier leader heard is not known yet.
             clock: (if registered { 0 } else { heartbeat.clock_ms }, now_ms),
             heartbeat,
+            joined_at_ms: if registered { 0 } else { now_ms },
             heard_at_ms: now_ms,
             read_at_ms: now_ms,
             registered,
@@ -188,6 +191,9 @@
             ));
             self.propose(Command::Register(Box::new(heartbeat.clone())));
             let pool = heartbeat.pool.clone();
+            if let Some(instance) = &heartbeat.instance {
+                self.fleet.note_up(instance, &pool, &heartbeat.life.worker);
+            }
             self.add_worker(heartbeat, false);
             self.dirty_pools.insert(pool);
             return true;
--- a/crates/jasminefall-jobs/src/policy/pools.rs
+++ b/crates/jasminefall-jobs/src/policy/pools.rs
@@ -17,6 +17,9 @@
     pub instance: Resources,
     /// What tasks that last take up.
     pub lasting: Resources,
+    /// The instances that tasks which last and fit nowhere need of their own; they may be so large
+    /// that one instance holds one or two, whatever is left of it.
+    pub lasting_to_come: usize,
     /// What tasks take up that run or could run at once.
     pub ready: Resources,
     /// The work that arrives, as what it takes up on average.
@@ -40,6 +43,16 @@
         }
     }
 
+    /// Adds tasks of a step that could run at once and wait for a place.
+    pub fn add_waiting(&mut self, step: &StepSpec, tasks: u64) {
+        self.add(step, tasks);
+        if step.long_running {
+            let each = self.instance.holds_times(&step.counted()).max(1);
+            let instances = usize::try_from(tasks.div_ceil(each)).unwrap_or(usize::MAX);
+            self.lasting_to_come = self.lasting_to_come.saturating_add(instances);
+        }
+    }
+
     /// Returns how many instances the pool needs for its tasks that last and for work that keeps so
     /// many at work, in thousandths.
     #[must_use]
@@ -52,7 +65,8 @@
     #[must_use]
     pub fn needed(&self) -> usize {
         let work = self.ready.most(&self.arriving).plus(&self.lasting);
-        self.instances_for(&work).max(self.pinned).max(FEWEST)
+        let lasting = self.pinned.saturating_add(self.lasting_to_come);
+        self.instances_for(&work).max(lasting).max(FEWEST)
     }
 
     /// Returns how many instances hold this, by whichever of its resources needs most.
--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -168,6 +168,20 @@
         is_building_up.then(|| height_millis.max(track.average_millis()))
     }
 
+    /// Returns when the next rise should begin.
+    fn next_ms(&self) -> Option<u64> {
+        let distance = |pair: &[(u64, SmolStr)]| pair[1].0 - pair[0].0;
+        let distance_ms = self.starts.windows(2).map(distance).max()?;
+        let (last_ms, _) = self.starts.last()?;
+        Some(last_ms + distance_ms)
+    }
+
+    /// Returns whether the time at which the next rise should begin is still to come.
+    #[must_use]
+    pub fn is_before_next(&self, now_ms: u64) -> bool {
+        self.next_ms().is_some_and(|next_ms| now_ms < next_ms)
+    }
+
     /// Returns the pools of which one should rise next, if that should happen within `lead_ms`.
     ///
     /// Rises follow each other at like distances, and the pool that has waited longest is next;
@@ -175,12 +189,9 @@
     /// expected until one of them has risen again.
     #[must_use]
     pub fn expected(&self, now_ms: u64, lead_ms: u64, pools: &[SmolStr]) -> Vec<SmolStr> {
-        let distance = |pair: &[(u64, SmolStr)]| pair[1].0 - pair[0].0;
-        let Some(distance_ms) = self.starts.windows(2).map(distance).max() else {
+        let Some(next_ms) = self.next_ms() else {
             return Vec::new();
         };
-        let last_ms = self.starts.last().map_or(0, |(at_ms, _)| *at_ms);
-        let next_ms = last_ms + distance_ms;
         if now_ms + lead_ms < next_ms || now_ms >= next_ms + lead_ms {
             return Vec::new();
         }
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -456,3 +456,30 @@
     assert!(moved > 0, "idle instances are sent to the standby pool");
     assert!(moved <= ORDERS_PER_S * 3 / 2, "{moved} orders in a second");
 }
+
+/// The list showed the instance on its way; nothing else tells that it has come but its worker.
+#[test]
+fn an_instance_whose_worker_is_heard_after_the_list_counts_for_its_pool() {
+    let mut site = Site::new(2);
+    let on_its_way = ListedInstance {
+        up: false,
+        is_away: true,
+        ..site::listed("m-2", site::POOL)
+    };
+    site.list(&[
+        site::listed("m-0", site::POOL),
+        site::listed("m-1", site::POOL),
+        on_its_way,
+    ]);
+    site.add_worker();
+    site.answer_looks();
+    site.take_effects();
+    site.pass(3_000);
+    let effects = site.take_effects().into_iter();
+    let sent_away = effects.filter(|effect| matches!(effect, Effect::Move { .. }));
+    assert_eq!(
+        sent_away.count(),
+        2,
+        "one instance is enough for an idle pool"
+    );
+}
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -151,6 +151,13 @@
         known
     }
 
+    /// Lets another worker begin, and say so.
+    pub(crate) fn add_worker(&mut self) {
+        let name = format_smolstr!("i-{}", self.workers.len());
+        self.workers.insert(name, ModelledWorker::default());
+        self.beat();
+    }
+
     /// Returns how many workers the leader knows.
     pub(crate) fn worker_count(&self) -> usize {
         self.leader.worker_count()
