--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -150,7 +150,7 @@
         let pools = self.pools_in_use(state);
         let mut demands: Vec<PoolDemand> = pools.iter().map(|pool| self.demand(pool)).collect();
         for (pool, demand) in pools.iter().zip(&mut demands) {
-            self.follow_arrivals(pool, demand, passed_ms);
+            self.follow_arrivals(pool, demand, (passed_ms, pools.len()));
         }
         let refused = &mut self.pool_plans.refused;
         refused.retain(|_, at_ms| now_ms < *at_ms + REFUSED_FOR_MS);
@@ -165,7 +165,12 @@
     }
 
     /// Takes up what has arrived for a pool since the last call.
-    fn follow_arrivals(&mut self, pool: &SmolStr, demand: &mut PoolDemand, passed_ms: u64) {
+    fn follow_arrivals(
+        &mut self,
+        pool: &SmolStr,
+        demand: &mut PoolDemand,
+        (passed_ms, pools): (u64, usize),
+    ) {
         let arrivals = self.pool_plans.arrivals.entry(pool.clone()).or_default();
         let jobs = std::mem::take(&mut arrivals.jobs);
         let newest = std::mem::take(&mut arrivals.since_last).rate(passed_ms);
@@ -185,6 +190,7 @@
             millis: demand.millis_for(&newest),
             steady_millis,
             total_instances: self.fleet.instances.len(),
+            pools,
         };
         let rises = &mut self.pool_plans.rises;
         if let Some(turn) = rises.note(self.now.steady_ms, pool, &arrived) {
--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -20,6 +20,9 @@
 /// The part of all instances that a first rise must keep at work to be recognised, in per cent; a
 /// pool between its rises needs far less.
 const FIRST_RISE_PERCENT: u64 = 5;
+/// How high a rise is taken to become where none has been seen, in per cent of an even share of all
+/// instances: a queue that rises asks for more than its pool holds.
+const UNSEEN_HEIGHT_PERCENT: u64 = 133;
 /// How long a rise is taken to become as high as those before it, in milliseconds; after this what
 /// arrives tells more.
 const BUILDS_UP_MS: u64 = 3_000;
@@ -45,6 +48,8 @@
     rise_millis: u64,
     /// How high its rises become; zero until one has built up.
     height_millis: u64,
+    /// How high one is taken to become as long as none of any pool has built up.
+    unseen_height_millis: u64,
 }
 
 impl Track {
@@ -67,6 +72,8 @@
     pub steady_millis: u64,
     /// How many instances there are in all pools.
     pub total_instances: usize,
+    /// How many pools are in use.
+    pub pools: usize,
 }
 
 /// Says what changed for a pool.
@@ -103,6 +110,9 @@
             track.recent.pop_front();
         }
         let average_millis = track.average_millis();
+        let total_millis = arrived.total_instances as u64 * 1_000;
+        let even_millis = total_millis / arrived.pools.max(1) as u64;
+        track.unseen_height_millis = even_millis * UNSEEN_HEIGHT_PERCENT / 100;
         if let Some(since_ms) = track.risen_since_ms {
             track.rise_millis = track.rise_millis.max(arrived.steady_millis);
             if now_ms >= since_ms + BUILDS_UP_MS {
@@ -120,7 +130,6 @@
             }
             return Some(Turn::Fall);
         }
-        let total_millis = arrived.total_instances as u64 * 1_000;
         let risen_millis = height_millis
             .map_or(total_millis * FIRST_RISE_PERCENT / 100, |height| {
                 height * RISEN_PERCENT / 100
@@ -158,13 +167,13 @@
         track.is_some_and(|track| track.risen_since_ms.is_some())
     }
 
-    /// Returns the height that a pool is building up to, where its rise has just begun; what arrives
-    /// already where no rise has been seen before.
+    /// Returns the height that a pool is building up to, where its rise has just begun.
     #[must_use]
     pub fn building_up_millis(&self, now_ms: u64, pool: &str) -> Option<u64> {
         let track = self.tracks.get(pool)?;
         let is_building_up = now_ms < track.risen_since_ms? + BUILDS_UP_MS;
-        let height_millis = self.height_millis(pool).unwrap_or(0);
+        let unseen_millis = track.unseen_height_millis;
+        let height_millis = self.height_millis(pool).unwrap_or(unseen_millis);
         is_building_up.then(|| height_millis.max(track.average_millis()))
     }
 
--- a/crates/jasminefall-jobs/tests/rises.rs
+++ b/crates/jasminefall-jobs/tests/rises.rs
@@ -38,6 +38,7 @@
         millis,
         steady_millis,
         total_instances: 300,
+        pools: 4,
     }
 }
 
