--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -288,7 +288,7 @@
             durations: Durations::default(),
             fleet: Fleet::default(),
             upkeep: Upkeep::default(),
-            pool_plans: PoolPlans::default(),
+            pool_plans: PoolPlans::resumed(now, state),
             order_rate: OrderRate::new(settings.instance_orders_per_s, now.steady_ms),
             loads: HashMap::new(),
             pacing: Pacing::default(),
--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -452,7 +452,8 @@
             | Command::Retire(_)
             | Command::NoteMaintained { .. }
             | Command::Forget(_)
-            | Command::NoteEnded { .. } => {}
+            | Command::NoteEnded { .. }
+            | Command::NoteRise { .. } => {}
         }
     }
 
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -5,12 +5,12 @@
 use smol_str::SmolStr;
 
 use super::fleet::InstanceAnswer;
-use super::{Effect, Leader, WorkerHandle};
+use super::{Effect, Leader, Now, WorkerHandle};
 use crate::ids::JobKey;
 use crate::job::{Resources, Work};
 use crate::policy::pools::{PoolDemand, divide};
 use crate::policy::rises::{Arrived, Rises, Turn};
-use crate::state::JobsState;
+use crate::state::{Command, JobsState, RiseNote};
 
 /// How often pools are compared, in milliseconds; a tenth of what a move takes.
 const PLAN_INTERVAL_MS: u64 = 150;
@@ -97,6 +97,22 @@
 }
 
 impl PoolPlans {
+    /// Creates the plans of a new leader, which knows the rises that an earlier one has noted.
+    pub(crate) fn resumed(now: Now, state: &JobsState) -> Self {
+        if state.leaderships <= 1 {
+            return Self::default();
+        }
+        let noted = state.rises.iter().map(|(pool, rise)| {
+            let ago_ms = now.wall_ms.saturating_sub(rise.began_at_ms);
+            let began_at_ms = now.steady_ms.saturating_sub(ago_ms);
+            (pool.clone(), began_at_ms, rise.height_millis)
+        });
+        Self {
+            rises: Rises::resumed(now.steady_ms, noted),
+            ..Self::default()
+        }
+    }
+
     /// Returns whether an instance is about to change its pool.
     pub(crate) fn is_moving(&self, instance: &str) -> bool {
         self.moves.contains_key(instance)
@@ -203,9 +219,25 @@
                 "event={event} pool={pool} arriving_millis={steady_millis} \
                  height_millis={height_millis}"
             ));
+            self.note_rise(pool);
         }
     }
 
+    /// Lets a new leader know of the latest rise of a pool.
+    fn note_rise(&mut self, pool: &SmolStr) {
+        let Some((began_at_ms, height_millis)) = self.pool_plans.rises.latest(pool) else {
+            return;
+        };
+        let ago_ms = self.now.steady_ms.saturating_sub(began_at_ms);
+        self.propose(Command::NoteRise {
+            pool: pool.clone(),
+            rise: RiseNote {
+                began_at_ms: self.now.wall_ms.saturating_sub(ago_ms),
+                height_millis,
+            },
+        });
+    }
+
     fn pools_in_use(&self, state: &JobsState) -> Vec<SmolStr> {
         let pools = state.configuration.pools.iter();
         let in_use = pools.filter(|pool| !pool.standby);
--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -26,6 +26,9 @@
 /// How long a rise is taken to become as high as those before it, in milliseconds; after this what
 /// arrives tells more.
 const BUILDS_UP_MS: u64 = 3_000;
+/// For how long after a change of leader arrivals count as gathered before, in milliseconds; clients
+/// come back within two seconds or so, and the average takes as long to forget them.
+const PENT_UP_MS: u64 = 3_500;
 /// The shortest rise, in milliseconds; what ends earlier was chance.
 const SHORTEST_MS: u64 = 2_000;
 
@@ -92,12 +95,34 @@
     starts: Vec<(u64, SmolStr)>,
     /// Whether a pool has risen again, so that the order of the others is known.
     has_repeated: bool,
+    /// Until when arrivals may have gathered before.
+    pent_up_until_ms: u64,
 }
 
 impl Rises {
+    /// Creates what an earlier leader has noted: when the latest rise of each pool began, by our clock
+    /// and in milliseconds, and how high its rises become.
+    ///
+    /// What arrives at first has gathered while there was no leader, and tells nothing of heights.
+    #[must_use]
+    pub fn resumed(now_ms: u64, known: impl IntoIterator<Item = (SmolStr, u64, u64)>) -> Self {
+        let mut rises = Self {
+            pent_up_until_ms: now_ms + PENT_UP_MS,
+            ..Self::default()
+        };
+        for (pool, began_at_ms, height_millis) in known {
+            let track = rises.tracks.entry(pool.clone()).or_default();
+            track.height_millis = height_millis;
+            rises.starts.push((began_at_ms, pool));
+        }
+        rises.starts.sort();
+        rises
+    }
+
     /// Notes what arrived for a pool since the last call.
     pub fn note(&mut self, now_ms: u64, pool: &SmolStr, arrived: &Arrived) -> Option<Turn> {
         let height_millis = self.height_millis(pool);
+        let is_pent_up = now_ms < self.pent_up_until_ms;
         let track = self.tracks.entry(pool.clone()).or_default();
         track.recent.push_back(Interval {
             at_ms: now_ms,
@@ -114,7 +139,9 @@
         let even_millis = total_millis / arrived.pools.max(1) as u64;
         track.unseen_height_millis = even_millis * UNSEEN_HEIGHT_PERCENT / 100;
         if let Some(since_ms) = track.risen_since_ms {
-            track.rise_millis = track.rise_millis.max(arrived.steady_millis);
+            if !is_pent_up {
+                track.rise_millis = track.rise_millis.max(arrived.steady_millis);
+            }
             if now_ms >= since_ms + BUILDS_UP_MS {
                 track.height_millis = track.height_millis.max(track.rise_millis);
             }
@@ -139,7 +166,12 @@
             return None;
         }
         track.risen_since_ms = Some(now_ms);
-        track.rise_millis = average_millis;
+        track.rise_millis = if is_pent_up { 0 } else { average_millis };
+        // A rise that an earlier leader saw begin goes on.
+        let latest = self.starts.last().map(|(_, known)| known);
+        if is_pent_up && latest == Some(pool) {
+            return Some(Turn::Rise);
+        }
         self.has_repeated |= self.starts.iter().any(|(_, known)| known == pool);
         self.starts.retain(|(_, known)| known != pool);
         self.starts.push((now_ms, pool.clone()));
@@ -160,6 +192,14 @@
         (count > 0).then(|| sum / count)
     }
 
+    /// Returns when the latest rise of a pool began and how high its rises become, zero where none has
+    /// built up.
+    #[must_use]
+    pub fn latest(&self, pool: &str) -> Option<(u64, u64)> {
+        let (began_at_ms, _) = self.starts.iter().find(|(_, known)| known == pool)?;
+        Some((*began_at_ms, self.tracks.get(pool)?.height_millis))
+    }
+
     /// Returns whether a rise of a pool is under way.
     #[must_use]
     pub fn is_risen(&self, pool: &str) -> bool {
--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -71,6 +71,14 @@
         /// The time.
         at_ms: u64,
     },
+    /// Notes that the work of a pool has begun or ceased to rise, so that a new leader can tell when
+    /// the next rise is due and how high it becomes.
+    NoteRise {
+        /// The pool.
+        pool: SmolStr,
+        /// The rise.
+        rise: RiseNote,
+    },
 }
 
 /// Says what a command came to.
@@ -120,6 +128,16 @@
     }
 }
 
+/// Notes the latest rise of a pool's work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RiseNote {
+    /// When it began, in milliseconds since 1970.
+    pub began_at_ms: u64,
+    /// How high the rises of the pool become, in thousandths of an instance; zero where none has built
+    /// up.
+    pub height_millis: u64,
+}
+
 /// Notes a life of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct LifeNote {
@@ -142,6 +160,10 @@
     pub lives: BTreeMap<LifeId, LifeNote>,
     /// The maintenance waves.
     pub waves: BTreeMap<u64, Wave>,
+    /// The latest rise of each pool; kept behind the rest in a snapshot, which earlier versions wrote
+    /// without it.
+    #[serde(skip)]
+    pub rises: BTreeMap<SmolStr, RiseNote>,
 }
 
 impl JobsState {
@@ -151,7 +173,7 @@
     ///
     /// Returns the error of the encoder.
     pub fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_stdvec(self)
+        postcard::to_extend(&self.rises, postcard::to_stdvec(self)?)
     }
 
     /// Reads the state from the bytes of a snapshot.
@@ -160,7 +182,11 @@
     ///
     /// Returns the error of the decoder, as for a snapshot of another version.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            state.rises = postcard::from_bytes(rest)?;
+        }
+        Ok(state)
     }
 
     /// Carries out a command.
@@ -207,6 +233,10 @@
                 }
                 Outcome::Done
             }
+            Command::NoteRise { pool, rise } => {
+                self.rises.insert(pool, rise);
+                Outcome::Done
+            }
             Command::NoteEnded { jobs, at_ms } => {
                 for key in jobs {
                     if let Some(job) = self.jobs.get_mut(&key) {
--- a/crates/jasminefall-jobs/tests/rises.rs
+++ b/crates/jasminefall-jobs/tests/rises.rs
@@ -177,3 +177,43 @@
     assert_eq!(expected, pools[3..], "the last pool has not risen yet");
     assert!(rises.height_millis("d") > Some(HEIGHT_MILLIS / 2));
 }
+
+/// The first second after a change of leader brings what has gathered without one.
+#[test]
+fn a_new_leader_knows_heights_and_is_not_misled_by_what_has_gathered() {
+    let pools = pools();
+    let noted = [
+        (pools[0].clone(), 1_000, 90_000),
+        (pools[1].clone(), 9_000, 110_000),
+    ];
+    let mut rises = Rises::resumed(14_000, noted);
+    assert_eq!(rises.height_millis(&pools[1]), Some(110_000));
+    let mut turns = Vec::new();
+    for step in 0..40 {
+        let now_ms = 14_000 + step * STEP_MS;
+        let gathered = if step < 8 { 400_000 } else { 100_000 };
+        let turn = rises.note(now_ms, &pools[1], &arrived(9, gathered, gathered));
+        turns.extend(turn);
+    }
+    assert_eq!(turns, [Turn::Rise], "the rise that the earlier leader saw");
+    assert_eq!(rises.latest(&pools[1]), Some((9_000, 110_000)));
+    let expected = rises.expected(16_000, 2_000, &pools);
+    assert_eq!(expected, pools[2..], "eight seconds after the latest");
+}
+
+#[test]
+fn a_first_rise_is_taken_to_take_more_than_an_even_share() {
+    let pools = pools();
+    let mut rises = Rises::default();
+    let mut building_up = None;
+    for step in 0..4 {
+        let now_ms = step * STEP_MS;
+        rises.note(now_ms, &pools[0], &arrived(2, 30_000, 10_000));
+        building_up = rises.building_up_millis(now_ms, &pools[0]);
+    }
+    assert_eq!(
+        building_up,
+        Some(99_750),
+        "a third more than a quarter of 300"
+    );
+}
