--- a/crates/jasminefall-control/src/node.rs
+++ b/crates/jasminefall-control/src/node.rs
@@ -219,6 +219,7 @@
         self.disk_jobs += 1;
         if self.disk.send(job).is_err() {
             log::error!("event=disk_thread_gone");
+            log::logger().flush();
             std::process::exit(3);
         }
     }
@@ -235,6 +236,7 @@
                 log::error!(
                     "event=snapshot_unreadable error=\"{error}\" remedy=\"run one version\""
                 );
+                log::logger().flush();
                 std::process::exit(3);
             }
         }
@@ -250,6 +252,7 @@
                     log::error!(
                         "event=command_unreadable error=\"{error}\" remedy=\"run one version\""
                     );
+                    log::logger().flush();
                     std::process::exit(3);
                 }
             },
--- a/crates/jasminefall-dispatch/src/control/node/inner.rs
+++ b/crates/jasminefall-dispatch/src/control/node/inner.rs
@@ -166,6 +166,7 @@
         self.disk_jobs += 1;
         if self.disk.send(job).is_err() {
             log::error!("event=disk_thread_gone remedy=\"the process starts again\"");
+            log::logger().flush();
             std::process::exit(3);
         }
     }
@@ -177,6 +178,7 @@
                 log::error!(
                     "event=snapshot_unreadable error=\"{error}\" remedy=\"run one version\""
                 );
+                log::logger().flush();
                 std::process::exit(3);
             }
         }
@@ -192,6 +194,7 @@
                     log::error!(
                         "event=command_unreadable error=\"{error}\" remedy=\"run one version\""
                     );
+                    log::logger().flush();
                     std::process::exit(3);
                 }
             },
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -535,3 +535,20 @@
     assert_eq!(started.len(), 1);
     assert_ne!(started[0].worker, pinned.worker);
 }
+
+/// A heartbeat that was held up on its way speaks of a worker that has left meanwhile.
+#[test]
+fn a_worker_that_has_left_is_given_nothing_on_a_late_heartbeat() {
+    let mut site = Site::new(1);
+    site.hear(0, |heartbeat| heartbeat.draining = true);
+    site.depart("i-0");
+    assert_eq!(site.worker_count(), 0);
+    site.hear(0, |heartbeat| heartbeat.sequence = 1);
+    site.submit(1, site::job(&[1], 100));
+    site.pass(500);
+    assert!(site.take_starts().is_empty(), "nobody has answered there");
+    site.change_leader();
+    site.hear(0, |heartbeat| heartbeat.sequence = 1);
+    site.pass(500);
+    assert!(site.take_starts().is_empty(), "nor after a restart");
+}
--- a/crates/jasminefall-jobs/tests/leader/site.rs
+++ b/crates/jasminefall-jobs/tests/leader/site.rs
@@ -158,6 +158,13 @@
         self.beat();
     }
 
+    /// Lets a worker leave, and beat no more.
+    pub(crate) fn depart(&mut self, name: &str) {
+        self.silent.push(name.into());
+        self.leader.take_departure(name, &self.state);
+        self.settle();
+    }
+
     /// Returns how many workers the leader knows.
     pub(crate) fn worker_count(&self) -> usize {
         self.leader.worker_count()
--- a/crates/jasminefall-replica/src/disk.rs
+++ b/crates/jasminefall-replica/src/disk.rs
@@ -61,6 +61,7 @@
             Err(error) => {
                 // After a failed sync nobody knows what is on the disk: only a new start can tell.
                 log::error!("event=storage_failed error=\"{error}\"");
+                log::logger().flush();
                 std::process::exit(3);
             }
         }
--- a/crates/jasminefall-runtime/src/daemon.rs
+++ b/crates/jasminefall-runtime/src/daemon.rs
@@ -42,12 +42,15 @@
 
     fn start(&self, settings: S, serve: impl AsyncFnOnce(S) -> anyhow::Result<()>) -> ExitCode {
         logging::start(self.program, &(self.name)(&settings));
-        match actix::System::new().block_on(serve(settings)) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                log::error!("event=stopped cause=\"{error:#}\"");
-                ExitCode::FAILURE
-            }
+        let ended = actix::System::new().block_on(serve(settings));
+        if let Err(error) = &ended {
+            log::error!("event=stopped cause=\"{error:#}\"");
+        }
+        log::logger().flush();
+        if ended.is_ok() {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
         }
     }
 }
--- a/crates/jasminefall-runtime/src/logging.rs
+++ b/crates/jasminefall-runtime/src/logging.rs
@@ -2,13 +2,14 @@
 //!
 //! Lines go through a bounded queue to a thread that writes them, so that a reader that does not
 //! read never holds up a request. Lines that find the queue full are counted, and the count is
-//! written with the next line that gets through.
+//! written with the next line that gets through. A process that ends by itself flushes first, so that
+//! the line with the cause is not lost.
 
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use env_logger::{Builder, Env, Target};
 
@@ -19,18 +20,56 @@
 const QUEUE_LINES: usize = 4_096;
 /// How long lines gather before they are written together, which saves wake-ups.
 const GATHER: Duration = Duration::from_millis(50);
+/// How long a flush waits at most; a reader that does not read holds up no end.
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
+/// How often a flush looks whether everything has been written.
+const FLUSH_CHECK: Duration = Duration::from_millis(10);
 
 /// Hands lines to the writing thread without waiting.
 struct Queue {
     sender: SyncSender<Vec<u8>>,
-    lost: Arc<AtomicU64>,
+    counts: Arc<Counts>,
+}
+
+/// Counts lines on their way.
+#[derive(Debug, Default)]
+struct Counts {
+    queued: AtomicU64,
+    written: AtomicU64,
+    lost: AtomicU64,
+}
+
+/// Logs as `env_logger` does, and can wait until the lines are out.
+struct Logger {
+    inner: env_logger::Logger,
+    counts: Arc<Counts>,
+}
+
+impl log::Log for Logger {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        self.inner.log(record);
+    }
+
+    fn flush(&self) {
+        let until = Instant::now() + FLUSH_LIMIT;
+        let queued = self.counts.queued.load(Ordering::Relaxed);
+        while self.counts.written.load(Ordering::Relaxed) < queued && Instant::now() < until {
+            std::thread::sleep(FLUSH_CHECK);
+        }
+    }
 }
 
 impl Write for Queue {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
-        if self.sender.try_send(line.to_vec()).is_err() {
-            self.lost.fetch_add(1, Ordering::Relaxed);
-        }
+        let counted = match self.sender.try_send(line.to_vec()) {
+            Ok(()) => &self.counts.queued,
+            Err(_) => &self.counts.lost,
+        };
+        counted.fetch_add(1, Ordering::Relaxed);
         Ok(line.len())
     }
 
@@ -53,32 +92,36 @@
         )
     };
     let (sender, receiver) = sync_channel(QUEUE_LINES);
-    let lost = Arc::new(AtomicU64::new(0));
+    let counts = Arc::new(Counts::default());
     let queue = Queue {
         sender,
-        lost: lost.clone(),
+        counts: counts.clone(),
     };
+    let written = counts.clone();
     let writer = std::thread::Builder::new().name("log".to_owned());
-    if let Err(error) = writer.spawn(move || write_all(&receiver, &lost)) {
+    if let Err(error) = writer.spawn(move || write_all(&receiver, &written)) {
         eprintln!("event=logging_failed error=\"{error}\" remedy=\"allow one more thread\"");
     }
     let target = Target::Pipe(Box::new(queue));
+    let inner = Builder::from_env(env).format(format).target(target).build();
+    let level = inner.filter();
     // A second start in one process, as in tests, keeps the first logger.
-    let _ = Builder::from_env(env)
-        .format(format)
-        .target(target)
-        .try_init();
+    if log::set_boxed_logger(Box::new(Logger { inner, counts })).is_ok() {
+        log::set_max_level(level);
+    }
 }
 
 /// Writes lines as they come, those that gather meanwhile together.
-fn write_all(lines: &Receiver<Vec<u8>>, lost: &AtomicU64) {
+fn write_all(lines: &Receiver<Vec<u8>>, counts: &Counts) {
     while let Ok(first) = lines.recv() {
         std::thread::sleep(GATHER);
         let mut text = first;
+        let mut count = 1;
         for line in lines.try_iter() {
+            count += 1;
             text.extend_from_slice(&line);
         }
-        let lost = lost.swap(0, Ordering::Relaxed);
+        let lost = counts.lost.swap(0, Ordering::Relaxed);
         if lost > 0 {
             let note = format!(
                 "time_ms={} level=warn event=log_lines_lost count={lost}\n",
@@ -87,6 +130,8 @@
             text.extend_from_slice(note.as_bytes());
         }
         // Nothing can be said about a failure to write here; the next lines may get through.
-        let _ = std::io::stdout().write_all(&text);
+        let mut output = std::io::stdout();
+        let _ = output.write_all(&text).and_then(|()| output.flush());
+        counts.written.fetch_add(count, Ordering::Relaxed);
     }
 }
