--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -370,6 +370,7 @@
 
     fn set_metrics(&self, leader: &Leader) {
         let (counts, (running, waiting)) = (leader.counts(), leader.load());
+        let uses = counts.instance_ms;
         let figures = [
             ("starts", counts.starts),
             ("starts_refused", counts.starts_refused),
@@ -380,6 +381,11 @@
             ("jobs_refused", counts.jobs_refused),
             ("maintained", counts.maintained),
             ("moved", counts.moved),
+            ("instance_seconds_working", uses.working / 1_000),
+            ("instance_seconds_held", uses.held / 1_000),
+            ("instance_seconds_expected", uses.expected / 1_000),
+            ("instance_seconds_idle", uses.idle / 1_000),
+            ("workers", leader.worker_count() as u64),
             ("tasks_running", running as u64),
             ("tasks_waiting", waiting as u64),
         ];
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -52,6 +52,7 @@
 use crate::policy::admission::PoolLoad;
 use crate::policy::durations::Durations;
 use crate::policy::order_rate::OrderRate;
+use crate::policy::pools::InstanceUse;
 use crate::state::{Command, JobsState};
 
 /// Runs of one leadership are numbered from a multiple of this, so that they are above earlier ones.
@@ -229,6 +230,8 @@
     pub maintained: u64,
     /// Instances moved to another pool.
     pub moved: u64,
+    /// Instance-milliseconds in pools that are in use, by what the instances were there for.
+    pub instance_ms: InstanceUse,
 }
 
 /// Knows and decides what the leader of the control replicas does for jobs and workers.
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -276,6 +276,7 @@
             && !rises
                 .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS / 2, pools)
                 .is_empty();
+        self.count_uses(demands, &wanted);
         let mut movable = Movable::default();
         let surplus = self.supply(pools, demands, &wanted, (&standby, &mut movable));
         if is_rise_near {
@@ -291,6 +292,14 @@
         }
     }
 
+    /// Counts what the instances of the pools are there for until the next plan.
+    fn count_uses(&mut self, demands: &[PoolDemand], wanted: &[usize]) {
+        for (demand, wanted) in demands.iter().zip(wanted) {
+            let uses = demand.uses(*wanted).times(PLAN_INTERVAL_MS);
+            self.counts.instance_ms = self.counts.instance_ms.plus(&uses);
+        }
+    }
+
     /// Moves instances to the pools that lack some; returns how many each pool still has over.
     fn supply(
         &mut self,
@@ -387,12 +396,18 @@
     }
 
     fn log_pool(&mut self, pool: &SmolStr, demand: &PoolDemand, wanted: usize, expected: bool) {
+        let uses = demand.uses(wanted);
         self.note(format!(
             "event=pool_sized pool={pool} instances={} wanted={wanted} needed={} pinned={} \
+             working={} held={} expected={} idle={} \
              lasting_millis={} ready_millis={} arriving_millis={} rise_expected={expected} moved={}",
             demand.instances,
             demand.needed(),
             demand.pinned,
+            uses.working,
+            uses.held,
+            uses.expected,
+            uses.idle,
             demand.millis_for(&demand.lasting),
             demand.millis_for(&demand.ready),
             demand.millis_for(&demand.arriving),
--- a/crates/jasminefall-jobs/src/policy/pools.rs
+++ b/crates/jasminefall-jobs/src/policy/pools.rs
@@ -26,6 +26,43 @@
     pub arriving: Resources,
 }
 
+/// Says what the instances of a pool are there for, each counted once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct InstanceUse {
+    /// As many as tasks that end need.
+    pub working: u64,
+    /// Beyond these, as many as tasks that last hold in the pool.
+    pub held: u64,
+    /// Beyond these, as many as are wanted for what arrives or is forecast.
+    pub expected: u64,
+    /// The others, which have not been sent away yet.
+    pub idle: u64,
+}
+
+impl InstanceUse {
+    /// Returns the sum of both.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            working: self.working + other.working,
+            held: self.held + other.held,
+            expected: self.expected + other.expected,
+            idle: self.idle + other.idle,
+        }
+    }
+
+    /// Returns this many times over.
+    #[must_use]
+    pub const fn times(&self, count: u64) -> Self {
+        Self {
+            working: self.working * count,
+            held: self.held * count,
+            expected: self.expected * count,
+            idle: self.idle * count,
+        }
+    }
+}
+
 /// The part of an instance that work can be packed onto, in thousandths; the rest is lost to odd
 /// sizes.
 const PACKED_MILLIS: u64 = 850;
@@ -69,6 +106,27 @@
         self.instances_for(&work).max(lasting).max(FEWEST)
     }
 
+    /// Returns what the instances of the pool are there for, if it should have `wanted`.
+    #[must_use]
+    pub fn uses(&self, wanted: usize) -> InstanceUse {
+        let mut left = self.instances as u64;
+        let mut take = |most: usize| {
+            let taken = left.min(most as u64);
+            left -= taken;
+            taken
+        };
+        let work = self.instances_for(&self.ready);
+        let working = take(work);
+        let held = take(self.pinned.saturating_sub(work));
+        let expected = take(wanted.saturating_sub(work.max(self.pinned)));
+        InstanceUse {
+            working,
+            held,
+            expected,
+            idle: left,
+        }
+    }
+
     /// Returns how many instances hold this, by whichever of its resources needs most.
     #[must_use]
     pub fn instances_for(&self, taken: &Resources) -> usize {
--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -4,7 +4,8 @@
 //! their pools hold. Instances take longer to come than a rise takes to build up, so that a pool
 //! that only follows what arrives is short for the first seconds of each rise. A rise is therefore
 //! recognised by its first jobs, taken to become as high as those before it, and expected when the
-//! one before it has lasted as long as they do.
+//! one before it has lasted as long as they do. What rises beside another rise that has just begun is
+//! a burst: it comes in no order, and as high as it is.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -26,6 +27,9 @@
 /// How long a rise is taken to become as high as those before it, in milliseconds; after this what
 /// arrives tells more.
 const BUILDS_UP_MS: u64 = 3_000;
+/// The least distance of two rises, in milliseconds; some times what a move takes, since following
+/// shorter ones would not pay.
+const SHORTEST_APART_MS: u64 = 5_000;
 /// For how long after a change of leader arrivals count as gathered before, in milliseconds; clients
 /// come back within two seconds or so, and the average takes as long to forget them.
 const PENT_UP_MS: u64 = 3_500;
@@ -47,6 +51,8 @@
 struct Track {
     recent: VecDeque<Interval>,
     risen_since_ms: Option<u64>,
+    /// Whether what rises is a burst beside the rise of another pool.
+    is_burst: bool,
     /// How high the rise that is under way has become.
     rise_millis: u64,
     /// How high its rises become; zero until one has built up.
@@ -139,10 +145,10 @@
         let even_millis = total_millis / arrived.pools.max(1) as u64;
         track.unseen_height_millis = even_millis * UNSEEN_HEIGHT_PERCENT / 100;
         if let Some(since_ms) = track.risen_since_ms {
-            if !is_pent_up {
+            if !is_pent_up || track.is_burst {
                 track.rise_millis = track.rise_millis.max(arrived.steady_millis);
             }
-            if now_ms >= since_ms + BUILDS_UP_MS {
+            if now_ms >= since_ms + BUILDS_UP_MS && !track.is_burst {
                 track.height_millis = track.height_millis.max(track.rise_millis);
             }
             let over_millis = track.rise_millis * RISEN_PERCENT / 100;
@@ -151,7 +157,7 @@
                 return None;
             }
             track.risen_since_ms = None;
-            if now_ms < since_ms + BUILDS_UP_MS {
+            if now_ms < since_ms + BUILDS_UP_MS && !track.is_burst {
                 // It was chance, and says nothing about when the next is due.
                 self.starts.retain(|(_, known)| known != pool);
             }
@@ -165,8 +171,14 @@
         if jobs < FEWEST_JOBS || average_millis < risen_millis.max(1) {
             return None;
         }
+        let follows_at_once =
+            |(at_ms, known): &(u64, SmolStr)| known != pool && now_ms < at_ms + SHORTEST_APART_MS;
+        track.is_burst = self.starts.last().is_some_and(follows_at_once);
         track.risen_since_ms = Some(now_ms);
         track.rise_millis = if is_pent_up { 0 } else { average_millis };
+        if track.is_burst {
+            return Some(Turn::Rise);
+        }
         // A rise that an earlier leader saw begin goes on.
         let latest = self.starts.last().map(|(_, known)| known);
         if is_pent_up && latest == Some(pool) {
@@ -212,6 +224,9 @@
     pub fn building_up_millis(&self, now_ms: u64, pool: &str) -> Option<u64> {
         let track = self.tracks.get(pool)?;
         let is_building_up = now_ms < track.risen_since_ms? + BUILDS_UP_MS;
+        if track.is_burst {
+            return is_building_up.then(|| track.average_millis());
+        }
         let unseen_millis = track.unseen_height_millis;
         let height_millis = self.height_millis(pool).unwrap_or(unseen_millis);
         is_building_up.then(|| height_millis.max(track.average_millis()))
--- a/crates/jasminefall-jobs/tests/policy.rs
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -7,7 +7,7 @@
 use jasminefall_jobs::policy::order::longest_chain_ms;
 use jasminefall_jobs::policy::pace::next_percent;
 use jasminefall_jobs::policy::placement::{Candidate, Needs, choose};
-use jasminefall_jobs::policy::pools::{PoolDemand, divide};
+use jasminefall_jobs::policy::pools::{InstanceUse, PoolDemand, divide};
 use jasminefall_jobs::prelude::QueueKey;
 
 const fn cores(cpu_millis: u64) -> Resources {
@@ -290,3 +290,32 @@
     assert_eq!(given.iter().sum::<usize>(), 20);
     assert_eq!(given[0], 15);
 }
+
+#[test]
+fn each_instance_of_a_pool_is_counted_for_one_use() {
+    let demand = PoolDemand {
+        instances: 20,
+        pinned: 6,
+        instance: needs(16_000, 64_000).room,
+        ready: needs(4 * 13_600, 0).room,
+        ..PoolDemand::default()
+    };
+    let uses = demand.uses(9);
+    let expected = InstanceUse {
+        working: 4,
+        held: 2,
+        expected: 3,
+        idle: 11,
+    };
+    assert_eq!(uses, expected);
+    let few = PoolDemand {
+        instances: 5,
+        ..demand
+    };
+    let expected = InstanceUse {
+        working: 4,
+        held: 1,
+        ..InstanceUse::default()
+    };
+    assert_eq!(few.uses(9), expected);
+}
--- a/crates/jasminefall-jobs/tests/rises.rs
+++ b/crates/jasminefall-jobs/tests/rises.rs
@@ -217,3 +217,23 @@
         "a third more than a quarter of 300"
     );
 }
+
+/// Two queues at once: one rises in its turn, the other has a burst.
+#[test]
+fn a_burst_beside_a_rise_sets_no_order_and_gets_what_it_asks_for() {
+    let pools = pools();
+    let mut rises = Rises::default();
+    for step in 0..20 {
+        rises.note(step * STEP_MS, &pools[0], &arrived(5, 90_000, 90_000));
+    }
+    let mut building_up = None;
+    for step in 20..26 {
+        let now_ms = step * STEP_MS;
+        rises.note(now_ms, &pools[0], &arrived(5, 90_000, 90_000));
+        rises.note(now_ms, &pools[1], &arrived(2, 40_000, 30_000));
+        building_up = building_up.max(rises.building_up_millis(now_ms, &pools[1]));
+    }
+    assert_eq!(building_up, Some(40_000));
+    assert_eq!(rises.latest(&pools[1]), None);
+    assert!(rises.expected(6_000, LEAD_MS, &pools).is_empty());
+}
