fix(jobs): half of a rise sets no height

Change: only a rise seen from its beginning, and no burst, sets a height (test half_of_a_rise_sets_no_height, which fails without).

--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -53,6 +53,8 @@
     risen_since_ms: Option<u64>,
     /// Whether what rises is a burst beside the rise of another pool.
     is_burst: bool,
+    /// Whether the rise has been seen from its beginning, so that it tells how high rises become.
+    is_whole: bool,
     /// How high the rise that is under way has become.
     rise_millis: u64,
     /// How high its rises become; zero until one has built up.
@@ -145,10 +147,10 @@
         let even_millis = total_millis / arrived.pools.max(1) as u64;
         track.unseen_height_millis = even_millis * UNSEEN_HEIGHT_PERCENT / 100;
         if let Some(since_ms) = track.risen_since_ms {
-            if !is_pent_up || track.is_burst {
+            if !is_pent_up {
                 track.rise_millis = track.rise_millis.max(arrived.steady_millis);
             }
-            if now_ms >= since_ms + BUILDS_UP_MS && !track.is_burst {
+            if now_ms >= since_ms + BUILDS_UP_MS && track.is_whole {
                 track.height_millis = track.height_millis.max(track.rise_millis);
             }
             let over_millis = track.rise_millis * RISEN_PERCENT / 100;
@@ -174,6 +176,7 @@
         let follows_at_once =
             |(at_ms, known): &(u64, SmolStr)| known != pool && now_ms < at_ms + SHORTEST_APART_MS;
         track.is_burst = self.starts.last().is_some_and(follows_at_once);
+        track.is_whole = !track.is_burst && !is_pent_up;
         track.risen_since_ms = Some(now_ms);
         track.rise_millis = if is_pent_up { 0 } else { average_millis };
         if track.is_burst {
--- a/crates/jasminefall-jobs/tests/rises.rs
+++ b/crates/jasminefall-jobs/tests/rises.rs
@@ -196,6 +196,8 @@
         turns.extend(turn);
     }
     assert_eq!(turns, [Turn::Rise], "the rise that the earlier leader saw");
+    let first = rises.height_millis(&pools[0]);
+    assert_eq!(first, Some(90_000), "half of a rise tells nothing");
     assert_eq!(rises.latest(&pools[1]), Some((9_000, 110_000)));
     let expected = rises.expected(16_000, 2_000, &pools);
     assert_eq!(expected, pools[2..], "eight seconds after the latest");
@@ -237,3 +239,16 @@
     assert_eq!(rises.latest(&pools[1]), None);
     assert!(rises.expected(6_000, LEAD_MS, &pools).is_empty());
 }
+
+/// A leader that was lost in the first rise has noted no height, and the next one sees half of it.
+#[test]
+fn half_of_a_rise_sets_no_height() {
+    let pools = pools();
+    let mut rises = Rises::resumed(14_000, [(pools[0].clone(), 9_000, 0)]);
+    for step in 0..60 {
+        let now_ms = 14_000 + step * STEP_MS;
+        let falling = if step < 40 { 40_000 } else { 1_000 };
+        rises.note(now_ms, &pools[0], &arrived(5, falling, falling));
+    }
+    assert_eq!(rises.height_millis(&pools[0]), None);
+}
