fix(jobs): a life whose instance is in another pool is over

Change: a life whose instance is listed in another pool is over (test a_life_whose_instance_is_in_another_pool_does_not_hold_up_a_new_leader, which fails without).

--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -116,8 +116,8 @@
         })
     }
 
-    /// Ends lives of before this leadership whose instance has been sent away or carries another
-    /// worker by now: nothing that an earlier leader started there can still run.
+    /// Ends lives of before this leadership whose instance has been sent away, is in another pool or
+    /// carries another worker by now: nothing that an earlier leader started there can still run.
     fn end_replaced_lives(&mut self, state: &JobsState) {
         let mut over = Vec::new();
         for life in self.unsettled.keys() {
@@ -132,7 +132,9 @@
                     .worker
                     .as_ref()
                     .is_some_and(|worker| *worker != life.worker);
-                listed.is_away || other
+                // A worker stays in one pool for its whole life.
+                let moved = worker.is_some_and(|worker| worker.heartbeat.pool != listed.pool);
+                listed.is_away || other || moved
             });
             if is_over {
                 over.push(handle);
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -552,3 +552,23 @@
     site.pass(500);
     assert!(site.take_starts().is_empty(), "nor after a restart");
 }
+
+/// An instance that has come to the standby pool carries no worker at all.
+#[test]
+fn a_life_whose_instance_is_in_another_pool_does_not_hold_up_a_new_leader() {
+    let mut site = Site::new(2);
+    site.submit(1, site::job(&[4], 8_000));
+    let starts = site.take_starts();
+    site.accept_all(&starts);
+    let gone = site.forget_worker("i-1");
+    site.change_leader();
+    site.answer_looks();
+    let carrying = ListedInstance {
+        worker: Some("i-0".into()),
+        ..site::listed("m-0", site::POOL)
+    };
+    site.list(&[carrying, site::listed("m-1", site::STANDBY)]);
+    site.end_running("i-0");
+    let tasks: Vec<_> = site.take_starts().iter().map(|start| start.task).collect();
+    assert_eq!(tasks, gone, "what ran on the instance that was sent away");
+}
