feat(jobs): waves let work go first while they can still be in time

Change: a wave takes up no more instances while pools need more than there are and twice the time that the rest needs is left (policy/waves.rs).

--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -94,6 +94,8 @@
     forbidden: BTreeMap<(SmolStr, SmolStr), u64>,
     planned_at_ms: u64,
     logged_at_ms: u64,
+    /// Whether the pools need more instances than there are.
+    short: bool,
 }
 
 impl PoolPlans {
@@ -113,6 +115,11 @@
         }
     }
 
+    /// Returns whether the pools need more instances than there are.
+    pub(crate) const fn is_short(&self) -> bool {
+        self.short
+    }
+
     /// Returns whether an instance is about to change its pool.
     pub(crate) fn is_moving(&self, instance: &str) -> bool {
         self.moves.contains_key(instance)
@@ -260,6 +267,7 @@
         let spare = self.staying(&standby).count();
         let total = spare + demands.iter().map(|demand| demand.instances).sum::<usize>();
         let mut wanted = divide(&needed, total);
+        self.pool_plans.short = needed.iter().sum::<usize>() > total;
         let lead_ms = self.settings.move_ms + READY_BEFORE_MS;
         let rises = &self.pool_plans.rises;
         let expected = rises.expected(now_ms, lead_ms, pools);
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -10,6 +10,7 @@
 use super::fleet::InstanceAnswer;
 use super::{Effect, Leader, RunState, WorkerHandle};
 use crate::ids::{StepId, TaskId};
+use crate::policy::waves::{WaveLeft, may_wait};
 use crate::state::{Command, JobsState, Wave};
 
 /// How often waves are moved on, in milliseconds; a twentieth of what an instance's maintenance takes.
@@ -143,6 +144,9 @@
             .keys()
             .filter(|(of, _)| *of == number)
             .count();
+        if self.lets_work_go_first(wave) {
+            return;
+        }
         let room = (wave.max_down as usize).saturating_sub(under_way);
         let waiting = self.waiting_instances(wave);
         let ready = waiting.filter(|instance| self.is_up(instance));
@@ -170,6 +174,20 @@
         }
     }
 
+    /// Returns whether a wave takes up no more instances for now, since the pools lack them and it can
+    /// still be in time.
+    fn lets_work_go_first(&self, wave: &Wave) -> bool {
+        let left = wave.instances.len().saturating_sub(wave.maintained.len());
+        let due_ms = wave.accepted_at_ms.saturating_add(wave.duration_ms);
+        self.pool_plans.is_short()
+            && may_wait(&WaveLeft {
+                instances: left as u64,
+                max_down: u64::from(wave.max_down),
+                maintenance_ms: self.settings.maintenance_ms,
+                time_ms: due_ms.saturating_sub(self.now.wall_ms),
+            })
+    }
+
     /// Returns the instances of a wave that wait for their maintenance to be taken up.
     fn waiting_instances<'a>(&self, wave: &'a Wave) -> impl Iterator<Item = &'a SmolStr> {
         wave.instances.iter().filter(|instance| {
--- a/crates/jasminefall-jobs/src/policy.rs
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -9,6 +9,7 @@
 //! - [`placement`]: which worker gets a task
 //! - [`order_rate`]: how many orders about instances may be given
 //! - [`receivers`]: which control instance takes the heartbeats of a worker
+//! - [`waves`]: whether a maintenance wave may wait
 //! - [`admission`]: which jobs are refused at once, and when their clients may come back
 
 pub mod admission;
@@ -21,3 +22,4 @@
 pub mod pools;
 pub mod receivers;
 pub mod rises;
+pub mod waves;
--- a/crates/jasminefall-jobs/tests/policy.rs
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -8,6 +8,7 @@
 use jasminefall_jobs::policy::pace::next_percent;
 use jasminefall_jobs::policy::placement::{Candidate, Needs, choose};
 use jasminefall_jobs::policy::pools::{InstanceUse, PoolDemand, divide};
+use jasminefall_jobs::policy::waves::{WaveLeft, may_wait};
 use jasminefall_jobs::prelude::QueueKey;
 
 const fn cores(cpu_millis: u64) -> Resources {
@@ -319,3 +320,25 @@
     };
     assert_eq!(few.uses(9), expected);
 }
+
+/// A wave of 186 instances in 26 s, 72 at once, beside a rise that asks for more than there is.
+#[test]
+fn a_wave_waits_for_work_only_while_it_can_still_be_in_time() {
+    let left = WaveLeft {
+        instances: 186,
+        max_down: 72,
+        maintenance_ms: 2_000,
+        time_ms: 27_000,
+    };
+    assert!(may_wait(&left), "three rounds of 4.5 s, twice over");
+    let late = WaveLeft {
+        time_ms: 26_999,
+        ..left
+    };
+    assert!(!may_wait(&late));
+    let one_by_one = WaveLeft {
+        max_down: 1,
+        ..left
+    };
+    assert!(!may_wait(&one_by_one));
+}
