refactor(jobs): moves of instances in a file of their own

Change: leader/moves.rs with Moves beside PoolPlans; nothing but the place and the visibility of functions.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -15,7 +15,8 @@
 //! - [`placing`]: starting what waits
 //! - [`upkeep`]: maintenance waves
 //! - [`fleet`]: where every instance is
-//! - [`pools`]: which instances change their pool
+//! - [`pools`]: how many instances each pool should have, and where they come from
+//! - [`moves`]: moving instances from one pool to another
 //! - [`advice`]: on which workers the policy of a queue permits a step
 //! - [`filling`]: the pace of tasks that fill beside others
 
@@ -24,6 +25,7 @@
 mod directory;
 mod filling;
 mod fleet;
+mod moves;
 mod orders;
 mod placing;
 mod pools;
@@ -42,6 +44,7 @@
 use self::filling::Pacing;
 use self::fleet::Fleet;
 pub use self::fleet::{InstanceAnswer, ListedInstance};
+use self::moves::Moves;
 use self::pools::PoolPlans;
 pub(crate) use self::runs::{Run, RunState};
 use self::steps::StepRun;
@@ -255,6 +258,7 @@
     fleet: Fleet,
     upkeep: Upkeep,
     pool_plans: PoolPlans,
+    moves: Moves,
     /// Bounds the orders about instances.
     order_rate: OrderRate,
     /// The load of every pool and when it was taken.
@@ -292,6 +296,7 @@
             fleet: Fleet::default(),
             upkeep: Upkeep::default(),
             pool_plans: PoolPlans::resumed(now, state),
+            moves: Moves::default(),
             order_rate: OrderRate::new(settings.instance_orders_per_s, now.steady_ms),
             loads: HashMap::new(),
             pacing: Pacing::default(),
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -163,7 +163,7 @@
                 load.free = load.free.plus(&worker.free());
             }
         }
-        let coming = instance.times(self.pool_plans.coming(pool) as u64);
+        let coming = instance.times(self.moves.coming(pool) as u64);
         load.capacity = load.capacity.plus(&coming);
         load.reserve = instance.times(self.standby_instances(state) as u64);
         load.reserve_after_ms = self.settings.move_ms;
--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -148,7 +148,7 @@
     /// Corrects what a list shows as it was before an order was carried out, or before a worker was
     /// heard: the list takes some time to arrive.
     fn keep_what_is_newer_than_the_list(&mut self) {
-        for (instance, pool) in self.pool_plans.under_way() {
+        for (instance, pool) in self.moves.on_their_way() {
             if let Some(known) = self.fleet.instances.get_mut(instance) {
                 known.pool = pool.clone();
                 known.up = false;
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -1,11 +1,11 @@
-//! Which instances change their pool.
+//! How many instances each pool should have, and where they come from.
 
 use std::collections::{BTreeMap, HashMap};
 
 use smol_str::SmolStr;
 
-use super::fleet::InstanceAnswer;
-use super::{Effect, Leader, Now, WorkerHandle};
+use super::moves::Movable;
+use super::{Leader, Now};
 use crate::ids::JobKey;
 use crate::job::{Resources, Work};
 use crate::policy::pools::{PoolDemand, divide};
@@ -14,9 +14,6 @@
 
 /// How often pools are compared, in milliseconds; a tenth of what a move takes.
 const PLAN_INTERVAL_MS: u64 = 150;
-/// How long a leader waits before its first order to an instance that an earlier leader may have
-/// ordered just before, in milliseconds: two holders must not take turns within their lease, 3 s.
-const FIRST_ORDER_AFTER_MS: u64 = 3_500;
 /// How long an instance stays idle before it may go to another pool that lacks it, in milliseconds;
 /// jobs come in bunches, and a move back takes longer than the next bunch.
 const IDLE_BEFORE_LENDING_MS: u64 = 800;
@@ -32,44 +29,6 @@
 const IDLE_WORTH_MOVES_MS: u64 = 2_700;
 /// How often the sizes of the pools are logged, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
-/// How long an order without an answer is taken as under way, in milliseconds.
-const ORDER_PATIENCE_MS: u64 = 4_000;
-/// How long an instance is given to end what runs on it, in milliseconds.
-const EMPTYING_PATIENCE_MS: u64 = 4_000;
-/// How long a pair of pools that cannot exchange instances is left alone, in milliseconds.
-const FORBIDDEN_FOR_MS: u64 = 60_000;
-
-/// Says how far a move is.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Phase {
-    /// The worker is being emptied.
-    Emptying { since_ms: u64 },
-    /// The order has been given.
-    Ordered { at_ms: u64 },
-    /// The instance is on its way.
-    UnderWay { since_ms: u64 },
-}
-
-#[derive(Debug, Clone)]
-struct Move {
-    from: SmolStr,
-    to: SmolStr,
-    phase: Phase,
-}
-
-/// Describes an instance that may be moved; the least has the least work to end.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct MovableInstance {
-    used_cpu_millis: u64,
-    instance: SmolStr,
-    worker: Option<WorkerHandle>,
-}
-
-/// Holds the instances of each pool that may be moved, as long as moves are planned; finding them
-/// takes a pass over the whole fleet.
-#[derive(Debug, Default)]
-struct Movable(HashMap<SmolStr, Vec<MovableInstance>>);
-
 /// How long a job that was refused is remembered, in milliseconds, so that its client's next attempt
 /// doesn't count as more work; longer than clients keep trying.
 const REFUSED_FOR_MS: u64 = 10_000;
@@ -82,16 +41,14 @@
     rate: Resources,
 }
 
-/// Holds the moves that are under way, and what they are decided by.
+/// Holds what moves are decided by.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PoolPlans {
-    moves: BTreeMap<SmolStr, Move>,
     arrivals: BTreeMap<SmolStr, Arrivals>,
     needed_lately: BTreeMap<SmolStr, Vec<(u64, usize)>>,
     rises: Rises,
     /// Jobs that have arrived and were refused, and when.
     refused: HashMap<JobKey, u64>,
-    forbidden: BTreeMap<(SmolStr, SmolStr), u64>,
     planned_at_ms: u64,
     logged_at_ms: u64,
     /// Whether the pools need more instances than there are.
@@ -120,25 +77,6 @@
         self.short
     }
 
-    /// Returns whether an instance is about to change its pool.
-    pub(crate) fn is_moving(&self, instance: &str) -> bool {
-        self.moves.contains_key(instance)
-    }
-
-    /// Returns whether an instance is to be moved, or may be at any moment.
-    pub(crate) fn awaits(&self, instance: &str) -> bool {
-        let planned = self.moves.get(instance);
-        planned.is_some_and(|planned| !matches!(planned.phase, Phase::UnderWay { .. }))
-    }
-
-    /// Returns the instances that are on their way, with the pools that they go to.
-    pub(crate) fn under_way(&self) -> impl Iterator<Item = (&SmolStr, &SmolStr)> {
-        let under_way = |planned: &Move| matches!(planned.phase, Phase::UnderWay { .. });
-        let moves = self.moves.iter();
-        let moves = moves.filter(move |(_, planned)| under_way(planned));
-        moves.map(|(instance, planned)| (instance, &planned.to))
-    }
-
     /// Notes work that a client has asked for, accepted or not, at its first attempt.
     pub(crate) fn note_arrival(&mut self, key: JobKey, pool: &SmolStr, work: &Work) {
         if self.refused.contains_key(&key) {
@@ -153,11 +91,6 @@
     pub(crate) fn note_refusal(&mut self, key: JobKey, now_ms: u64) {
         self.refused.insert(key, now_ms);
     }
-
-    /// Returns how many instances are on their way to a pool.
-    pub(crate) fn coming(&self, pool: &str) -> usize {
-        self.moves.values().filter(|known| known.to == pool).count()
-    }
 }
 
 impl Leader {
@@ -182,11 +115,6 @@
         }
     }
 
-    /// Returns whether no order of an earlier leader about any instance can be recent.
-    pub(super) const fn may_order_instances(&self) -> bool {
-        self.first_run == 0 || self.now.steady_ms >= self.leads_since_ms + FIRST_ORDER_AFTER_MS
-    }
-
     /// Takes up what has arrived for a pool since the last call.
     fn follow_arrivals(
         &mut self,
@@ -423,27 +351,10 @@
         ));
     }
 
-    /// Returns the instances of a pool that are up and stay there.
-    fn staying(&self, pool: &str) -> impl Iterator<Item = &SmolStr> {
-        let staying = self.fleet.instances.values().filter(move |known| {
-            known.pool == pool
-                && known.up
-                && !self.pool_plans.is_moving(&known.instance)
-                && !self.upkeep.is_under_way(&known.instance)
-        });
-        staying.map(|known| &known.instance)
-    }
-
-    /// Returns how many instances wait in the standby pools.
-    pub(super) fn standby_instances(&self, state: &JobsState) -> usize {
-        let standby = state.configuration.pools.iter().filter(|pool| pool.standby);
-        standby.map(|pool| self.staying(&pool.name).count()).sum()
-    }
-
     /// Returns what a pool holds and what takes it up; what arrives is taken up afterwards.
     fn demand(&self, pool: &SmolStr) -> PoolDemand {
         let mut demand = PoolDemand {
-            instances: self.staying(pool).count() + self.pool_plans.coming(pool),
+            instances: self.staying(pool).count() + self.moves.coming(pool),
             ..PoolDemand::default()
         };
         for handle in self.directory.in_pool(pool) {
@@ -466,196 +377,4 @@
         }
         demand
     }
-
-    /// Returns the instances of a pool that may be moved, the one with the least work last.
-    fn movable(&self, from: &SmolStr, is_standby: bool) -> Vec<MovableInstance> {
-        let settled = self.may_order_instances();
-        let ranked = self.staying(from).filter_map(|instance| {
-            let worker = self.worker_on(instance);
-            if !settled && !self.is_left_alone(worker, is_standby) {
-                return None;
-            }
-            let used_cpu_millis = match worker.and_then(|handle| self.workers.get(&handle)) {
-                Some(worker) if worker.heartbeat.draining || worker.emptying => return None,
-                Some(worker) if worker.lasting_runs > 0 => return None,
-                Some(worker) => worker.used.cpu_millis,
-                None => 0,
-            };
-            Some(MovableInstance {
-                used_cpu_millis,
-                instance: instance.clone(),
-                worker,
-            })
-        });
-        let mut ranked: Vec<_> = ranked.collect();
-        ranked.sort_unstable_by(|one, other| other.cmp(one));
-        ranked
-    }
-
-    /// Begins to move one instance; returns whether there was one to move.
-    fn move_one(
-        &mut self,
-        movable: &mut Movable,
-        (from, is_standby): (&SmolStr, bool),
-        to: &SmolStr,
-        only_idle: bool,
-    ) -> bool {
-        let now_ms = self.now.steady_ms;
-        let pair = (from.clone(), to.clone());
-        let forbidden = self.pool_plans.forbidden.get(&pair);
-        if forbidden.is_some_and(|until_ms| now_ms < *until_ms) {
-            return false;
-        }
-        if !self.order_rate.allows(now_ms) {
-            return false;
-        }
-        let of_pool = movable.0.entry(from.clone());
-        let of_pool = of_pool.or_insert_with(|| self.movable(from, is_standby));
-        let fits = |least: &mut MovableInstance| !only_idle || least.used_cpu_millis == 0;
-        let Some(MovableInstance {
-            used_cpu_millis,
-            instance,
-            worker,
-        }) = of_pool.pop_if(fits)
-        else {
-            return false;
-        };
-        if let Some(worker) = worker.and_then(|handle| self.workers.get_mut(&handle)) {
-            worker.emptying = true;
-        }
-        self.order_rate.note();
-        self.note(format!(
-            "event=move_decided instance={instance} from={from} to={to} used_cpu_millis={used_cpu_millis}"
-        ));
-        let planned = Move {
-            from: from.clone(),
-            to: to.clone(),
-            phase: Phase::Emptying { since_ms: now_ms },
-        };
-        self.pool_plans.moves.insert(instance.clone(), planned);
-        self.tend_move(&instance);
-        true
-    }
-
-    fn tend_moves(&mut self) {
-        let instances: Vec<_> = self.pool_plans.moves.keys().cloned().collect();
-        for instance in instances {
-            self.tend_move(&instance);
-        }
-    }
-
-    fn tend_move(&mut self, instance: &SmolStr) {
-        let now_ms = self.now.steady_ms;
-        let Some(planned) = self.pool_plans.moves.get(instance).cloned() else {
-            return;
-        };
-        match planned.phase {
-            Phase::Emptying { since_ms } => {
-                let handle = self.worker_on(instance);
-                if handle.is_none_or(|handle| self.is_empty(handle)) {
-                    self.order_move(instance, planned);
-                } else if now_ms >= since_ms + EMPTYING_PATIENCE_MS {
-                    self.give_up_move(instance, "not-empty");
-                }
-            }
-            Phase::Ordered { at_ms } if now_ms >= at_ms + ORDER_PATIENCE_MS => {
-                self.give_up_move(instance, "no-answer");
-            }
-            Phase::UnderWay { since_ms } if now_ms >= since_ms + self.settings.move_ms => {
-                let arrived = self.worker_on(instance).is_some();
-                let late = now_ms >= since_ms + self.settings.move_ms + self.settings.heartbeat_ms;
-                if arrived || late {
-                    self.pool_plans.moves.remove(instance);
-                    self.fleet.note_arrived(instance);
-                }
-            }
-            Phase::Ordered { .. } | Phase::UnderWay { .. } => {}
-        }
-    }
-
-    /// Returns whether an earlier leader cannot just have ordered an instance: it waits in a standby
-    /// pool, or its worker has been read and has lived for some time.
-    fn is_left_alone(&self, worker: Option<WorkerHandle>, is_standby: bool) -> bool {
-        let Some(worker) = worker.and_then(|handle| self.workers.get(&handle)) else {
-            return is_standby;
-        };
-        let lived_ms = self.now.wall_ms.saturating_sub(worker.life().born_ms);
-        worker.adopted && lived_ms >= FIRST_ORDER_AFTER_MS
-    }
-
-    fn is_empty(&self, handle: WorkerHandle) -> bool {
-        self.workers
-            .get(&handle)
-            .is_none_or(super::Worker::is_empty)
-    }
-
-    fn order_move(&mut self, instance: &SmolStr, planned: Move) {
-        let at_ms = self.now.steady_ms;
-        self.effects.push(Effect::Move {
-            instance: instance.clone(),
-            pool: planned.to.clone(),
-        });
-        let phase = Phase::Ordered { at_ms };
-        self.pool_plans
-            .moves
-            .insert(instance.clone(), Move { phase, ..planned });
-    }
-
-    fn give_up_move(&mut self, instance: &SmolStr, cause: &str) {
-        self.note(format!(
-            "event=move_given_up instance={instance} cause={cause}"
-        ));
-        self.pool_plans.moves.remove(instance);
-        self.fleet.doubt();
-        let handle = self.worker_on(instance);
-        if let Some(worker) = handle.and_then(|handle| self.workers.get_mut(&handle)) {
-            worker.emptying = false;
-            let pool = worker.heartbeat.pool.clone();
-            self.dirty_pools.insert(pool);
-        }
-    }
-
-    /// Takes the platform's answer to an order to move an instance.
-    pub fn take_move_answer(
-        &mut self,
-        instance: &SmolStr,
-        pool: &SmolStr,
-        answer: InstanceAnswer,
-        state: &JobsState,
-    ) {
-        let now_ms = self.now.steady_ms;
-        self.note(format!(
-            "event=move_answer instance={instance} pool={pool} answer={answer:?}"
-        ));
-        let Some(planned) = self.pool_plans.moves.get(instance).cloned() else {
-            self.fleet.doubt();
-            return;
-        };
-        match answer {
-            InstanceAnswer::Done => {
-                self.counts.moved += 1;
-                if let Some(handle) = self.worker_on(instance) {
-                    self.end_life(handle, "moved", state);
-                }
-                if let Some(known) = self.fleet.instances.get_mut(instance) {
-                    known.pool = pool.clone();
-                    known.worker = None;
-                }
-                let phase = Phase::UnderWay { since_ms: now_ms };
-                self.pool_plans
-                    .moves
-                    .insert(instance.clone(), Move { phase, ..planned });
-            }
-            InstanceAnswer::Impossible => {
-                let pair = (planned.from, planned.to);
-                self.pool_plans
-                    .forbidden
-                    .insert(pair, now_ms + FORBIDDEN_FOR_MS);
-                self.give_up_move(instance, "impossible");
-            }
-            InstanceAnswer::Busy | InstanceAnswer::Fenced => self.give_up_move(instance, "busy"),
-            // The order may have been carried out; the list will tell.
-            InstanceAnswer::Unknown => self.fleet.doubt(),
-        }
-    }
 }
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -193,7 +193,7 @@
         wave.instances.iter().filter(|instance| {
             !wave.maintained.contains(*instance)
                 && !self.upkeep.is_under_way(instance)
-                && !self.pool_plans.is_moving(instance)
+                && !self.moves.is_moving(instance)
         })
     }
 
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -146,9 +146,10 @@
         self.next_handle += 1;
         self.directory.add(handle, &heartbeat);
         let now_ms = self.now.steady_ms;
-        let leaves = heartbeat.instance.as_ref().is_some_and(|instance| {
-            self.upkeep.awaits(instance) || self.pool_plans.awaits(instance)
-        });
+        let leaves = heartbeat
+            .instance
+            .as_ref()
+            .is_some_and(|instance| self.upkeep.awaits(instance) || self.moves.awaits(instance));
         let worker = Worker {
             // The clock of a life that only an earlier leader heard is not known yet.
             clock: (if registered { 0 } else { heartbeat.clock_ms }, now_ms),
