refactor: one place for what lasting tasks leave of a worker; the share of heartbeats is worked out once

Behaviour is unchanged. Ruled out as not worth a change: PoolDemand::uses and Resources share the shape of plus and times only.

--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -67,6 +67,8 @@
     inner: Rc<RefCell<Inner>>,
     metrics: Metrics,
     worker_connections: ConnectionBudget,
+    /// How many workers may send their heartbeats to this instance where it leads.
+    most_at_leader: usize,
     platform: Rc<PlatformClient>,
     synced: Rc<Cell<Option<UnboundedReceiver<DiskDone>>>>,
 }
@@ -125,10 +127,12 @@
             pump_due: false,
             outdated: false,
         };
+        let accepted = ConnectionBudget::accepted(settings.max_descriptors).total();
         Ok(Self {
             inner: Rc::new(RefCell::new(inner)),
             metrics: Metrics::new(),
             worker_connections: ConnectionBudget::opened(settings.max_descriptors),
+            most_at_leader: accepted * HEARTBEATS_PERCENT / 100,
             platform: Rc::default(),
             synced: Rc::new(Cell::new(Some(receiver))),
         })
@@ -239,9 +243,8 @@
         let inner = self.inner.borrow();
         let own = inner.settings.control?;
         let workers = inner.leader.as_ref().map_or(0, Leader::worker_count);
-        let accepted = ConnectionBudget::accepted(inner.settings.max_descriptors).total();
-        let most_at_leader = accepted * HEARTBEATS_PERCENT / 100;
-        if workers <= most_at_leader {
+        // The members are only looked up where the heartbeats are shared.
+        if workers <= self.most_at_leader {
             return Some(own.to_string().into());
         }
         let members = inner.replica.members().into_iter();
@@ -253,7 +256,7 @@
             })
         });
         let receivers: Vec<_> = receivers.collect();
-        let chosen = receiver(worker, workers, most_at_leader, own, &receivers);
+        let chosen = receiver(worker, workers, self.most_at_leader, own, &receivers);
         Some(chosen.to_string().into())
     }
 
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -149,16 +149,7 @@
             if worker.heartbeat.draining || worker.doubtful {
                 continue;
             }
-            let lasting = worker
-                .runs
-                .keys()
-                .filter(|_| worker.lasting_runs > 0)
-                .filter_map(|task| self.steps.get(&task.step_id()))
-                .filter(|step| step.step().long_running)
-                .fold(Resources::default(), |sum, step| {
-                    sum.plus(&step.step().counted())
-                });
-            load.capacity = load.capacity.plus(&capacity.minus(&lasting));
+            load.capacity = load.capacity.plus(&self.beside_lasting(worker));
             if !worker.emptying {
                 load.free = load.free.plus(&worker.free());
             }
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -170,7 +170,7 @@
     }
 
     /// Returns what tasks that last leave of a worker.
-    fn beside_lasting(&self, worker: &Worker) -> Resources {
+    pub(super) fn beside_lasting(&self, worker: &Worker) -> Resources {
         if worker.lasting_runs == 0 {
             return worker.heartbeat.capacity;
         }
