fix(dispatch): calls under way move to the next leader before later calls

Ruled out: answers older than the committed configuration (they were in the order of versions; the calls were not); moving calls on the word of a follower, which may name an earlier leader. Change: when an instance answers as the leader, calls that wait elsewhere are sent there at once. tests/forwarding.rs failed before ([1, 3, 2] at the next leader) and passes.

--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -9,6 +9,7 @@
 use jasminefall_wire::client::ControlLink;
 use jasminefall_wire::handshake::SiteKey;
 use jasminefall_wire::link::LinkError;
+use tokio::sync::watch;
 
 use crate::message::{Answer, Request};
 use crate::silences::Silences;
@@ -33,6 +34,8 @@
 pub struct Forwarder {
     key: SiteKey,
     known: RefCell<Known>,
+    /// The instance that was the last to answer as the leader.
+    answered_by: watch::Sender<Option<SocketAddr>>,
 }
 
 #[derive(Default)]
@@ -55,6 +58,7 @@
         Self {
             key,
             known: RefCell::new(known),
+            answered_by: watch::Sender::new(None),
         }
     }
 
@@ -71,7 +75,9 @@
 
     /// Forwards a call and returns the leader's answer.
     ///
-    /// Calls carry keys of their own, so one that may have been taken is sent again as it is.
+    /// Calls carry keys of their own, so one that may have been taken is sent again as it is. One that
+    /// still waits for an earlier leader when another instance has answered as the leader is sent there
+    /// at once: the earlier one no longer decides, and calls made later must not overtake it.
     ///
     /// # Errors
     ///
@@ -99,7 +105,16 @@
                 break;
             }
             let link = self.link(address);
-            match link.forward(left.min(TRY_TIMEOUT), request).await {
+            let answer = tokio::select! {
+                answer = link.forward(left.min(TRY_TIMEOUT), request) => answer,
+                leader = self.answered_by_other(address) => {
+                    log::info!("event=forward_moved from={address} to={leader}");
+                    may_be_taken = true;
+                    tried.remove(&leader);
+                    continue;
+                }
+            };
+            match answer {
                 Ok(Answer::NotLeader { leader, members }) => {
                     let leader = leader.filter(|leader| !self.is_silent(*leader));
                     self.learn(leader, &members, address);
@@ -113,6 +128,7 @@
                     let mut known = self.known.borrow_mut();
                     known.leader = Some(address);
                     known.silences.clear(address);
+                    self.answered_by.send_replace(Some(address));
                     return Ok(answer);
                 }
                 Err(LinkError::NotSent(error)) => {
@@ -134,6 +150,23 @@
         })
     }
 
+    /// Waits until another instance than this one answers as the leader for the first time.
+    async fn answered_by_other(&self, address: SocketAddr) -> SocketAddr {
+        let mut answered_by = self.answered_by.subscribe();
+        let mut before = *answered_by.borrow_and_update();
+        loop {
+            if answered_by.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+            let now = *answered_by.borrow_and_update();
+            let is_new = now != before;
+            before = now;
+            if let Some(leader) = now.filter(|leader| is_new && *leader != address) {
+                return leader;
+            }
+        }
+    }
+
     fn next_to_try(&self, tried: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
         let known = self.known.borrow();
         let members = known.members.iter().copied();
