fix(jobs): a life that is over stays over; calls follow a change of leader at followers too

Ruled out: budgets of steps (counts were right for the workers known). Change: lives that ended for certain are remembered and their heartbeats ignored; the life that began last on an instance ends the others, also under another name. Two tests, both failing before.

--- a/crates/jasminefall-dispatch/src/control/edge.rs
+++ b/crates/jasminefall-dispatch/src/control/edge.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 
 use super::node::{Node, ProposeError};
-use crate::forwarding::{ForwardError, NO_LEADER_RETRY_S};
+use crate::forwarding::{ForwardError, NO_LEADER_RETRY_S, follow_leader};
 use crate::http::server::{Call, Reply};
 use crate::message::{Answer, ClientCall, Request};
 
@@ -49,15 +49,19 @@
     reply
 }
 
+/// Decides a call where this instance leads, and otherwise forwards it to the leader.
 async fn decide_or_forward(node: &Node, request: Request) -> Answer {
     if node.leads() {
         return decide(node, request).await;
     }
-    let Some(leader) = node.known_leader() else {
-        return node.not_leader();
+    let own = node.address();
+    let call = async |leader, left| {
+        if leader == own {
+            return Ok(decide(node, request.clone()).await);
+        }
+        node.forwarder(leader).forward(left, &request).await
     };
-    let forwarder = node.forwarder(leader);
-    match forwarder.forward(FORWARD_LIMIT, &request).await {
+    match follow_leader(node.leader_changes(), FORWARD_LIMIT, call).await {
         Ok(answer) => answer,
         Err(ForwardError::NotTaken) => node.not_leader(),
         Err(ForwardError::Unknown) => Answer::Unknown,
--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -21,7 +21,7 @@
 use jasminefall_wire::peers::Peers;
 use smol_str::SmolStr;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use self::inner::Inner;
 use super::instances::PlatformClient;
@@ -115,6 +115,7 @@
             state,
             applied,
             leader: None,
+            leader_address: watch::Sender::new(None),
             fencing_token: 0,
             was_leader: false,
             disk,
@@ -209,6 +210,18 @@
         leader.and_then(address_of)
     }
 
+    /// Returns where this instance is reached by others.
+    pub(super) fn address(&self) -> SocketAddr {
+        let inner = self.inner.borrow();
+        peer_address(&inner.settings, inner.settings.address)
+    }
+
+    /// Follows where the leader is reached, as this instance knows it; itself once it has taken up its
+    /// work.
+    pub(super) fn leader_changes(&self) -> watch::Receiver<Option<SocketAddr>> {
+        self.inner.borrow().leader_address.subscribe()
+    }
+
     /// Returns the answer of an instance that does not lead.
     pub(super) fn not_leader(&self) -> Answer {
         let inner = self.inner.borrow();
--- a/crates/jasminefall-dispatch/src/control/node/inner.rs
+++ b/crates/jasminefall-dispatch/src/control/node/inner.rs
@@ -16,12 +16,13 @@
 use jasminefall_wire::handshake::SiteKey;
 use jasminefall_wire::peers::Peers;
 use smol_str::SmolStr;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::super::instances::{self, InstanceOrder};
 use super::super::lines::{AllLines, Order, Target};
 use super::{Node, ProposeError, REPAIR_TICKS, now};
 use crate::forwarding::Forwarder;
+use crate::settings::address_of;
 
 /// How long a leader gathers proposals, acknowledgements and room before it goes on; a fraction of a
 /// sync, and each round costs a message to every other replica and a pass over what waits.
@@ -46,6 +47,8 @@
     pub(super) state: JobsState,
     pub(super) applied: LogIndex,
     pub(super) leader: Option<Leader>,
+    /// Where the leader is reached, for calls that wait for one.
+    pub(super) leader_address: watch::Sender<Option<SocketAddr>>,
     pub(super) fencing_token: u64,
     pub(super) was_leader: bool,
     pub(super) disk: SyncSender<DiskJob>,
@@ -159,9 +162,20 @@
             }
             self.settle_only(node);
         }
+        self.note_leader_address();
         self.compact_if_long();
     }
 
+    fn note_leader_address(&self) {
+        let is_ready = |leader: &ReplicaId| *leader != self.replica.id() || self.leader.is_some();
+        let leader = self.replica.leader().filter(is_ready).and_then(address_of);
+        self.leader_address.send_if_modified(|known| {
+            let is_new = *known != leader;
+            *known = leader;
+            is_new
+        });
+    }
+
     pub(super) fn store(&mut self, job: DiskJob) {
         self.disk_jobs += 1;
         if self.disk.send(job).is_err() {
--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -30,6 +30,46 @@
     Unknown,
 }
 
+/// Makes a call to whichever instance leads, as far as the caller's own process knows.
+///
+/// A call that waits for an earlier leader, or for any, goes to the next one as soon as that is known:
+/// workers that were told of no leader announce themselves again only seconds later.
+///
+/// # Errors
+///
+/// Returns [`ForwardError`] where no leader answered within `limit`.
+pub async fn follow_leader(
+    mut leader: watch::Receiver<Option<SocketAddr>>,
+    limit: Duration,
+    call: impl AsyncFn(SocketAddr, Duration) -> Result<Answer, ForwardError>,
+) -> Result<Answer, ForwardError> {
+    let deadline = Instant::now() + limit;
+    let mut may_be_taken = false;
+    loop {
+        let known = *leader.borrow_and_update();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let answered = async {
+            match known {
+                Some(known) => call(known, left).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            answer = answered => {
+                return match answer {
+                    Err(ForwardError::NotTaken) if may_be_taken => Err(ForwardError::Unknown),
+                    answer => answer,
+                };
+            }
+            Ok(()) = leader.changed() => may_be_taken |= known.is_some(),
+            () = tokio::time::sleep(left) => {
+                may_be_taken |= known.is_some();
+                return Err(if may_be_taken { ForwardError::Unknown } else { ForwardError::NotTaken });
+            }
+        }
+    }
+}
+
 /// Forwards calls to whichever control instance leads.
 pub struct Forwarder {
     key: SiteKey,
--- a/crates/jasminefall-dispatch/tests/forwarding.rs
+++ b/crates/jasminefall-dispatch/tests/forwarding.rs
@@ -5,17 +5,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jasminefall_dispatch::forwarding::Forwarder;
+use jasminefall_dispatch::forwarding::{ForwardError, Forwarder, follow_leader};
 use jasminefall_dispatch::message::{Answer, Request};
 use jasminefall_wire::codec::{decode, encode};
 use jasminefall_wire::handshake::SiteKey;
 use jasminefall_wire::message::ControlError;
 use jasminefall_wire::server::{ControlService, serve_control};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local, yield_now};
 
 const KEY: &[u8] = b"the key of a site under test, 32";
 /// How long a call may take; far longer than one instance is waited for.
 const LIMIT: Duration = Duration::from_secs(10);
+/// The limit of calls that are answered within some turns of the runtime, or never.
+const SHORT_LIMIT: Duration = Duration::from_millis(300);
 
 /// Models a control instance: the calls that have reached it, and what it answers them.
 #[derive(Clone, Default)]
@@ -101,3 +104,44 @@
         })
         .await;
 }
+
+/// Models what an instance knows of the leader, and instances that answer or don't.
+async fn follow(changes: &[Option<u16>], silent: u16) -> (Result<Answer, ForwardError>, Vec<u16>) {
+    let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let leader = watch::Sender::new(None);
+    let called = RefCell::new(Vec::new());
+    let call = async |address: SocketAddr, _left| {
+        called.borrow_mut().push(address.port());
+        if address.port() == silent {
+            std::future::pending::<()>().await;
+        }
+        Ok(Answer::Accepted)
+    };
+    let answer = follow_leader(leader.subscribe(), SHORT_LIMIT, call);
+    let changes = async {
+        for change in changes {
+            leader.send_replace(change.map(at));
+            // The call goes on with each change before the next one.
+            for _ in 0..3 {
+                yield_now().await;
+            }
+        }
+    };
+    let (answer, ()) = tokio::join!(answer, changes);
+    (answer, called.into_inner())
+}
+
+#[tokio::test]
+async fn a_call_that_waits_for_an_earlier_leader_or_for_any_goes_to_the_next_one() {
+    let (answer, called) = follow(&[Some(1), None, Some(2)], 1).await;
+    assert_eq!(answer, Ok(Answer::Accepted));
+    assert_eq!(called, [1, 2]);
+}
+
+#[tokio::test]
+async fn a_call_that_no_leader_took_is_known_not_to_have_been() {
+    let (answer, called) = follow(&[None], 1).await;
+    assert_eq!((answer, called), (Err(ForwardError::NotTaken), vec![]));
+    let (answer, called) = follow(&[Some(1), None], 1).await;
+    assert_eq!((answer, called), (Err(ForwardError::Unknown), vec![1]));
+}
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -249,6 +249,8 @@
     directory: Directory,
     /// Lives on which an earlier leader may have started tasks and that have not answered yet.
     unsettled: BTreeMap<LifeId, SmolStr>,
+    /// Lives that are over for certain, and when they ended.
+    over: HashMap<LifeId, u64>,
     steps: BTreeMap<StepId, StepRun>,
     open_steps: BTreeMap<SmolStr, BTreeSet<(steps::Order, StepId)>>,
     not_due: BTreeSet<(u64, StepId)>,
@@ -287,6 +289,7 @@
             workers: BTreeMap::new(),
             directory: Directory::default(),
             unsettled: BTreeMap::new(),
+            over: HashMap::new(),
             steps: BTreeMap::new(),
             open_steps: BTreeMap::new(),
             not_due: BTreeSet::new(),
--- a/crates/jasminefall-jobs/src/leader/directory.rs
+++ b/crates/jasminefall-jobs/src/leader/directory.rs
@@ -88,10 +88,14 @@
         self.names.get(name).into_iter().flatten().copied()
     }
 
-    /// Returns every life that is known under a name or at an address.
-    pub(crate) fn named_or_at(&self, name: &str, address: &str) -> BTreeSet<WorkerHandle> {
-        let at = self.addresses.get(address).into_iter().flatten().copied();
-        self.named(name).chain(at).collect()
+    /// Returns every life that is known under the name, at the address or on the instance of a heartbeat.
+    pub(crate) fn alike(&self, heartbeat: &Heartbeat) -> BTreeSet<WorkerHandle> {
+        let at = self.addresses.get(&heartbeat.address);
+        let at = at.into_iter().flatten().copied();
+        let instance = heartbeat.instance.as_deref();
+        let on = instance.and_then(|instance| self.on_instance(instance));
+        let named = self.named(&heartbeat.life.worker);
+        named.chain(at).chain(on).collect()
     }
 }
 
--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -141,7 +141,7 @@
             }
         }
         for handle in over {
-            self.end_life(handle, "replaced", state);
+            self.end_life_for_good(handle, "replaced", state);
         }
     }
 
--- a/crates/jasminefall-jobs/src/leader/moves.rs
+++ b/crates/jasminefall-jobs/src/leader/moves.rs
@@ -280,7 +280,7 @@
             InstanceAnswer::Done => {
                 self.counts.moved += 1;
                 if let Some(handle) = self.worker_on(instance) {
-                    self.end_life(handle, "moved", state);
+                    self.end_life_for_good(handle, "moved", state);
                 }
                 if let Some(known) = self.fleet.instances.get_mut(instance) {
                     known.pool = pool.clone();
--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -62,7 +62,7 @@
                     self.drop_run(task, number);
                 }
             }
-            OrderAnswer::AnotherLife => self.end_life(handle, "replaced", state),
+            OrderAnswer::AnotherLife => self.end_life_for_good(handle, "replaced", state),
             OrderAnswer::NotSent => {
                 self.doubt(handle);
                 self.remove_run(task, number);
@@ -119,7 +119,7 @@
                 }
             }
             OrderAnswer::Refused { .. } => {}
-            OrderAnswer::AnotherLife => self.end_life(handle, "replaced", state),
+            OrderAnswer::AnotherLife => self.end_life_for_good(handle, "replaced", state),
             OrderAnswer::NotSent | OrderAnswer::Unknown => self.doubt(handle),
         }
     }
@@ -152,7 +152,9 @@
     ) {
         let list = match answer {
             Ok(list) => list,
-            Err(OrderAnswer::AnotherLife) => return self.end_life(handle, "replaced", state),
+            Err(OrderAnswer::AnotherLife) => {
+                return self.end_life_for_good(handle, "replaced", state);
+            }
             Err(_) => return self.fail_look(handle, lane),
         };
         let now_ms = self.now.steady_ms;
@@ -161,7 +163,7 @@
         };
         let life = worker.life().clone();
         if list.born_ms != 0 && list.born_ms != life.born_ms {
-            return self.end_life(handle, "replaced", state);
+            return self.end_life_for_good(handle, "replaced", state);
         }
         worker.read_clock(list.clock_ms, now_ms);
         worker.looks[lane as usize] = LookState::Idle;
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -329,7 +329,7 @@
             InstanceAnswer::Done => {
                 self.counts.maintained += 1;
                 if let Some(handle) = self.worker_on(instance) {
-                    self.end_life(handle, "maintenance", state);
+                    self.end_life_for_good(handle, "maintenance", state);
                 }
                 if let Some(known) = self.fleet.instances.get_mut(instance) {
                     known.worker = None;
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -183,7 +183,11 @@
         self.end_earlier_lives(&heartbeat, state);
         let known = self.directory.of_life(&heartbeat.life);
         let Some(handle) = known else {
-            if self.has_later_life(&heartbeat.life, &heartbeat.address) {
+            if self.over.contains_key(&heartbeat.life) || self.has_later_life(&heartbeat) {
+                self.note(format!(
+                    "event=heartbeat_ignored worker={} cause=over sequence={}",
+                    heartbeat.life, heartbeat.sequence
+                ));
                 return false;
             }
             self.note(format!(
@@ -244,7 +248,7 @@
         };
         let handles: Vec<_> = self.directory.named(worker).filter(drains).collect();
         for handle in handles {
-            self.end_life(handle, "left", state);
+            self.end_life_for_good(handle, "left", state);
         }
     }
 
@@ -254,22 +258,43 @@
             let known = self.workers.get(handle);
             known.is_some_and(|known| known.life().born_ms < heartbeat.life.born_ms)
         };
-        let (name, address) = (&heartbeat.life.worker, &heartbeat.address);
-        let mut earlier = self.directory.named_or_at(name, address);
+        let mut earlier = self.directory.alike(heartbeat);
         earlier.retain(is_earlier);
         for handle in earlier {
-            self.end_life(handle, "replaced", state);
+            self.end_life_for_good(handle, "replaced", state);
         }
     }
 
-    fn has_later_life(&self, life: &LifeId, address: &SmolStr) -> bool {
-        let alike = self.directory.named_or_at(&life.worker, address);
+    fn has_later_life(&self, heartbeat: &Heartbeat) -> bool {
+        let alike = self.directory.alike(heartbeat);
         let mut known = alike.iter().filter_map(|handle| self.workers.get(handle));
-        known.any(|known| known.life().born_ms > life.born_ms)
+        known.any(|known| known.life().born_ms > heartbeat.life.born_ms)
+    }
+
+    /// Forgets a life that cannot speak again; a heartbeat that was held up on its way must not bring
+    /// it back.
+    pub(super) fn end_life_for_good(
+        &mut self,
+        handle: WorkerHandle,
+        cause: &str,
+        state: &JobsState,
+    ) {
+        if let Some(worker) = self.workers.get(&handle) {
+            let life = worker.life().clone();
+            self.over.insert(life, self.now.steady_ms);
+        }
+        self.end_life(handle, cause, state);
+    }
+
+    /// Forgets which lives were over long ago.
+    fn forget_lives_over(&mut self) {
+        let now_ms = self.now.steady_ms;
+        let remember_ms = self.settings.remember_ms;
+        self.over.retain(|_, at_ms| now_ms < *at_ms + remember_ms);
     }
 
     /// Forgets a life on which nothing can run any more; what ran there waits again.
-    pub(super) fn end_life(&mut self, handle: WorkerHandle, cause: &str, state: &JobsState) {
+    fn end_life(&mut self, handle: WorkerHandle, cause: &str, state: &JobsState) {
         let Some(worker) = self.workers.remove(&handle) else {
             return;
         };
@@ -333,6 +358,7 @@
             self.dirty_pools.extend(pools);
         }
         self.drop_lapsed_runs();
+        self.forget_lives_over();
         let handles: Vec<_> = self.workers.keys().copied().collect();
         for handle in handles {
             self.look_if_due(handle, state);
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -8,7 +8,7 @@
 };
 use jasminefall_jobs::prelude::*;
 use site::{Site, lasting, task};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 #[test]
 fn a_task_is_started_once_and_its_job_completes() {
@@ -570,3 +570,39 @@
     let tasks: Vec<_> = site.take_starts().iter().map(|start| start.task).collect();
     assert_eq!(tasks, gone, "what ran on the instance that was sent away");
 }
+
+/// A control instance that was frozen passes on, seconds later, what workers had told it before.
+#[test]
+fn a_late_heartbeat_of_a_life_that_is_over_brings_no_worker_back() {
+    let mut site = Site::new(1);
+    site.list_instances();
+    site.start_wave(&["m-0"]);
+    site.pass(500);
+    let ordered = site.take_maintenance();
+    assert_eq!(ordered, ["m-0"]);
+    site.answer_maintenance(&ordered[0], InstanceAnswer::Done);
+    assert_eq!(site.worker_count(), 0);
+    assert!(!site.hear(0, |heartbeat| heartbeat.sequence = 1));
+    assert_eq!(
+        site.worker_count(),
+        0,
+        "it ended with its instance's maintenance"
+    );
+}
+
+/// The worker on an instance decides whether the instance is empty and may be sent away.
+#[test]
+fn an_instance_carries_the_life_that_began_there_last() {
+    let mut site = Site::new(1);
+    let begin = |name: &'static str, born_ms| {
+        move |heartbeat: &mut Heartbeat| {
+            heartbeat.life.worker = name.into();
+            heartbeat.life.born_ms = born_ms;
+            heartbeat.address = format_smolstr!("10.0.1.{born_ms}:80");
+        }
+    };
+    site.hear(0, begin("i-8", 3));
+    assert_eq!(site.worker_count(), 1, "the earlier life is over");
+    assert!(!site.hear(0, begin("i-9", 2)), "a late word of one between");
+    assert_eq!(site.worker_count(), 1);
+}
