--- a/crates/jasminefall-control/src/main.rs
+++ b/crates/jasminefall-control/src/main.rs
@@ -40,7 +40,8 @@
     let daemon = Daemon {
         program: "jasminefall-control",
         purpose: "Runs a control instance of jasminefall.",
-        load: Settings::load,
+        own_option: None,
+        load: |arguments| Settings::load(&arguments.settings),
         name: |settings: &Settings| settings.replica.to_string(),
     };
     daemon.run(serve)
--- a/crates/jasminefall-dispatch/src/bin/jasminefall-dispatch-control.rs
+++ b/crates/jasminefall-dispatch/src/bin/jasminefall-dispatch-control.rs
@@ -4,13 +4,24 @@
 
 use jasminefall_dispatch::{control, settings};
 use jasminefall_platform::settings::PlatformSettings;
+use jasminefall_runtime::command_line::OwnOption;
 use jasminefall_runtime::daemon::Daemon;
 
 fn main() -> ExitCode {
     let daemon = Daemon {
         program: "jasminefall-dispatch-control",
         purpose: "Runs a control instance for jobs of steps.",
-        load: settings::load_control,
+        own_option: Some(OwnOption {
+            name: "without",
+            help: "switch off mechanisms of the decisions, for experiments; see docs/design/experiments.md",
+            hint: "NAME,...",
+        }),
+        load: |arguments| {
+            settings::load_control(
+                &arguments.settings,
+                arguments.own.as_deref().unwrap_or_default(),
+            )
+        },
         name: |settings: &PlatformSettings| settings.name.to_string(),
     };
     daemon.run(control::serve)
--- a/crates/jasminefall-dispatch/src/bin/jasminefall-dispatch-entry.rs
+++ b/crates/jasminefall-dispatch/src/bin/jasminefall-dispatch-entry.rs
@@ -10,7 +10,8 @@
     let daemon = Daemon {
         program: "jasminefall-dispatch-entry",
         purpose: "Takes clients' calls and forwards them to the control leader.",
-        load: settings::load_entry,
+        own_option: None,
+        load: |arguments| settings::load_entry(&arguments.settings),
         name: |settings: &PlatformSettings| settings.name.to_string(),
     };
     daemon.run(entry::serve)
--- a/crates/jasminefall-dispatch/src/control.rs
+++ b/crates/jasminefall-dispatch/src/control.rs
@@ -39,11 +39,12 @@
     };
     let node = Node::open(&settings)?;
     log::info!(
-        "event=started zone={} replica={} first_start={} seeds={:?}",
+        "event=started zone={} replica={} first_start={} seeds={:?} without={:?}",
         settings.data_centre,
         node.id(),
         settings.first_start,
-        settings.seeds
+        settings.seeds,
+        settings.leader.mechanisms.to_string()
     );
     let supervisor = Supervisor::new(vec![peers_child(settings.clone(), node.clone())]);
     let activity: Rc<Activity> = Rc::default();
--- a/crates/jasminefall-dispatch/src/settings.rs
+++ b/crates/jasminefall-dispatch/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use jasminefall_core::problem::{Place, Problems};
+use jasminefall_jobs::policy::mechanisms::UnknownMechanism;
 use jasminefall_platform::settings::{PlatformSettings, read_settings};
 use jasminefall_replica::prelude::ReplicaId;
 use jasminefall_wire::handshake::SiteKey;
@@ -25,13 +26,21 @@
     Ok(settings)
 }
 
-/// Reads and checks the settings of a control instance.
+/// Reads and checks the settings of a control instance, and the names of the mechanisms that it does
+/// without.
 ///
 /// # Errors
 ///
-/// Returns [`Problems`] where the file cannot be read or does not hold.
-pub fn load_control(path: &Path) -> Result<PlatformSettings, Problems> {
-    let settings = load(path)?;
+/// Returns [`Problems`] where the file cannot be read or does not hold, or where a name is unknown.
+pub fn load_control(path: &Path, without: &str) -> Result<PlatformSettings, Problems> {
+    let mut settings = load(path)?;
+    settings.leader.mechanisms = without.parse().map_err(|error: UnknownMechanism| {
+        problem(
+            Path::new("--without"),
+            &error.to_string(),
+            "name known ones",
+        )
+    })?;
     let complete = settings.control.is_some() && settings.data_folder.is_some();
     require(
         complete,
--- a/crates/jasminefall-entry/src/main.rs
+++ b/crates/jasminefall-entry/src/main.rs
@@ -60,7 +60,8 @@
     let daemon = Daemon {
         program: "jasminefall-entry",
         purpose: "Runs an entry instance of jasminefall.",
-        load: Settings::load,
+        own_option: None,
+        load: |arguments| Settings::load(&arguments.settings),
         name: |settings: &Settings| settings.name.to_string(),
     };
     daemon.run(serve)
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -54,6 +54,7 @@
 use crate::job::JobSpec;
 use crate::policy::admission::PoolLoad;
 use crate::policy::durations::Durations;
+use crate::policy::mechanisms::Mechanisms;
 use crate::policy::order_rate::OrderRate;
 use crate::policy::pools::InstanceUse;
 use crate::state::{Command, JobsState};
@@ -86,6 +87,8 @@
     pub instance_orders_per_s: Option<u64>,
     /// How long a job that has ended is remembered, in milliseconds.
     pub remember_ms: u64,
+    /// Which mechanisms the decisions use; all, but in experiments.
+    pub mechanisms: Mechanisms,
 }
 
 impl Default for LeaderSettings {
@@ -100,6 +103,7 @@
             far_millis: 2_000,
             instance_orders_per_s: None,
             remember_ms: 600_000,
+            mechanisms: Mechanisms::ALL,
         }
     }
 }
@@ -298,7 +302,11 @@
             durations: Durations::default(),
             fleet: Fleet::default(),
             upkeep: Upkeep::default(),
-            pool_plans: PoolPlans::resumed(now, state),
+            pool_plans: if settings.mechanisms.noted_rises {
+                PoolPlans::resumed(now, state)
+            } else {
+                PoolPlans::default()
+            },
             moves: Moves::default(),
             order_rate: OrderRate::new(settings.instance_orders_per_s, now.steady_ms),
             loads: HashMap::new(),
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -61,7 +61,8 @@
         if !spec.is_long_running() {
             self.pool_plans.note_arrival(key, &queue.pool, &asked.work);
         }
-        let admission = if spec.schedule.is_some() || spec.is_long_running() {
+        let is_always_taken = spec.schedule.is_some() || spec.is_long_running();
+        let admission = if is_always_taken || !self.settings.mechanisms.admission {
             Admission::Accept
         } else {
             admission::admit(&load, &asked)
@@ -86,7 +87,9 @@
             }
             Admission::ComeBack { after_ms } => {
                 self.counts.jobs_refused += 1;
-                self.pool_plans.note_refusal(key, self.now.steady_ms);
+                let times_ms = (self.now.steady_ms, after_ms);
+                self.pool_plans
+                    .note_refusal((key, &queue.pool), asked.first, times_ms);
                 self.note(format!(
                     "event=job_refused job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
                      free_cpu_millis={} reserve_cpu_millis={} slack_ms={} come_back_ms={after_ms}",
--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -310,6 +310,9 @@
     }
 
     fn learn(&mut self, task: TaskId, took_ms: Option<u64>) {
+        if !self.settings.mechanisms.learnt_durations {
+            return;
+        }
         if let (Some(step), Some(took_ms)) = (self.steps.get(&task.step_id()), took_ms) {
             self.durations
                 .note(&step.kind, step.step().estimated_ms, took_ms);
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -103,7 +103,8 @@
         let open = self.open_steps.get(pool).into_iter().flatten();
         let waiting = open.filter_map(|(order, id)| {
             let step = self.steps.get(id).filter(|step| !step.waiting.is_empty())?;
-            let is_late = self.now.wall_ms > step.in_time_if_begun_by_ms;
+            let is_late = self.settings.mechanisms.late_last
+                && self.now.wall_ms > step.in_time_if_begun_by_ms;
             Some((order.rank, is_late && !step.step().long_running, *id))
         });
         let mut waiting: Vec<_> = waiting.collect();
@@ -163,7 +164,7 @@
             free: worker.free(),
             beside_lasting: self.beside_lasting(worker),
             recent_failures: worker.health.failures_in_a_row(),
-            is_pinned: worker.lasting_runs > 0,
+            is_pinned: worker.lasting_runs > 0 && self.settings.mechanisms.shared_instances,
             is_leaving: self.upkeep.is_due(worker.heartbeat.instance.as_deref()),
         })
         .collect()
@@ -190,6 +191,9 @@
     /// full of tasks that end within seconds, is given no more of those until the task fits.
     fn keep_place(&mut self, id: StepId, places: &mut [Place]) -> bool {
         let now_ms = self.now.steady_ms;
+        if !self.settings.mechanisms.kept_places {
+            return false;
+        }
         let Some(step) = self.steps.get_mut(&id) else {
             return false;
         };
@@ -241,7 +245,7 @@
             let place = &mut places[position];
             place.free = place.free.minus(&counted);
             if lasts {
-                place.is_pinned = true;
+                place.is_pinned = self.settings.mechanisms.shared_instances;
                 place.beside_lasting = place.beside_lasting.minus(&counted);
             }
             let handle = place.handle;
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -1,6 +1,6 @@
 //! How many instances each pool should have, and where they come from.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
 
@@ -9,6 +9,7 @@
 use crate::ids::JobKey;
 use crate::job::{Resources, Work};
 use crate::policy::pools::{PoolDemand, divide};
+use crate::policy::returns::Returns;
 use crate::policy::rises::{Arrived, Rises, Turn};
 use crate::state::{Command, JobsState, RiseNote};
 
@@ -29,9 +30,6 @@
 const IDLE_WORTH_MOVES_MS: u64 = 2_700;
 /// How often the sizes of the pools are logged, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
-/// How long a job that was refused is remembered, in milliseconds, so that its client's next attempt
-/// doesn't count as more work; longer than clients keep trying.
-const REFUSED_FOR_MS: u64 = 10_000;
 
 /// Follows how much work arrives for a pool.
 #[derive(Debug, Clone, Copy, Default)]
@@ -39,6 +37,8 @@
     jobs: u32,
     since_last: Work,
     rate: Resources,
+    /// What a task takes up on average, as last seen.
+    typical_task: Resources,
 }
 
 /// Holds what moves are decided by.
@@ -47,8 +47,7 @@
     arrivals: BTreeMap<SmolStr, Arrivals>,
     needed_lately: BTreeMap<SmolStr, Vec<(u64, usize)>>,
     rises: Rises,
-    /// Jobs that have arrived and were refused, and when.
-    refused: HashMap<JobKey, u64>,
+    returns: Returns,
     planned_at_ms: u64,
     logged_at_ms: u64,
     /// Whether the pools need more instances than there are.
@@ -79,7 +78,7 @@
 
     /// Notes work that a client has asked for, accepted or not, at its first attempt.
     pub(crate) fn note_arrival(&mut self, key: JobKey, pool: &SmolStr, work: &Work) {
-        if self.refused.contains_key(&key) {
+        if self.returns.note_attempt(key) {
             return;
         }
         let arrivals = self.arrivals.entry(pool.clone()).or_default();
@@ -87,9 +86,14 @@
         arrivals.since_last = arrivals.since_last.plus(work);
     }
 
-    /// Notes that a job was refused for now.
-    pub(crate) fn note_refusal(&mut self, key: JobKey, now_ms: u64) {
-        self.refused.insert(key, now_ms);
+    /// Notes that a job was refused and told to come back after some time.
+    pub(crate) fn note_refusal(
+        &mut self,
+        job: (JobKey, &SmolStr),
+        first: Resources,
+        times_ms: (u64, u64),
+    ) {
+        self.returns.note_refusal(job, first, times_ms);
     }
 }
 
@@ -103,19 +107,18 @@
             return;
         }
         self.pool_plans.planned_at_ms = now_ms;
+        self.pool_plans.returns.forget(now_ms);
         let pools = self.pools_in_use(state);
         let mut demands: Vec<PoolDemand> = pools.iter().map(|pool| self.demand(pool)).collect();
         for (pool, demand) in pools.iter().zip(&mut demands) {
             self.follow_arrivals(pool, demand, (passed_ms, pools.len()));
         }
-        let refused = &mut self.pool_plans.refused;
-        refused.retain(|_, at_ms| now_ms < *at_ms + REFUSED_FOR_MS);
-        if self.fleet.is_listed() {
+        if self.fleet.is_listed() && self.settings.mechanisms.moves {
             self.plan_moves(&pools, &demands, state);
         }
     }
 
-    /// Takes up what has arrived for a pool since the last call.
+    /// Takes up what has arrived for a pool since the last call, and what is about to come back.
     fn follow_arrivals(
         &mut self,
         pool: &SmolStr,
@@ -134,6 +137,16 @@
             gpus: 0,
         };
         demand.arriving = arrivals.rate;
+        let mean = demand.mean_task();
+        if let Some(mean) = mean.filter(|_| self.settings.mechanisms.task_sizes) {
+            arrivals.typical_task = mean;
+        }
+        demand.typical_task = arrivals.typical_task;
+        let returns = &self.pool_plans.returns;
+        if self.settings.mechanisms.returns {
+            let returning = returns.due(self.now.steady_ms, self.lead_ms(), pool);
+            demand.ready = demand.ready.plus(&returning);
+        }
         let steady_millis = demand.millis_for(&demand.arriving);
         let arrived = Arrived {
             within_ms: passed_ms,
@@ -196,9 +209,13 @@
         let total = spare + demands.iter().map(|demand| demand.instances).sum::<usize>();
         let mut wanted = divide(&needed, total);
         self.pool_plans.short = needed.iter().sum::<usize>() > total;
-        let lead_ms = self.settings.move_ms + READY_BEFORE_MS;
+        let lead_ms = self.lead_ms();
         let rises = &self.pool_plans.rises;
-        let expected = rises.expected(now_ms, lead_ms, pools);
+        let expected = if self.settings.mechanisms.expected_rises {
+            rises.expected(now_ms, lead_ms, pools)
+        } else {
+            Vec::new()
+        };
         self.make_ready(pools, demands, &expected, total, &mut wanted);
         if now_ms >= self.pool_plans.logged_at_ms + LOG_INTERVAL_MS {
             self.pool_plans.logged_at_ms = now_ms;
@@ -208,7 +225,8 @@
         }
         // An instance that waits a little goes to the next rise in one move instead of two.
         let rises = &self.pool_plans.rises;
-        let is_rise_near = rises.is_before_next(now_ms)
+        let is_rise_near = self.settings.mechanisms.expected_rises
+            && rises.is_before_next(now_ms)
             && !rises
                 .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS / 2, pools)
                 .is_empty();
@@ -228,6 +246,11 @@
         }
     }
 
+    /// Returns how long before it is needed an instance has to be ordered.
+    const fn lead_ms(&self) -> u64 {
+        self.settings.move_ms + READY_BEFORE_MS
+    }
+
     /// Counts what the instances of the pools are there for until the next plan.
     fn count_uses(&mut self, demands: &[PoolDemand], wanted: &[usize]) {
         for (demand, wanted) in demands.iter().zip(wanted) {
@@ -273,6 +296,9 @@
         to: &SmolStr,
         only_idle: bool,
     ) -> bool {
+        if !self.settings.mechanisms.direct_moves {
+            return false;
+        }
         let mut givers: Vec<usize> = (0..pools.len())
             .filter(|position| surplus[*position] > 0 && pools[*position] != *to)
             .collect();
@@ -291,6 +317,7 @@
     fn needed(&mut self, pool: &SmolStr, demand: &PoolDemand) -> (usize, usize) {
         let now_ms = self.now.steady_ms;
         let building_up = self.pool_plans.rises.building_up_millis(now_ms, pool);
+        let building_up = building_up.filter(|_| self.settings.mechanisms.rise_heights);
         let forecast = building_up.map_or(0, |millis| demand.with_millis(millis));
         let lately = self.pool_plans.needed_lately.entry(pool.clone());
         let lately = lately.or_default();
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -179,7 +179,8 @@
     fn lets_work_go_first(&self, wave: &Wave) -> bool {
         let left = wave.instances.len().saturating_sub(wave.maintained.len());
         let due_ms = wave.accepted_at_ms.saturating_add(wave.duration_ms);
-        self.pool_plans.is_short()
+        self.settings.mechanisms.waiting_waves
+            && self.pool_plans.is_short()
             && may_wait(&WaveLeft {
                 instances: left as u64,
                 max_down: u64::from(wave.max_down),
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -411,7 +411,7 @@
     fn look_over(&mut self, handle: WorkerHandle, lane: LookLane, state: &JobsState) {
         let now_ms = self.now.steady_ms;
         let max_lease_ms = self.settings.max_lease_ms;
-        let is_lossy = now_ms < self.lossy_until_ms;
+        let is_lossy = now_ms < self.lossy_until_ms && self.settings.mechanisms.doubled_looks;
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
         };
--- /dev/null
+++ b/crates/jasminefall-jobs/src/policy/mechanisms.rs
@@ -0,0 +1,143 @@
+//! Which mechanisms the decisions use.
+//!
+//! Each can be switched off, so that an experiment shows what it is worth; on a site all are on. What
+//! keeps the state right (leases, tokens, budgets, deadlines of orders) is no mechanism and cannot be
+//! switched off.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// Says of each mechanism whether it is used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mechanisms {
+    /// Instances move between pools at all ([`pools`](super::pools)).
+    pub moves: bool,
+    /// Pools are made ready for the rise that is expected next ([`rises`](super::rises)).
+    pub expected_rises: bool,
+    /// A rise is taken to become as high as those before it ([`rises`](super::rises)).
+    pub rise_heights: bool,
+    /// A new leader goes by the rises that an earlier one has noted ([`rises`](super::rises)).
+    pub noted_rises: bool,
+    /// Refused jobs that are about to come back count ([`returns`](super::returns)).
+    pub returns: bool,
+    /// Part of each instance is left to the size of tasks ([`pools`](super::pools)).
+    pub task_sizes: bool,
+    /// Idle instances go straight from one pool to another.
+    pub direct_moves: bool,
+    /// Tasks that last share instances ([`placement`](super::placement)).
+    pub shared_instances: bool,
+    /// Tasks that last wait a moment for room beside others.
+    pub kept_places: bool,
+    /// What is late already is placed after what can be in time.
+    pub late_last: bool,
+    /// Jobs that would be late are refused ([`admission`](super::admission)).
+    pub admission: bool,
+    /// How long tasks take is learnt ([`durations`](super::durations)).
+    pub learnt_durations: bool,
+    /// Workers are looked at twice while answers get lost.
+    pub doubled_looks: bool,
+    /// Maintenance waves let work go first while they can ([`waves`](super::waves)).
+    pub waiting_waves: bool,
+}
+
+/// Names a mechanism and finds it among all.
+type Named = (&'static str, fn(&mut Mechanisms) -> &mut bool);
+
+/// Every mechanism by the name that experiments give it.
+const NAMED: [Named; 14] = [
+    ("moves", |all| &mut all.moves),
+    ("expected-rises", |all| &mut all.expected_rises),
+    ("rise-heights", |all| &mut all.rise_heights),
+    ("noted-rises", |all| &mut all.noted_rises),
+    ("returns", |all| &mut all.returns),
+    ("task-sizes", |all| &mut all.task_sizes),
+    ("direct-moves", |all| &mut all.direct_moves),
+    ("shared-instances", |all| &mut all.shared_instances),
+    ("kept-places", |all| &mut all.kept_places),
+    ("late-last", |all| &mut all.late_last),
+    ("admission", |all| &mut all.admission),
+    ("learnt-durations", |all| &mut all.learnt_durations),
+    ("doubled-looks", |all| &mut all.doubled_looks),
+    ("waiting-waves", |all| &mut all.waiting_waves),
+];
+
+impl Mechanisms {
+    /// Every mechanism.
+    pub const ALL: Self = Self {
+        moves: true,
+        expected_rises: true,
+        rise_heights: true,
+        noted_rises: true,
+        returns: true,
+        task_sizes: true,
+        direct_moves: true,
+        shared_instances: true,
+        kept_places: true,
+        late_last: true,
+        admission: true,
+        learnt_durations: true,
+        doubled_looks: true,
+        waiting_waves: true,
+    };
+
+    /// Returns the names of all mechanisms.
+    pub fn names() -> impl Iterator<Item = &'static str> {
+        NAMED.iter().map(|(name, _)| *name)
+    }
+
+    /// Switches off the mechanisms of a list of names with commas between.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UnknownMechanism`] for a name that is none.
+    pub fn with_off(mut self, names: &str) -> Result<Self, UnknownMechanism> {
+        for name in names.split(',').map(str::trim) {
+            let known = NAMED.iter().find(|(known, _)| *known == name);
+            let (_, find) = known.ok_or_else(|| UnknownMechanism(name.to_owned()))?;
+            *find(&mut self) = false;
+        }
+        Ok(self)
+    }
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self::ALL
+    }
+}
+
+impl FromStr for Mechanisms {
+    type Err = UnknownMechanism;
+
+    /// Reads the names of what is switched off, with commas between; none where the text is empty.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.is_empty() {
+            return Ok(Self::ALL);
+        }
+        Self::ALL.with_off(text)
+    }
+}
+
+impl fmt::Display for Mechanisms {
+    /// Writes the names of what is switched off, with commas between.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut all = *self;
+        let off = NAMED.iter().filter(|(_, find)| !*find(&mut all));
+        let off: Vec<&str> = off.map(|(name, _)| *name).collect();
+        formatter.write_str(&off.join(","))
+    }
+}
+
+/// Says that a name is no mechanism's.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnknownMechanism(String);
+
+impl fmt::Display for UnknownMechanism {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<&str> = Mechanisms::names().collect();
+        let known = names.join(", ");
+        write!(formatter, "`{}` is no mechanism; known are {known}", self.0)
+    }
+}
+
+impl std::error::Error for UnknownMechanism {}
--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -101,8 +101,8 @@
 pub struct Rises {
     tracks: BTreeMap<SmolStr, Track>,
     starts: Vec<(u64, SmolStr)>,
-    /// Whether a pool has risen again, so that the order of the others is known.
-    has_repeated: bool,
+    /// Whether the latest pool to rise again was not the one that had waited longest.
+    is_out_of_order: bool,
     /// Until when arrivals may have gathered before.
     pent_up_until_ms: u64,
 }
@@ -187,7 +187,11 @@
         if is_pent_up && latest == Some(pool) {
             return Some(Turn::Rise);
         }
-        self.has_repeated |= self.starts.iter().any(|(_, known)| known == pool);
+        let has_risen_before = self.starts.iter().any(|(_, known)| known == pool);
+        let longest_ago = self.starts.first().map(|(_, known)| known);
+        if has_risen_before {
+            self.is_out_of_order = longest_ago != Some(pool);
+        }
         self.starts.retain(|(_, known)| known != pool);
         self.starts.push((now_ms, pool.clone()));
         Some(Turn::Rise)
@@ -252,8 +256,8 @@
     /// Returns the pools of which one should rise next, if that should happen within `lead_ms`.
     ///
     /// Rises follow each other at like distances, and the pool that has waited longest is next;
-    /// where several have not risen yet, it may be any of them. Once all have risen, nothing is
-    /// expected until one of them has risen again.
+    /// where several have not risen yet, it may be any of them. Where a pool has risen again out of this
+    /// order, nothing is expected until one does so in order.
     #[must_use]
     pub fn expected(&self, now_ms: u64, lead_ms: u64, pools: &[SmolStr]) -> Vec<SmolStr> {
         let Some(next_ms) = self.next_ms() else {
@@ -268,7 +272,7 @@
         if !unrisen.is_empty() {
             return unrisen;
         }
-        let longest_ago = self.starts.first().filter(|_| self.has_repeated);
+        let longest_ago = self.starts.first().filter(|_| !self.is_out_of_order);
         longest_ago
             .map(|(_, pool)| pool.clone())
             .into_iter()
--- a/crates/jasminefall-jobs/tests/policy.rs
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -4,6 +4,7 @@
 use jasminefall_jobs::policy::admission::{Admission, Asked, PoolLoad, admit};
 use jasminefall_jobs::policy::durations::{Durations, StepKind};
 use jasminefall_jobs::policy::health::Health;
+use jasminefall_jobs::policy::mechanisms::Mechanisms;
 use jasminefall_jobs::policy::order::longest_chain_ms;
 use jasminefall_jobs::policy::pace::next_percent;
 use jasminefall_jobs::policy::placement::{Candidate, Needs, choose};
@@ -241,6 +242,8 @@
         lasting: cores(10_000),
         ready: cores(60_000),
         arriving: cores(200_000),
+        typical_task: cores(4_800),
+        ..PoolDemand::default()
     };
     assert_eq!(demand.needed(), 16);
     let idle = PoolDemand {
@@ -263,6 +266,7 @@
             ..cores(16_000)
         },
         ready: memory(272_000),
+        typical_task: memory(9_600),
         ..PoolDemand::default()
     };
     assert_eq!(demand.needed(), 10);
@@ -284,6 +288,32 @@
     );
 }
 
+/// The larger its tasks, the more of an instance is left over.
+#[test]
+fn an_instance_holds_all_but_half_a_task() {
+    let mut demand = PoolDemand {
+        instance: cores(64_000),
+        ..PoolDemand::default()
+    };
+    assert_eq!(demand.mean_task(), None);
+    let step = |cpu_millis| StepSpec {
+        needs: cores(cpu_millis),
+        ..StepSpec::default()
+    };
+    demand.add(&step(2_000), 180);
+    demand.add(&step(8_000), 180);
+    assert_eq!(demand.mean_task(), Some(cores(5_000)));
+    assert_eq!(
+        demand.instances_for(&demand.ready),
+        29,
+        "if nothing is left over"
+    );
+    demand.typical_task = cores(5_000);
+    assert_eq!(demand.instances_for(&demand.ready), 30);
+    demand.typical_task = cores(16_000);
+    assert_eq!(demand.instances_for(&demand.ready), 33);
+}
+
 #[test]
 fn too_few_instances_are_divided_by_what_is_lacking() {
     assert_eq!(divide(&[10, 2, 4], 20), [10, 2, 4]);
@@ -299,6 +329,7 @@
         pinned: 6,
         instance: needs(16_000, 64_000).room,
         ready: needs(4 * 13_600, 0).room,
+        typical_task: cores(4_800),
         ..PoolDemand::default()
     };
     let uses = demand.uses(9);
@@ -342,3 +373,21 @@
     };
     assert!(!may_wait(&one_by_one));
 }
+
+#[test]
+fn mechanisms_are_switched_off_by_name() {
+    assert_eq!("".parse(), Ok(Mechanisms::ALL));
+    let off: Mechanisms = "returns, moves".parse().expect("both are known");
+    assert!(!off.returns && !off.moves && off.admission);
+    assert_eq!(off.to_string(), "moves,returns");
+    for name in Mechanisms::names() {
+        let off: Mechanisms = name.parse().expect("the name is known");
+        assert_eq!(off.to_string(), name, "each name switches off one");
+    }
+    let error = "moves,luck".parse::<Mechanisms>().expect_err("unknown");
+    assert!(
+        error
+            .to_string()
+            .starts_with("`luck` is no mechanism; known are moves,")
+    );
+}
--- a/crates/jasminefall-jobs/tests/rises.rs
+++ b/crates/jasminefall-jobs/tests/rises.rs
@@ -252,3 +252,41 @@
     }
     assert_eq!(rises.height_millis(&pools[0]), None);
 }
+
+/// Plays rises of whole pools in some order, eight seconds apart.
+fn rises_in_order(order: &[usize]) -> Rises {
+    let pools = pools();
+    let mut rises = Rises::default();
+    for (turn, risen) in order.iter().enumerate() {
+        for step in 0..(8_000 / STEP_MS) {
+            let now_ms = turn as u64 * 8_000 + step * STEP_MS;
+            for (position, pool) in pools.iter().enumerate() {
+                let millis = if position == *risen { HEIGHT_MILLIS } else { 0 };
+                rises.note(
+                    now_ms,
+                    pool,
+                    &arrived(u32::from(millis > 0) * 3, millis, millis),
+                );
+            }
+        }
+    }
+    rises
+}
+
+/// Four queues rise in turn; the first of them is the next, also before any has risen twice.
+#[test]
+fn the_pool_that_has_waited_longest_is_expected_until_one_rises_out_of_order() {
+    let pools = pools();
+    let rises = rises_in_order(&[0, 1, 2, 3]);
+    assert_eq!(rises.expected(31_000, LEAD_MS, &pools), pools[..1]);
+    let rises = rises_in_order(&[0, 1, 2, 3, 0]);
+    assert_eq!(rises.expected(39_000, LEAD_MS, &pools), pools[1..2]);
+    let rises = rises_in_order(&[0, 1, 2, 3, 2]);
+    assert!(rises.expected(39_000, LEAD_MS, &pools).is_empty());
+    let rises = rises_in_order(&[0, 1, 2, 3, 2, 0]);
+    assert_eq!(
+        rises.expected(55_000, LEAD_MS, &pools),
+        pools[1..2],
+        "in order again, after the longest distance seen"
+    );
+}
--- a/crates/jasminefall-runtime/src/command_line.rs
+++ b/crates/jasminefall-runtime/src/command_line.rs
@@ -10,9 +10,29 @@
     /// Print this text and stop with success.
     Print(String),
     /// Check the settings and stop.
-    Check(PathBuf),
+    Check(Arguments),
     /// Run with the settings.
-    Run(PathBuf),
+    Run(Arguments),
+}
+
+/// Holds what a daemon is told by its command line.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Arguments {
+    /// The settings file.
+    pub settings: PathBuf,
+    /// What the option of the program's own was given, where it has one.
+    pub own: Option<String>,
+}
+
+/// Describes an option that one program takes beside the common ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OwnOption {
+    /// The name of the option, without dashes.
+    pub name: &'static str,
+    /// What it does.
+    pub help: &'static str,
+    /// What it is given.
+    pub hint: &'static str,
 }
 
 /// Reads the command line of a daemon.
@@ -23,6 +43,7 @@
 pub fn parse(
     program: &str,
     purpose: &str,
+    own: Option<OwnOption>,
     arguments: impl IntoIterator<Item = String>,
 ) -> Result<Invocation, String> {
     let mut options = Options::new();
@@ -30,6 +51,9 @@
     options.optflag("", "check", "check the settings and stop");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
+    if let Some(own) = own {
+        options.optopt("", own.name, own.help, own.hint);
+    }
     let arguments: Vec<String> = arguments.into_iter().collect();
     if arguments
         .iter()
@@ -54,10 +78,13 @@
             "{program}: `{extra}` is not an option; run `{program} --help`"
         ));
     }
-    let settings = PathBuf::from(matches.opt_str("settings").unwrap_or_default());
+    let arguments = Arguments {
+        settings: PathBuf::from(matches.opt_str("settings").unwrap_or_default()),
+        own: own.and_then(|own| matches.opt_str(own.name)),
+    };
     Ok(if matches.opt_present("check") {
-        Invocation::Check(settings)
+        Invocation::Check(arguments)
     } else {
-        Invocation::Run(settings)
+        Invocation::Run(arguments)
     })
 }
--- a/crates/jasminefall-runtime/src/daemon.rs
+++ b/crates/jasminefall-runtime/src/daemon.rs
@@ -1,11 +1,10 @@
 //! From the command line of a daemon to its exit code.
 
-use std::path::Path;
 use std::process::ExitCode;
 
 use jasminefall_core::prelude::*;
 
-use crate::command_line::{self, Invocation};
+use crate::command_line::{self, Arguments, Invocation, OwnOption};
 use crate::logging;
 
 const USAGE_EXIT: u8 = 2;
@@ -16,8 +15,10 @@
     pub program: &'static str,
     /// What the program is for, as its help says.
     pub purpose: &'static str,
+    /// The option that this program takes beside the common ones.
+    pub own_option: Option<OwnOption>,
     /// Loads and checks the settings.
-    pub load: fn(&Path) -> Result<S, Problems>,
+    pub load: fn(&Arguments) -> Result<S, Problems>,
     /// Names this process in log lines.
     pub name: fn(&S) -> String,
 }
@@ -25,13 +26,14 @@
 impl<S> Daemon<S> {
     /// Does what the command line asks; `serve` runs until a stop is asked for.
     pub fn run(&self, serve: impl AsyncFnOnce(S) -> anyhow::Result<()>) -> ExitCode {
-        match command_line::parse(self.program, self.purpose, std::env::args().skip(1)) {
+        let words = std::env::args().skip(1);
+        match command_line::parse(self.program, self.purpose, self.own_option, words) {
             Ok(Invocation::Print(text)) => print!("{text}"),
-            Ok(Invocation::Check(path)) => match (self.load)(&path) {
-                Ok(_) => println!("{}: the settings hold", path.display()),
+            Ok(Invocation::Check(arguments)) => match (self.load)(&arguments) {
+                Ok(_) => println!("{}: the settings hold", arguments.settings.display()),
                 Err(problems) => return refuse(&problems.to_string()),
             },
-            Ok(Invocation::Run(path)) => match (self.load)(&path) {
+            Ok(Invocation::Run(arguments)) => match (self.load)(&arguments) {
                 Ok(settings) => return self.start(settings, serve),
                 Err(problems) => return refuse(&problems.to_string()),
             },
--- a/crates/jasminefall-runtime/tests/command_line.rs
+++ b/crates/jasminefall-runtime/tests/command_line.rs
@@ -2,26 +2,40 @@
 
 use std::path::PathBuf;
 
-use jasminefall_runtime::command_line::{Invocation, parse};
+use jasminefall_runtime::command_line::{Arguments, Invocation, OwnOption, parse};
 
 fn run(words: &[&str]) -> Result<Invocation, String> {
     parse(
         "daemon",
         "Runs a daemon.",
+        Some(OwnOption {
+            name: "only",
+            help: "serve one pool only",
+            hint: "POOL",
+        }),
         words.iter().map(|word| (*word).to_owned()),
     )
 }
 
 #[test]
 fn each_option_asks_for_its_own_thing() {
-    let settings = PathBuf::from("a.ini");
+    let settings = Arguments {
+        settings: PathBuf::from("a.ini"),
+        own: None,
+    };
     assert_eq!(
         run(&["--settings", "a.ini"]),
         Ok(Invocation::Run(settings.clone()))
     );
     assert_eq!(
         run(&["--check", "-s", "a.ini"]),
-        Ok(Invocation::Check(settings))
+        Ok(Invocation::Check(settings.clone()))
+    );
+    let own = Some("render".to_owned());
+    assert_eq!(
+        run(&["-s", "a.ini", "--only", "render"]),
+        Ok(Invocation::Run(Arguments { own, ..settings })),
+        "an option of the program's own"
     );
     let printed = |words: &[&str]| matches!(run(words), Ok(Invocation::Print(text)) if text.contains("daemon"));
     assert!(printed(&["--help"]) && printed(&["-h"]));
@@ -35,6 +49,7 @@
         &["--settings"],
         &["--unknown"],
         &["-s", "a.ini", "extra"],
+        &["-s", "a.ini", "--only"],
     ] {
         let message = run(words).expect_err("the words are wrong");
         assert!(message.contains("daemon --help"), "{words:?}: {message}");
