fix(replica): the leader hears of a candidate that has no place any more

Change: a follower passes such a request on to the leader, which adds the replica as a learner. Tests: one promise, and the schedule by its seed.

--- a/crates/jasminefall-replica/src/replica.rs
+++ b/crates/jasminefall-replica/src/replica.rs
@@ -215,6 +215,7 @@
             return;
         }
         self.note_sender(&message);
+        self.pass_on_to_leader(&message);
         if self.ignores(&message) {
             return self.tell_later_term(&message);
         }
--- a/crates/jasminefall-replica/src/replica/joining.rs
+++ b/crates/jasminefall-replica/src/replica/joining.rs
@@ -43,6 +43,25 @@
         }
     }
 
+    /// Lets the leader hear of a replica that stands for election though it has no place any more.
+    ///
+    /// It was away when it was removed, and asks those that it knows as voters; the leader may be none
+    /// of them.
+    pub(super) fn pass_on_to_leader(&mut self, message: &Message) {
+        let is_asked = matches!(message.body, Body::VoteRequest { .. });
+        let leader = self.leader.filter(|leader| *leader != self.id);
+        let Some(to) = leader.filter(|_| is_asked) else {
+            return;
+        };
+        if message.from != to && !self.membership().knows(message.from, message.incarnation) {
+            let passed_on = Message {
+                to,
+                ..message.clone()
+            };
+            self.ready.messages.push(passed_on);
+        }
+    }
+
     /// Notes that another replica has never taken part in a group.
     pub(super) fn note_unformed(&mut self, from: ReplicaId, incarnation: Incarnation) {
         if self.is_unformed() {
--- a/crates/jasminefall-replica/tests/promises.rs
+++ b/crates/jasminefall-replica/tests/promises.rs
@@ -308,3 +308,21 @@
         "{sent} entries for {MISSING} missing ones"
     );
 }
+
+/// It was away when it was removed, and knows only voters of before.
+#[test]
+fn the_leader_hears_of_a_candidate_that_has_no_place_any_more() {
+    const FOUR: ReplicaId = ReplicaId(4);
+    let mut follower = replica(TWO, Recovered::with_voters([TWO, THREE]));
+    follower.step(5_000, heartbeat(THREE, TWO, 1));
+    follower.take_ready();
+    let removed = vote_request(FOUR, TWO, 2, (0, 0));
+    follower.step(5_001, removed.clone());
+    let passed_on = Message {
+        to: THREE,
+        ..removed
+    };
+    assert_eq!(follower.take_ready().messages, [passed_on]);
+    follower.step(5_002, vote_request(THREE, TWO, 2, (0, 0)));
+    assert!(follower.take_ready().messages.is_empty(), "a voter asks");
+}
--- a/crates/jasminefall-replica/tests/schedules.rs
+++ b/crates/jasminefall-replica/tests/schedules.rs
@@ -46,6 +46,12 @@
     );
 }
 
+/// A replica that was away when it was removed knew no voter that leads, and never came back.
+#[test]
+fn a_schedule_that_left_a_replica_outside_goes_on() {
+    run_one(18_813);
+}
+
 /// Runs one schedule, naming its seed if it fails.
 fn run_one(seed: u64) -> u64 {
     let run = std::panic::AssertUnwindSafe(|| {
