--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -95,51 +95,14 @@
         }
     }
 
-    /// Returns the open steps of a pool, those first that can still be in time.
-    ///
-    /// While more arrives than a pool holds, going by deadline alone would serve what is late
-    /// already and make everything behind it late too.
+    /// Returns the open steps of a pool that have tasks to place, in their order.
     fn in_order(&self, pool: &SmolStr) -> Vec<StepId> {
         let open = self.open_steps.get(pool).into_iter().flatten();
-        let waiting = open.filter_map(|(order, id)| {
-            let step = self.steps.get(id).filter(|step| !step.waiting.is_empty())?;
-            let is_late = self.settings.mechanisms.late_last
-                && self.now.wall_ms > step.in_time_if_begun_by_ms;
-            Some((order.rank, is_late && !step.step().long_running, *id))
-        });
-        let mut waiting: Vec<_> = waiting.collect();
-        waiting.sort_by_key(|(rank, is_late, _)| (*rank, *is_late));
-        waiting.into_iter().map(|(_, _, id)| id).collect()
-    }
-
-    /// Returns how long the steps from one on take, by what runs of their kind have taken.
-    pub(super) fn chain_left_ms(&self, id: StepId, step: &StepRun) -> u64 {
-        let steps = &step.spec.steps;
-        let mut ends = vec![0; steps.len()];
-        let mut longest = 0;
-        for (position, spec) in steps.iter().enumerate().skip(step.position) {
-            let follows = |before: &u16| usize::from(*before) >= step.position;
-            let is_next = position == step.position || spec.after.iter().any(follows);
-            if !is_next {
-                continue;
-            }
-            let begins = spec
-                .after
-                .iter()
-                .filter_map(|before| ends.get(usize::from(*before)));
-            let begins: u64 = begins.copied().max().unwrap_or(0);
-            let of_step = StepId {
-                step: u16::try_from(position).unwrap_or(u16::MAX),
-                ..id
-            };
-            let known = self.steps.get(&of_step);
-            let each_ms = known.map_or(spec.estimated_ms, |known| {
-                self.durations.expect_ms(&known.kind, spec.estimated_ms)
-            });
-            ends[position] = begins + each_ms;
-            longest = longest.max(ends[position]);
-        }
-        longest
+        let waits = |id: &StepId| {
+            let step = self.steps.get(id);
+            step.is_some_and(|step| !step.waiting.is_empty())
+        };
+        open.map(|(_, id)| *id).filter(waits).collect()
     }
 
     /// Returns the workers of a pool that may be given tasks.
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -27,8 +27,6 @@
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) position: usize,
     pub(crate) order: Order,
-    /// Until when the step may begin for its job to be in time, in milliseconds since 1970.
-    pub(crate) in_time_if_begun_by_ms: u64,
     pub(crate) kind: StepKind,
     /// Whether an earlier leader may have started tasks of it.
     pub(crate) inherited: bool,
@@ -119,7 +117,6 @@
             }),
             kind: StepKind::new(&job.queue, spec),
             spec: job.spec.clone(),
-            in_time_if_begun_by_ms: u64::MAX,
             inherited: false,
             open: false,
             due_ms,
@@ -158,10 +155,8 @@
             return;
         }
         let (pool, order) = (step.pool.clone(), step.order);
-        let left_ms = self.chain_left_ms(id, step);
         if let Some(step) = self.steps.get_mut(&id) {
             step.open = true;
-            step.in_time_if_begun_by_ms = order.in_time_until_ms.saturating_sub(left_ms);
         }
         self.dirty_pools.insert(pool.clone());
         self.open_steps.entry(pool).or_default().insert((order, id));
--- a/crates/jasminefall-jobs/src/policy/mechanisms.rs
+++ b/crates/jasminefall-jobs/src/policy/mechanisms.rs
@@ -28,8 +28,6 @@
     pub shared_instances: bool,
     /// Tasks that last wait a moment for room beside others.
     pub kept_places: bool,
-    /// What is late already is placed after what can be in time.
-    pub late_last: bool,
     /// Jobs that would be late are refused ([`admission`](super::admission)).
     pub admission: bool,
     /// How long tasks take is learnt ([`durations`](super::durations)).
@@ -44,7 +42,7 @@
 type Named = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
 /// Every mechanism by the name that experiments give it.
-const NAMED: [Named; 14] = [
+const NAMED: [Named; 13] = [
     ("moves", |all| &mut all.moves),
     ("expected-rises", |all| &mut all.expected_rises),
     ("rise-heights", |all| &mut all.rise_heights),
@@ -54,7 +52,6 @@
     ("direct-moves", |all| &mut all.direct_moves),
     ("shared-instances", |all| &mut all.shared_instances),
     ("kept-places", |all| &mut all.kept_places),
-    ("late-last", |all| &mut all.late_last),
     ("admission", |all| &mut all.admission),
     ("learnt-durations", |all| &mut all.learnt_durations),
     ("doubled-looks", |all| &mut all.doubled_looks),
@@ -73,7 +70,6 @@
         direct_moves: true,
         shared_instances: true,
         kept_places: true,
-        late_last: true,
         admission: true,
         learnt_durations: true,
         doubled_looks: true,
