--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -87,9 +87,7 @@
             }
             Admission::ComeBack { after_ms } => {
                 self.counts.jobs_refused += 1;
-                let times_ms = (self.now.steady_ms, after_ms);
-                self.pool_plans
-                    .note_refusal((key, &queue.pool), asked.first, times_ms);
+                self.pool_plans.note_refusal(key, self.now.steady_ms);
                 self.note(format!(
                     "event=job_refused job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
                      free_cpu_millis={} reserve_cpu_millis={} slack_ms={} come_back_ms={after_ms}",
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -19,8 +19,6 @@
     handle: WorkerHandle,
     worker: SmolStr,
     free: Resources,
-    /// What tasks that last leave of it, whatever else runs there.
-    beside_lasting: Resources,
     recent_failures: u32,
     /// Whether tasks that last run there.
     is_pinned: bool,
@@ -28,9 +26,6 @@
     is_leaving: bool,
 }
 
-/// How long a task that lasts waits for room beside others, in milliseconds; most tasks end within this
-/// time, and a task that is away for longer holds up the maintenance of others.
-const KEEP_PLACE_MS: u64 = 1_500;
 /// How often what waits is looked at again without an event, in milliseconds: workers that were full,
 /// silent or set aside may be given tasks again after some time. Short beside each of these.
 const RETRY_INTERVAL_MS: u64 = 50;
@@ -125,7 +120,6 @@
             handle,
             worker: worker.life().worker.clone(),
             free: worker.free(),
-            beside_lasting: self.beside_lasting(worker),
             recent_failures: worker.health.failures_in_a_row(),
             is_pinned: worker.lasting_runs > 0 && self.settings.mechanisms.shared_instances,
             is_leaving: self.upkeep.is_due(worker.heartbeat.instance.as_deref()),
@@ -147,40 +141,6 @@
         worker.heartbeat.capacity.minus(&used)
     }
 
-    /// Keeps a place free for a task that lasts, where that saves an instance of its own; returns
-    /// whether the task had better wait.
-    ///
-    /// Instances with tasks that last cannot leave their pool. One that has room beside them, but is
-    /// full of tasks that end within seconds, is given no more of those until the task fits.
-    fn keep_place(&mut self, id: StepId, places: &mut [Place]) -> bool {
-        let now_ms = self.now.steady_ms;
-        if !self.settings.mechanisms.kept_places {
-            return false;
-        }
-        let Some(step) = self.steps.get_mut(&id) else {
-            return false;
-        };
-        let needs = step.step().counted();
-        let has_room = |place: &Place| place.is_pinned && place.free.holds(&needs);
-        if !step.step().long_running || places.iter().any(has_room) {
-            step.keeps_place_since_ms = None;
-            return false;
-        }
-        let will_have_room = |place: &&mut Place| {
-            place.is_pinned && !place.is_leaving && place.beside_lasting.holds(&needs)
-        };
-        let Some(place) = places.iter_mut().find(will_have_room) else {
-            return false;
-        };
-        let since_ms = *step.keeps_place_since_ms.get_or_insert(now_ms);
-        if now_ms >= since_ms + KEEP_PLACE_MS {
-            return false;
-        }
-        place.free = Resources::default();
-        place.beside_lasting = place.beside_lasting.minus(&needs);
-        true
-    }
-
     fn place_step(&mut self, id: StepId, places: &mut [Place]) {
         let mut chosen = None;
         loop {
@@ -193,12 +153,6 @@
             // The place that was best has less room left than before, so that it stays the best
             // for the next task of the same size as long as that fits.
             let again = chosen.filter(|position| self.still_fits(step, &places[*position]));
-            if again.is_none() && self.keep_place(id, places) {
-                return;
-            }
-            let Some(step) = self.steps.get(&id) else {
-                return;
-            };
             let Some(position) = again.or_else(|| self.choose(step, places)) else {
                 return;
             };
@@ -209,7 +163,6 @@
             place.free = place.free.minus(&counted);
             if lasts {
                 place.is_pinned = self.settings.mechanisms.shared_instances;
-                place.beside_lasting = place.beside_lasting.minus(&counted);
             }
             let handle = place.handle;
             let run = self.next_run(id.task(index));
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -1,6 +1,6 @@
 //! How many instances each pool should have, and where they come from.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use smol_str::SmolStr;
 
@@ -9,7 +9,6 @@
 use crate::ids::JobKey;
 use crate::job::{Resources, Work};
 use crate::policy::pools::{PoolDemand, divide};
-use crate::policy::returns::Returns;
 use crate::policy::rises::{Arrived, Rises, Turn};
 use crate::state::{Command, JobsState, RiseNote};
 
@@ -31,6 +30,10 @@
 /// How often the sizes of the pools are logged, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
+/// How long a job that was refused is remembered, in milliseconds, so that its client's next attempt
+/// doesn't count as more work; longer than clients keep trying.
+const REFUSED_FOR_MS: u64 = 10_000;
+
 /// Follows how much work arrives for a pool.
 #[derive(Debug, Clone, Copy, Default)]
 struct Arrivals {
@@ -47,7 +50,8 @@
     arrivals: BTreeMap<SmolStr, Arrivals>,
     needed_lately: BTreeMap<SmolStr, Vec<(u64, usize)>>,
     rises: Rises,
-    returns: Returns,
+    /// Jobs that have arrived and were refused, and when.
+    refused: HashMap<JobKey, u64>,
     planned_at_ms: u64,
     logged_at_ms: u64,
     /// Whether the pools need more instances than there are.
@@ -78,7 +82,7 @@
 
     /// Notes work that a client has asked for, accepted or not, at its first attempt.
     pub(crate) fn note_arrival(&mut self, key: JobKey, pool: &SmolStr, work: &Work) {
-        if self.returns.note_attempt(key) {
+        if self.refused.contains_key(&key) {
             return;
         }
         let arrivals = self.arrivals.entry(pool.clone()).or_default();
@@ -86,14 +90,9 @@
         arrivals.since_last = arrivals.since_last.plus(work);
     }
 
-    /// Notes that a job was refused and told to come back after some time.
-    pub(crate) fn note_refusal(
-        &mut self,
-        job: (JobKey, &SmolStr),
-        first: Resources,
-        times_ms: (u64, u64),
-    ) {
-        self.returns.note_refusal(job, first, times_ms);
+    /// Notes that a job was refused for now.
+    pub(crate) fn note_refusal(&mut self, key: JobKey, now_ms: u64) {
+        self.refused.insert(key, now_ms);
     }
 }
 
@@ -107,7 +106,8 @@
             return;
         }
         self.pool_plans.planned_at_ms = now_ms;
-        self.pool_plans.returns.forget(now_ms);
+        let refused = &mut self.pool_plans.refused;
+        refused.retain(|_, at_ms| now_ms < *at_ms + REFUSED_FOR_MS);
         let pools = self.pools_in_use(state);
         let mut demands: Vec<PoolDemand> = pools.iter().map(|pool| self.demand(pool)).collect();
         for (pool, demand) in pools.iter().zip(&mut demands) {
@@ -118,7 +118,7 @@
         }
     }
 
-    /// Takes up what has arrived for a pool since the last call, and what is about to come back.
+    /// Takes up what has arrived for a pool since the last call.
     fn follow_arrivals(
         &mut self,
         pool: &SmolStr,
@@ -142,11 +142,6 @@
             arrivals.typical_task = mean;
         }
         demand.typical_task = arrivals.typical_task;
-        let returns = &self.pool_plans.returns;
-        if self.settings.mechanisms.returns {
-            let returning = returns.due(self.now.steady_ms, self.lead_ms(), pool);
-            demand.ready = demand.ready.plus(&returning);
-        }
         let steady_millis = demand.millis_for(&demand.arriving);
         let arrived = Arrived {
             within_ms: passed_ms,
@@ -209,7 +204,7 @@
         let total = spare + demands.iter().map(|demand| demand.instances).sum::<usize>();
         let mut wanted = divide(&needed, total);
         self.pool_plans.short = needed.iter().sum::<usize>() > total;
-        let lead_ms = self.lead_ms();
+        let lead_ms = self.settings.move_ms + READY_BEFORE_MS;
         let rises = &self.pool_plans.rises;
         let expected = if self.settings.mechanisms.expected_rises {
             rises.expected(now_ms, lead_ms, pools)
@@ -246,11 +241,6 @@
         }
     }
 
-    /// Returns how long before it is needed an instance has to be ordered.
-    const fn lead_ms(&self) -> u64 {
-        self.settings.move_ms + READY_BEFORE_MS
-    }
-
     /// Counts what the instances of the pools are there for until the next plan.
     fn count_uses(&mut self, demands: &[PoolDemand], wanted: &[usize]) {
         for (demand, wanted) in demands.iter().zip(wanted) {
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -42,8 +42,6 @@
     /// The permits of the advice service and when they lapse, by worker.
     pub(crate) tickets: HashMap<SmolStr, (SmolStr, u64)>,
     pub(crate) advice_asked_at_ms: Option<u64>,
-    /// Since when a place is kept free for its next task.
-    pub(crate) keeps_place_since_ms: Option<u64>,
     /// Whether the queue's policy permits the step on some workers only.
     pub(crate) needs_advice: bool,
 }
@@ -127,7 +125,6 @@
             per_worker: HashMap::new(),
             tickets: HashMap::new(),
             advice_asked_at_ms: None,
-            keeps_place_since_ms: None,
             needs_advice: queue.is_some_and(|queue| queue.needs_advice),
         }
     }
--- a/crates/jasminefall-jobs/src/policy.rs
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -6,7 +6,6 @@
 //! - [`pace`]: at which share of its speed a task that fills may work
 //! - [`health`]: whether a worker fails what it is given
 //! - [`pools`]: how many instances a pool should have
-//! - [`returns`]: which refused jobs are about to come back
 //! - [`rises`]: when the work of a pool rises, and to what
 //! - [`placement`]: which worker gets a task
 //! - [`order_rate`]: how many orders about instances may be given
@@ -24,6 +23,5 @@
 pub mod placement;
 pub mod pools;
 pub mod receivers;
-pub mod returns;
 pub mod rises;
 pub mod waves;
--- a/crates/jasminefall-jobs/src/policy/mechanisms.rs
+++ b/crates/jasminefall-jobs/src/policy/mechanisms.rs
@@ -18,16 +18,12 @@
     pub rise_heights: bool,
     /// A new leader goes by the rises that an earlier one has noted ([`rises`](super::rises)).
     pub noted_rises: bool,
-    /// Refused jobs that are about to come back count ([`returns`](super::returns)).
-    pub returns: bool,
     /// Part of each instance is left to the size of tasks ([`pools`](super::pools)).
     pub task_sizes: bool,
     /// Idle instances go straight from one pool to another.
     pub direct_moves: bool,
     /// Tasks that last share instances ([`placement`](super::placement)).
     pub shared_instances: bool,
-    /// Tasks that last wait a moment for room beside others.
-    pub kept_places: bool,
     /// Jobs that would be late are refused ([`admission`](super::admission)).
     pub admission: bool,
     /// How long tasks take is learnt ([`durations`](super::durations)).
@@ -42,16 +38,14 @@
 type Named = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
 /// Every mechanism by the name that experiments give it.
-const NAMED: [Named; 13] = [
+const NAMED: [Named; 11] = [
     ("moves", |all| &mut all.moves),
     ("expected-rises", |all| &mut all.expected_rises),
     ("rise-heights", |all| &mut all.rise_heights),
     ("noted-rises", |all| &mut all.noted_rises),
-    ("returns", |all| &mut all.returns),
     ("task-sizes", |all| &mut all.task_sizes),
     ("direct-moves", |all| &mut all.direct_moves),
     ("shared-instances", |all| &mut all.shared_instances),
-    ("kept-places", |all| &mut all.kept_places),
     ("admission", |all| &mut all.admission),
     ("learnt-durations", |all| &mut all.learnt_durations),
     ("doubled-looks", |all| &mut all.doubled_looks),
@@ -65,11 +59,9 @@
         expected_rises: true,
         rise_heights: true,
         noted_rises: true,
-        returns: true,
         task_sizes: true,
         direct_moves: true,
         shared_instances: true,
-        kept_places: true,
         admission: true,
         learnt_durations: true,
         doubled_looks: true,
