--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -40,8 +40,6 @@
     jobs: u32,
     since_last: Work,
     rate: Resources,
-    /// What a task takes up on average, as last seen.
-    typical_task: Resources,
 }
 
 /// Holds what moves are decided by.
@@ -137,11 +135,6 @@
             gpus: 0,
         };
         demand.arriving = arrivals.rate;
-        let mean = demand.mean_task();
-        if let Some(mean) = mean.filter(|_| self.settings.mechanisms.task_sizes) {
-            arrivals.typical_task = mean;
-        }
-        demand.typical_task = arrivals.typical_task;
         let steady_millis = demand.millis_for(&demand.arriving);
         let arrived = Arrived {
             within_ms: passed_ms,
--- a/crates/jasminefall-jobs/src/policy/mechanisms.rs
+++ b/crates/jasminefall-jobs/src/policy/mechanisms.rs
@@ -18,8 +18,6 @@
     pub rise_heights: bool,
     /// A new leader goes by the rises that an earlier one has noted ([`rises`](super::rises)).
     pub noted_rises: bool,
-    /// Part of each instance is left to the size of tasks ([`pools`](super::pools)).
-    pub task_sizes: bool,
     /// Idle instances go straight from one pool to another.
     pub direct_moves: bool,
     /// Tasks that last share instances ([`placement`](super::placement)).
@@ -38,12 +36,11 @@
 type Named = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
 /// Every mechanism by the name that experiments give it.
-const NAMED: [Named; 11] = [
+const NAMED: [Named; 10] = [
     ("moves", |all| &mut all.moves),
     ("expected-rises", |all| &mut all.expected_rises),
     ("rise-heights", |all| &mut all.rise_heights),
     ("noted-rises", |all| &mut all.noted_rises),
-    ("task-sizes", |all| &mut all.task_sizes),
     ("direct-moves", |all| &mut all.direct_moves),
     ("shared-instances", |all| &mut all.shared_instances),
     ("admission", |all| &mut all.admission),
@@ -59,7 +56,6 @@
         expected_rises: true,
         rise_heights: true,
         noted_rises: true,
-        task_sizes: true,
         direct_moves: true,
         shared_instances: true,
         admission: true,
--- a/crates/jasminefall-jobs/src/policy/pools.rs
+++ b/crates/jasminefall-jobs/src/policy/pools.rs
@@ -22,12 +22,8 @@
     pub lasting_to_come: usize,
     /// What tasks take up that run or could run at once.
     pub ready: Resources,
-    /// How many tasks that end those are.
-    pub ready_tasks: u64,
     /// The work that arrives, as what it takes up on average.
     pub arriving: Resources,
-    /// What a task that ends takes up on average; nothing where none has been seen.
-    pub typical_task: Resources,
 }
 
 /// Says what the instances of a pool are there for, each counted once.
@@ -67,6 +63,9 @@
     }
 }
 
+/// The part of an instance that work can be packed onto, in thousandths; the rest is lost to odd
+/// sizes.
+const PACKED_MILLIS: u64 = 850;
 /// The fewest instances of a pool that is in use, so that a job finds one at once.
 const FEWEST: usize = 1;
 
@@ -78,7 +77,6 @@
             self.lasting = self.lasting.plus(&taken);
         } else {
             self.ready = self.ready.plus(&taken);
-            self.ready_tasks += tasks;
         }
     }
 
@@ -136,28 +134,14 @@
     }
 
     /// Returns the same in thousandths of an instance.
-    ///
-    /// An instance on which no further task fits has half the room of one left on average.
     #[must_use]
     pub fn millis_for(&self, taken: &Resources) -> u64 {
-        let hold = |taken: u64, each: u64, task: u64| match each - task.min(each) / 2 {
+        let hold = |taken: u64, each: u64| match each * PACKED_MILLIS / 1_000 {
             0 => 0,
-            packed => (taken * 1_000).div_ceil(packed),
+            each => (taken * 1_000).div_ceil(each),
         };
-        let (each, task) = (&self.instance, &self.typical_task);
-        let cpu = hold(taken.cpu_millis, each.cpu_millis, task.cpu_millis);
-        cpu.max(hold(taken.memory_mb, each.memory_mb, task.memory_mb))
-    }
-
-    /// Returns what a task that ends takes up on average, where there are any.
-    #[must_use]
-    pub fn mean_task(&self) -> Option<Resources> {
-        let mean = |sum: u64| sum.checked_div(self.ready_tasks);
-        Some(Resources {
-            cpu_millis: mean(self.ready.cpu_millis)?,
-            memory_mb: mean(self.ready.memory_mb)?,
-            gpus: mean(self.ready.gpus)?,
-        })
+        let cpu = hold(taken.cpu_millis, self.instance.cpu_millis);
+        cpu.max(hold(taken.memory_mb, self.instance.memory_mb))
     }
 }
 
--- a/crates/jasminefall-jobs/tests/policy.rs
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -242,8 +242,6 @@
         lasting: cores(10_000),
         ready: cores(60_000),
         arriving: cores(200_000),
-        typical_task: cores(4_800),
-        ..PoolDemand::default()
     };
     assert_eq!(demand.needed(), 16);
     let idle = PoolDemand {
@@ -266,7 +264,6 @@
             ..cores(16_000)
         },
         ready: memory(272_000),
-        typical_task: memory(9_600),
         ..PoolDemand::default()
     };
     assert_eq!(demand.needed(), 10);
@@ -288,32 +285,6 @@
     );
 }
 
-/// The larger its tasks, the more of an instance is left over.
-#[test]
-fn an_instance_holds_all_but_half_a_task() {
-    let mut demand = PoolDemand {
-        instance: cores(64_000),
-        ..PoolDemand::default()
-    };
-    assert_eq!(demand.mean_task(), None);
-    let step = |cpu_millis| StepSpec {
-        needs: cores(cpu_millis),
-        ..StepSpec::default()
-    };
-    demand.add(&step(2_000), 180);
-    demand.add(&step(8_000), 180);
-    assert_eq!(demand.mean_task(), Some(cores(5_000)));
-    assert_eq!(
-        demand.instances_for(&demand.ready),
-        29,
-        "if nothing is left over"
-    );
-    demand.typical_task = cores(5_000);
-    assert_eq!(demand.instances_for(&demand.ready), 30);
-    demand.typical_task = cores(16_000);
-    assert_eq!(demand.instances_for(&demand.ready), 33);
-}
-
 #[test]
 fn too_few_instances_are_divided_by_what_is_lacking() {
     assert_eq!(divide(&[10, 2, 4], 20), [10, 2, 4]);
@@ -329,7 +300,6 @@
         pinned: 6,
         instance: needs(16_000, 64_000).room,
         ready: needs(4 * 13_600, 0).room,
-        typical_task: cores(4_800),
         ..PoolDemand::default()
     };
     let uses = demand.uses(9);
@@ -377,9 +347,9 @@
 #[test]
 fn mechanisms_are_switched_off_by_name() {
     assert_eq!("".parse(), Ok(Mechanisms::ALL));
-    let off: Mechanisms = "task-sizes, moves".parse().expect("both are known");
-    assert!(!off.task_sizes && !off.moves && off.admission);
-    assert_eq!(off.to_string(), "moves,task-sizes");
+    let off: Mechanisms = "admission, moves".parse().expect("both are known");
+    assert!(!off.admission && !off.moves && off.noted_rises);
+    assert_eq!(off.to_string(), "moves,admission");
     for name in Mechanisms::names() {
         let off: Mechanisms = name.parse().expect("the name is known");
         assert_eq!(off.to_string(), name, "each name switches off one");
