--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -165,22 +165,10 @@
                 }
                 Ok(Answer::Unknown) => may_be_taken = true,
                 Ok(answer) => {
-                    let mut known = self.known.borrow_mut();
-                    known.leader = Some(address);
-                    known.silences.clear(address);
-                    self.answered_by.send_replace(Some(address));
+                    self.note_leader(address);
                     return Ok(answer);
                 }
-                Err(LinkError::NotSent(error)) => {
-                    log::debug!("event=forward_failed to={address} error=\"{error}\"");
-                    self.forget_leader(address);
-                }
-                Err(LinkError::Unknown(error)) => {
-                    log::warn!("event=forward_unanswered to={address} error=\"{error}\"");
-                    may_be_taken = true;
-                    self.forget_leader(address);
-                    self.note_silence(address);
-                }
+                Err(error) => may_be_taken |= self.note_failure(address, &error),
             }
         }
         Err(if may_be_taken {
@@ -190,21 +178,42 @@
         })
     }
 
-    /// Waits until another instance than this one answers as the leader for the first time.
+    /// Notes that an instance has answered as the leader.
+    fn note_leader(&self, address: SocketAddr) {
+        let mut known = self.known.borrow_mut();
+        known.leader = Some(address);
+        known.silences.clear(address);
+        self.answered_by
+            .send_if_modified(|before| before.replace(address) != Some(address));
+    }
+
+    /// Notes that an instance gave no answer; returns whether it may have taken the call.
+    fn note_failure(&self, address: SocketAddr, error: &LinkError) -> bool {
+        let may_be_taken = match error {
+            LinkError::NotSent(error) => {
+                log::debug!("event=forward_failed to={address} error=\"{error}\"");
+                false
+            }
+            LinkError::Unknown(error) => {
+                log::warn!("event=forward_unanswered to={address} error=\"{error}\"");
+                self.note_silence(address);
+                true
+            }
+        };
+        self.forget_leader(address);
+        may_be_taken
+    }
+
+    /// Waits until another instance than this one has answered as the leader.
     async fn answered_by_other(&self, address: SocketAddr) -> SocketAddr {
         let mut answered_by = self.answered_by.subscribe();
-        let mut before = *answered_by.borrow_and_update();
-        loop {
-            if answered_by.changed().await.is_err() {
-                return std::future::pending().await;
-            }
-            let now = *answered_by.borrow_and_update();
-            let is_new = now != before;
-            before = now;
-            if let Some(leader) = now.filter(|leader| is_new && *leader != address) {
+        while answered_by.changed().await.is_ok() {
+            let leader = *answered_by.borrow_and_update();
+            if let Some(leader) = leader.filter(|leader| *leader != address) {
                 return leader;
             }
         }
+        std::future::pending().await
     }
 
     fn next_to_try(&self, tried: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -8,7 +8,8 @@
 //!
 //! - [`clients`]: submissions, states and cancels
 //! - [`directory`]: finding workers by what they say of themselves
-//! - [`workers`]: heartbeats, lives and leases
+//! - [`workers`]: heartbeats and leases
+//! - [`lives`]: which lives are over, and which replaces which
 //! - [`orders`]: answers of workers to orders, and their lists of runs
 //! - [`steps`]: which steps are open and what waits in them
 //! - [`runs`]: the runs that take up room
@@ -25,6 +26,7 @@
 mod directory;
 mod filling;
 mod fleet;
+mod lives;
 mod moves;
 mod orders;
 mod placing;
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -2,7 +2,7 @@
 
 use smol_str::SmolStr;
 
-use super::Leader;
+use super::{Leader, Worker};
 use crate::configuration::Queue;
 use crate::ids::{JobKey, QueueKey};
 use crate::job::{JobSpec, Resources, StepSpec, Work};
@@ -184,6 +184,20 @@
         load
     }
 
+    /// Returns what tasks that last leave of a worker.
+    fn beside_lasting(&self, worker: &Worker) -> Resources {
+        if worker.lasting_runs == 0 {
+            return worker.heartbeat.capacity;
+        }
+        let steps = worker.runs.keys();
+        let steps = steps.filter_map(|task| self.steps.get(&task.step_id()));
+        let lasting = steps.filter(|step| step.step().long_running);
+        let used = lasting.fold(Resources::default(), |sum, step| {
+            sum.plus(&step.step().counted())
+        });
+        worker.heartbeat.capacity.minus(&used)
+    }
+
     /// Returns where a job stands.
     #[must_use]
     pub fn status(&self, queue: &QueueKey, key: JobKey, state: &JobsState) -> Reply {
--- a/crates/jasminefall-jobs/src/leader/directory.rs
+++ b/crates/jasminefall-jobs/src/leader/directory.rs
@@ -1,6 +1,6 @@
 //! Finding workers by what they say of themselves.
 //!
-//! Every heartbeat asks whether an earlier life is known under its name or address. The fleet may
+//! Every heartbeat asks whether an earlier life is known under its name, at its address or on its instance. The fleet may
 //! count thousands of workers that each send one a second, so nothing here looks at all of them.
 
 use std::collections::{BTreeSet, HashMap};
--- a/crates/jasminefall-jobs/src/leader/moves.rs
+++ b/crates/jasminefall-jobs/src/leader/moves.rs
@@ -279,12 +279,9 @@
         match answer {
             InstanceAnswer::Done => {
                 self.counts.moved += 1;
-                if let Some(handle) = self.worker_on(instance) {
-                    self.end_life_for_good(handle, "moved", state);
-                }
+                self.note_sent_away(instance, "moved", state);
                 if let Some(known) = self.fleet.instances.get_mut(instance) {
                     known.pool = pool.clone();
-                    known.worker = None;
                 }
                 let phase = Phase::UnderWay { since_ms: now_ms };
                 self.moves
--- a/crates/jasminefall-jobs/src/leader/orders.rs
+++ b/crates/jasminefall-jobs/src/leader/orders.rs
@@ -309,16 +309,6 @@
         self.pacing.forget(end.task);
     }
 
-    fn learn(&mut self, task: TaskId, took_ms: Option<u64>) {
-        if !self.settings.mechanisms.learnt_durations {
-            return;
-        }
-        if let (Some(step), Some(took_ms)) = (self.steps.get(&task.step_id()), took_ms) {
-            self.durations
-                .note(&step.kind, step.step().estimated_ms, took_ms);
-        }
-    }
-
     /// Stops the copies of a task that is done.
     fn stop_others(&mut self, task: TaskId) {
         let runs = self.runs.get(&task).into_iter().flatten();
--- a/crates/jasminefall-jobs/src/leader/placing.rs
+++ b/crates/jasminefall-jobs/src/leader/placing.rs
@@ -127,20 +127,6 @@
         .collect()
     }
 
-    /// Returns what tasks that last leave of a worker.
-    pub(super) fn beside_lasting(&self, worker: &Worker) -> Resources {
-        if worker.lasting_runs == 0 {
-            return worker.heartbeat.capacity;
-        }
-        let steps = worker.runs.keys();
-        let steps = steps.filter_map(|task| self.steps.get(&task.step_id()));
-        let lasting = steps.filter(|step| step.step().long_running);
-        let used = lasting.fold(Resources::default(), |sum, step| {
-            sum.plus(&step.step().counted())
-        });
-        worker.heartbeat.capacity.minus(&used)
-    }
-
     fn place_step(&mut self, id: StepId, places: &mut [Place]) {
         let mut chosen = None;
         loop {
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -198,12 +198,7 @@
         let mut wanted = divide(&needed, total);
         self.pool_plans.short = needed.iter().sum::<usize>() > total;
         let lead_ms = self.settings.move_ms + READY_BEFORE_MS;
-        let rises = &self.pool_plans.rises;
-        let expected = if self.settings.mechanisms.expected_rises {
-            rises.expected(now_ms, lead_ms, pools)
-        } else {
-            Vec::new()
-        };
+        let expected = self.rises_within(lead_ms, pools);
         self.make_ready(pools, demands, &expected, total, &mut wanted);
         if now_ms >= self.pool_plans.logged_at_ms + LOG_INTERVAL_MS {
             self.pool_plans.logged_at_ms = now_ms;
@@ -212,12 +207,9 @@
             }
         }
         // An instance that waits a little goes to the next rise in one move instead of two.
-        let rises = &self.pool_plans.rises;
-        let is_rise_near = self.settings.mechanisms.expected_rises
-            && rises.is_before_next(now_ms)
-            && !rises
-                .expected(now_ms, lead_ms + IDLE_WORTH_MOVES_MS / 2, pools)
-                .is_empty();
+        let near_ms = lead_ms + IDLE_WORTH_MOVES_MS / 2;
+        let is_rise_near = self.pool_plans.rises.is_before_next(now_ms)
+            && !self.rises_within(near_ms, pools).is_empty();
         self.count_uses(demands, &wanted);
         let mut movable = Movable::default();
         let surplus = self.supply(pools, demands, &wanted, (&standby, &mut movable));
@@ -234,6 +226,15 @@
         }
     }
 
+    /// Returns the pools of which one is expected to rise within `lead_ms`.
+    fn rises_within(&self, lead_ms: u64, pools: &[SmolStr]) -> Vec<SmolStr> {
+        if !self.settings.mechanisms.expected_rises {
+            return Vec::new();
+        }
+        let rises = &self.pool_plans.rises;
+        rises.expected(self.now.steady_ms, lead_ms, pools)
+    }
+
     /// Counts what the instances of the pools are there for until the next plan.
     fn count_uses(&mut self, demands: &[PoolDemand], wanted: &[usize]) {
         for (demand, wanted) in demands.iter().zip(wanted) {
--- a/crates/jasminefall-jobs/src/leader/runs.rs
+++ b/crates/jasminefall-jobs/src/leader/runs.rs
@@ -139,4 +139,15 @@
         }
         self.effects.extend(effects);
     }
+
+    /// Learns from a run how long tasks of its kind take.
+    pub(super) fn learn(&mut self, task: TaskId, took_ms: Option<u64>) {
+        if !self.settings.mechanisms.learnt_durations {
+            return;
+        }
+        if let (Some(step), Some(took_ms)) = (self.steps.get(&task.step_id()), took_ms) {
+            self.durations
+                .note(&step.kind, step.step().estimated_ms, took_ms);
+        }
+    }
 }
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -284,6 +284,7 @@
             return;
         }
         self.stamp_at_ms = self.now.steady_ms + STAMP_INTERVAL_MS;
+        self.forget_lives_over();
         let at_ms = self.now.wall_ms;
         let forget_before_ms = at_ms.saturating_sub(self.settings.remember_ms);
         let is_unstamped = |job: &Job| job.ended.is_some() && job.ended_at_ms.is_none();
--- a/crates/jasminefall-jobs/src/leader/upkeep.rs
+++ b/crates/jasminefall-jobs/src/leader/upkeep.rs
@@ -329,12 +329,7 @@
         match answer {
             InstanceAnswer::Done => {
                 self.counts.maintained += 1;
-                if let Some(handle) = self.worker_on(instance) {
-                    self.end_life_for_good(handle, "maintenance", state);
-                }
-                if let Some(known) = self.fleet.instances.get_mut(instance) {
-                    known.worker = None;
-                }
+                self.note_sent_away(instance, "maintenance", state);
                 self.upkeep.set(key, Phase::Down { since_ms: now_ms });
                 self.propose(Command::NoteMaintained {
                     wave,
--- a/crates/jasminefall-jobs/src/policy/mechanisms.rs
+++ b/crates/jasminefall-jobs/src/policy/mechanisms.rs
@@ -68,20 +68,6 @@
     pub fn names() -> impl Iterator<Item = &'static str> {
         NAMED.iter().map(|(name, _)| *name)
     }
-
-    /// Switches off the mechanisms of a list of names with commas between.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`UnknownMechanism`] for a name that is none.
-    pub fn with_off(mut self, names: &str) -> Result<Self, UnknownMechanism> {
-        for name in names.split(',').map(str::trim) {
-            let known = NAMED.iter().find(|(known, _)| *known == name);
-            let (_, find) = known.ok_or_else(|| UnknownMechanism(name.to_owned()))?;
-            *find(&mut self) = false;
-        }
-        Ok(self)
-    }
 }
 
 impl Default for Mechanisms {
@@ -95,10 +81,16 @@
 
     /// Reads the names of what is switched off, with commas between; none where the text is empty.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut all = Self::ALL;
         if text.is_empty() {
-            return Ok(Self::ALL);
+            return Ok(all);
+        }
+        for name in text.split(',').map(str::trim) {
+            let known = NAMED.iter().find(|(known, _)| *known == name);
+            let (_, find) = known.ok_or_else(|| UnknownMechanism(name.to_owned()))?;
+            *find(&mut all) = false;
         }
-        Self::ALL.with_off(text)
+        Ok(all)
     }
 }
 
--- a/crates/jasminefall-jobs/src/policy/rises.rs
+++ b/crates/jasminefall-jobs/src/policy/rises.rs
@@ -187,6 +187,12 @@
         if is_pent_up && latest == Some(pool) {
             return Some(Turn::Rise);
         }
+        self.note_start(now_ms, pool);
+        Some(Turn::Rise)
+    }
+
+    /// Notes that a rise of a pool sets the order from now on.
+    fn note_start(&mut self, now_ms: u64, pool: &SmolStr) {
         let has_risen_before = self.starts.iter().any(|(_, known)| known == pool);
         let longest_ago = self.starts.first().map(|(_, known)| known);
         if has_risen_before {
@@ -194,7 +200,6 @@
         }
         self.starts.retain(|(_, known)| known != pool);
         self.starts.push((now_ms, pool.clone()));
-        Some(Turn::Rise)
     }
 
     /// Returns how high a rise of a pool is taken to become, in thousandths of an instance.
