--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -343,6 +343,11 @@
         found.map(|(_, uses)| uses).unwrap_or_default()
     }
 
+    /// Returns the reading of the clock of every worker.
+    pub(crate) const fn worker_clock_ms(&self) -> u64 {
+        self.now.steady_ms
+    }
+
     pub(crate) fn status(&self, key: u64) -> Option<JobStatus> {
         self.state.jobs.get(&JobKey(key)).map(Job::status)
     }
