perf(jobs): poll twice only the workers that lose responses

Cause: one lost response made the leader poll every worker twice for 5 s. Change: only the worker whose response got lost is polled twice.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -290,9 +290,6 @@
     dirty_pools: BTreeSet<SmolStr>,
     placement_retried_at_ms: u64,
     next_ended_jobs_at_ms: u64,
-    /// End of the period in which responses are assumed to get lost, so that workers with runs are
-    /// polled twice.
-    response_loss_until_ms: u64,
     counts: Counts,
     effects: Vec<Effect>,
     log_lines: Vec<String>,
@@ -337,7 +334,6 @@
             dirty_pools: BTreeSet::new(),
             placement_retried_at_ms: now.steady_ms,
             next_ended_jobs_at_ms: now.steady_ms,
-            response_loss_until_ms: 0,
             counts: Counts::default(),
             effects: Vec::new(),
             log_lines: Vec::new(),
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -143,7 +143,7 @@
 
     /// Excludes a worker from placement until it has answered a poll, and enables redundant polls.
     fn mark_unresponsive(&mut self, handle: WorkerHandle) {
-        self.record_response_loss();
+        self.record_response_loss(handle);
         if let Some(worker) = self.workers.get_mut(&handle) {
             worker.unresponsive = true;
         }
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -86,6 +86,9 @@
     pub(crate) used: Resources,
     /// The number of runs of long-running tasks.
     pub(crate) long_running_runs: usize,
+    /// End of the period in which responses of the worker are assumed to get lost, so that it is polled
+    /// twice, on the leader's steady clock.
+    pub(crate) response_loss_until_ms: u64,
     /// Whether the last request or poll got no response.
     pub(crate) unresponsive: bool,
     /// End of the time in which no task is placed on the worker, on the leader's steady clock.
@@ -179,6 +182,7 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             long_running_runs: 0,
+            response_loss_until_ms: 0,
             unresponsive: false,
             backoff_until_ms: 0,
             health: WorkerHealth::default(),
@@ -352,11 +356,11 @@
     ) {
         let now_ms = self.now.steady_ms;
         let max_lease_ms = self.settings.max_lease_ms;
-        let has_recent_response_loss =
-            now_ms < self.response_loss_until_ms && self.settings.mechanisms.redundant_polls;
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
         };
+        let has_recent_response_loss =
+            now_ms < worker.response_loss_until_ms && self.settings.mechanisms.redundant_polls;
         let is_due = match worker.polls[channel as usize] {
             PollState::Idle => true,
             PollState::RetryAt(at_ms) => now_ms >= at_ms,
@@ -402,15 +406,18 @@
         }));
     }
 
-    /// Enables redundant polls for a while after a response got lost.
-    pub(super) const fn record_response_loss(&mut self) {
-        self.response_loss_until_ms = self.now.steady_ms + RESPONSE_LOSS_WINDOW_MS;
+    /// Enables redundant polls of a worker for a while after a response of it got lost.
+    pub(super) fn record_response_loss(&mut self, handle: WorkerHandle) {
+        let until_ms = self.now.steady_ms + RESPONSE_LOSS_WINDOW_MS;
+        if let Some(worker) = self.workers.get_mut(&handle) {
+            worker.response_loss_until_ms = until_ms;
+        }
     }
 
     /// Processes a poll without a response.
     pub(super) fn on_poll_failure(&mut self, handle: WorkerHandle, channel: PollChannel) {
         let now_ms = self.now.steady_ms;
-        self.record_response_loss();
+        self.record_response_loss(handle);
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
         };
