feat(jobs): place steps that cannot be in time behind those that can

Cause: in a full pool the step with the earliest soft deadline came first, also when that had passed. The forecast of a step took the mean of its tasks, though a step lasts as long as its longest task, so jobs looked late before they were. Change: a step whose latest start has passed goes behind the others of its rank; the excess of the longest task over the mean is learnt for each kind.

--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -136,7 +136,11 @@
             .iter()
             .map(|step| Work::new(&step_resources(step), estimate_ms(step)));
         let initial_steps = spec.steps.iter().filter(|step| step.after.is_empty());
-        let chain_ms = priority::longest_chain_ms(spec, estimate_ms);
+        let step_estimate_ms = |step: &StepSpec| {
+            let kind = StepKind::new(&queue.key, step);
+            self.step_estimate_ms(&kind, step)
+        };
+        let chain_ms = priority::longest_chain_ms(spec, step_estimate_ms);
         let stretched_ms = chain_ms.saturating_mul(queue.stretch_millis) / 1_000;
         JobDemand {
             work: work.fold(Work::default(), |sum, work| sum.plus(&work)),
--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -58,6 +58,7 @@
     }
 
     fn place_pool(&mut self, pool: &SmolStr, state: &JobsState) {
+        self.demote_late_steps(pool);
         let ids = self.steps_by_priority(pool);
         if ids.is_empty() {
             return;
--- a/crates/jasminefall-jobs/src/leader/runs.rs
+++ b/crates/jasminefall-jobs/src/leader/runs.rs
@@ -154,14 +154,25 @@
         self.effects.extend(effects);
     }
 
-    /// Updates the duration estimate of a task's kind with the duration of a run.
+    /// Updates the duration estimates of a task's kind with the duration of a run, before the task is
+    /// marked as done.
     pub(super) fn record_duration(&mut self, task: TaskId, duration_ms: Option<u64>) {
         if !self.settings.mechanisms.duration_estimates {
             return;
         }
-        if let (Some(step), Some(duration_ms)) = (self.steps.get(&task.step_id()), duration_ms) {
+        let Some(step) = self.steps.get_mut(&task.step_id()) else {
+            return;
+        };
+        if let Some(duration_ms) = duration_ms {
+            step.longest_run_ms = step.longest_run_ms.max(duration_ms);
             self.durations
                 .record(&step.kind, step.step().estimated_ms, duration_ms);
         }
+        let is_last = step.done_count as usize + 1 == step.done.len();
+        if is_last && step.longest_run_ms > 0 {
+            let (kind, spec, position) = (step.kind.clone(), step.spec.clone(), step.position);
+            self.durations
+                .record_step(&kind, &spec.steps[position], step.longest_run_ms);
+        }
     }
 }
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -30,6 +30,8 @@
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) position: usize,
     pub(crate) priority: Priority,
+    /// The time at which the step must start for the job to be in time, in milliseconds since 1970.
+    pub(crate) latest_start_ms: u64,
     pub(crate) kind: StepKind,
     /// Whether an earlier leader may have started tasks of this step.
     pub(crate) inherited: bool,
@@ -42,6 +44,8 @@
     /// Whether each task is done, by its index.
     pub(crate) done: Vec<bool>,
     pub(crate) done_count: u32,
+    /// The duration of the longest run that has succeeded.
+    pub(crate) longest_run_ms: u64,
     /// The latest checkpoints, by the index of the task.
     pub(crate) checkpoints: HashMap<u32, SmolStr>,
     /// The number of runs of the step on each worker.
@@ -111,6 +115,12 @@
         let tasks = progress.tasks.iter().zip(0..);
         let with_checkpoint = tasks.filter(|(task, _)| !task.checkpoint.is_empty());
         let checkpoints = with_checkpoint.map(|(task, index)| (index, task.checkpoint.clone()));
+        let estimate_ms = |step: &StepSpec| {
+            let kind = StepKind::new(&job.queue, step);
+            self.step_estimate_ms(&kind, step)
+        };
+        let priority = priority::step_priority(&urgency, &job.spec, position, estimate_ms);
+        let remaining_ms = priority::remaining_chain_ms(&job.spec, position, estimate_ms);
         let done: Vec<bool> = progress.tasks.iter().map(|task| task.done).collect();
         let waiting = done.iter().zip(0..).filter(|(done, _)| !**done);
         StepState {
@@ -118,10 +128,8 @@
             pool: queue.map_or_else(SmolStr::default, |queue| queue.pool.clone()),
             workspace: state.workspace_of(key).cloned(),
             position,
-            priority: priority::step_priority(&urgency, &job.spec, position, |step| {
-                let kind = StepKind::new(&job.queue, step);
-                self.durations.estimate_ms(&kind, step.estimated_ms)
-            }),
+            priority,
+            latest_start_ms: priority.soft_deadline_ms.saturating_sub(remaining_ms),
             kind: StepKind::new(&job.queue, spec),
             spec: job.spec.clone(),
             inherited: false,
@@ -129,6 +137,7 @@
             due_ms,
             waiting: waiting.map(|(_, index)| index).collect(),
             done_count: progress.done,
+            longest_run_ms: 0,
             done,
             checkpoints: checkpoints.collect(),
             runs_per_worker: HashMap::new(),
@@ -138,6 +147,15 @@
         }
     }
 
+    /// Returns the expected duration of a step.
+    pub(super) fn step_estimate_ms(&self, kind: &StepKind, step: &StepSpec) -> u64 {
+        if self.settings.mechanisms.step_durations {
+            self.durations.estimate_step_ms(kind, step)
+        } else {
+            self.durations.estimate_ms(kind, step.estimated_ms)
+        }
+    }
+
     /// Opens a step if it is due and all its dependencies are done.
     fn open_if_ready(&mut self, id: StepId) {
         let Some(step) = self.steps.get(&id) else {
@@ -171,6 +189,38 @@
             .insert((priority, id));
     }
 
+    /// Places the steps of a pool that can no longer be done in time behind those that can.
+    pub(super) fn demote_late_steps(&mut self, pool: &SmolStr) {
+        if !self.settings.mechanisms.late_steps_last {
+            return;
+        }
+        let now_ms = self.now.wall_ms;
+        let Some(open) = self.open_steps.get_mut(pool) else {
+            return;
+        };
+        let becomes_late = |(priority, id): &&(Priority, StepId)| {
+            let step = self.steps.get(id);
+            !priority.late
+                && step.is_some_and(|step| {
+                    now_ms > step.latest_start_ms
+                        && !step.waiting.is_empty()
+                        && !step.step().long_running
+                })
+        };
+        let late: Vec<_> = open.iter().filter(becomes_late).copied().collect();
+        for (priority, id) in late {
+            open.remove(&(priority, id));
+            let demoted = Priority {
+                late: true,
+                ..priority
+            };
+            open.insert((demoted, id));
+            if let Some(step) = self.steps.get_mut(&id) {
+                step.priority = demoted;
+            }
+        }
+    }
+
     /// Opens the scheduled steps that have become due.
     pub(super) fn open_due_steps(&mut self) {
         while let Some((due_ms, id)) = self.not_yet_due.first().copied() {
--- a/crates/jasminefall-jobs/src/policy/durations.rs
+++ b/crates/jasminefall-jobs/src/policy/durations.rs
@@ -3,6 +3,9 @@
 //! Clients' estimates are rough, and some hardly correlate with the durations. For each kind of
 //! step, a linear regression maps the estimate to the duration, so that an estimate has as much
 //! weight as it has predictive value.
+//!
+//! A step lasts as long as its longest task, which exceeds the mean the more, the more tasks the step has.
+//! This excess is learnt as well, in proportion to the logarithm of the number of tasks.
 
 use std::collections::HashMap;
 
@@ -16,6 +19,8 @@
 const PRIOR_WEIGHT_RUNS: f64 = 4.0;
 /// The factor by which each new run reduces the weight of all earlier ones.
 const DECAY_FACTOR: f64 = 0.995;
+/// The factor by which each new step reduces the weight of all earlier ones.
+const STEP_DECAY_FACTOR: f64 = 0.98;
 
 /// Identifies steps whose tasks should take similar times: the steps of a queue with the same
 /// image, or without one.
@@ -44,6 +49,11 @@
     duration: f64,
     estimated_squared: f64,
     product: f64,
+    /// The weight of the steps whose longest task is known.
+    step_weight: f64,
+    /// The excess of the longest task over the estimate, as a ratio to the estimate, divided by the
+    /// logarithm of the number of tasks.
+    excess: f64,
 }
 
 /// Learns the durations of runs from their estimates.
@@ -66,6 +76,40 @@
         moments.product = moments.product * DECAY_FACTOR + estimated * duration;
     }
 
+    /// Records the duration of the longest task of a step that is done.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "milliseconds and tasks of one step"
+    )]
+    pub fn record_step(&mut self, kind: &StepKind, step: &StepSpec, longest_ms: u64) {
+        let expected_ms = self.estimate_ms(kind, step.estimated_ms) as f64;
+        if step.tasks < 2 || expected_ms <= 0.0 {
+            return;
+        }
+        let excess = (longest_ms as f64 / expected_ms - 1.0) / f64::from(step.tasks).ln();
+        let moments = self.kinds.entry(kind.clone()).or_default();
+        moments.step_weight = moments.step_weight * STEP_DECAY_FACTOR + 1.0;
+        moments.excess = moments.excess * STEP_DECAY_FACTOR + excess;
+    }
+
+    /// Returns the expected duration of a step, which is that of its longest task.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "milliseconds of one step"
+    )]
+    pub fn estimate_step_ms(&self, kind: &StepKind, step: &StepSpec) -> u64 {
+        let task_ms = self.estimate_ms(kind, step.estimated_ms);
+        let Some(moments) = self.kinds.get(kind) else {
+            return task_ms;
+        };
+        let excess = moments.excess / (moments.step_weight + PRIOR_WEIGHT_RUNS);
+        let factor = 1.0 + excess * f64::from(step.tasks.max(1)).ln();
+        (task_ms as f64 * factor.max(1.0)) as u64
+    }
+
     /// Returns the expected duration of a task, given its client's estimate.
     #[must_use]
     #[expect(
--- a/crates/jasminefall-jobs/src/policy/mechanisms.rs
+++ b/crates/jasminefall-jobs/src/policy/mechanisms.rs
@@ -32,13 +32,19 @@
     /// Defers maintenance waves during shortages while they can finish in time
     /// ([`waves`](super::waves)).
     pub wave_deferral: bool,
+    /// Places steps that can no longer be done in time behind those that can
+    /// ([`priority`](super::priority)).
+    pub late_steps_last: bool,
+    /// Learns how much longer the longest task of a step takes than the others
+    /// ([`durations`](super::durations)).
+    pub step_durations: bool,
 }
 
 /// The name of a mechanism and the accessor of its switch.
 type NamedMechanism = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
 /// All mechanisms, by the names with which the command line disables them.
-const MECHANISMS: [NamedMechanism; 10] = [
+const MECHANISMS: [NamedMechanism; 12] = [
     ("moves", |all| &mut all.moves),
     ("expected-rises", |all| &mut all.surge_prediction),
     ("rise-heights", |all| &mut all.surge_peaks),
@@ -49,6 +55,8 @@
     ("learnt-durations", |all| &mut all.duration_estimates),
     ("doubled-looks", |all| &mut all.redundant_polls),
     ("waiting-waves", |all| &mut all.wave_deferral),
+    ("late-steps-last", |all| &mut all.late_steps_last),
+    ("step-durations", |all| &mut all.step_durations),
 ];
 
 impl Mechanisms {
@@ -64,6 +72,8 @@
         duration_estimates: true,
         redundant_polls: true,
         wave_deferral: true,
+        late_steps_last: true,
+        step_durations: true,
     };
 
     /// Returns the names of all mechanisms.
