feat(jobs): divide full pools among workspaces by weight

Cause: a workspace that sends several times its usual made every other wait and be refused with it, though the declared weight is its share of a full pool and its rate of submissions. Change: in a full pool the steps of workspaces that use more than their share, or that were submitted beyond their rate, go behind the others of their rank; a workspace within its share waits, in the admission's forecast, only for its own work. A refusal beyond the rate says when the rate allows a submission again. Shown by a test that plays the load: with a third of the pool's demand each, two calm workspaces get at least 95 of 100 jobs in time beside one that sends 80 cores of work for 64; without shares they do not.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -46,6 +46,7 @@
 use smol_str::SmolStr;
 
 use self::best_effort::PaceTracker;
+use self::clients::CachedLoad;
 pub use self::clients::{QueryResponse, SubmitDecision};
 use self::directory::Directory;
 use self::fleet::Fleet;
@@ -60,7 +61,6 @@
 pub use self::workers::{Worker, WorkerHandle};
 use crate::ids::{IncarnationId, StepId, TaskId};
 use crate::job::JobSpec;
-use crate::policy::admission::PoolLoad;
 use crate::policy::durations::DurationEstimator;
 use crate::policy::mechanisms::Mechanisms;
 use crate::policy::pools::InstanceUse;
@@ -283,8 +283,7 @@
     moves: MoveTracker,
     /// Limits the rate of maintenance and move requests.
     request_limiter: InstanceRequestLimiter,
-    /// The load of each pool, and when it was computed, on the steady clock.
-    load_cache: HashMap<SmolStr, (u64, PoolLoad)>,
+    load_cache: HashMap<SmolStr, CachedLoad>,
     pacing: PaceTracker,
     /// Pools in which a waiting task may fit by now, so that placement has to run.
     dirty_pools: BTreeSet<SmolStr>,
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -1,22 +1,34 @@
 //! Admission of submitted jobs, and queries of clients.
 
+use std::collections::HashMap;
+
 use smol_str::SmolStr;
 
 use super::{Leader, Worker};
 use crate::configuration::Queue;
 use crate::ids::{JobKey, QueueKey};
 use crate::job::{JobSpec, Resources, StepSpec, Work};
-use crate::policy::admission::{self, Admission, JobDemand, PoolLoad};
+use crate::policy::admission::{self, Admission, JobDemand, PoolLoad, WorkspaceLoad};
 use crate::policy::durations::StepKind;
 use crate::policy::priority;
+use crate::policy::shares::PoolShares;
 use crate::state::{JobStatus, JobsState};
-use crate::workspace::Workspace;
+use crate::workspace::{Weight, Workspace, WorkspaceName};
 
 /// How long a computed pool load is reused, in milliseconds. It is reused, since its computation
 /// reads every worker and step of the pool; the load changes little within this time, since tasks
 /// take hundreds of milliseconds.
 const LOAD_CACHE_TTL_MS: u64 = 30;
 
+/// Holds the load of a pool and of its workspaces, updated by the jobs accepted since it was computed.
+#[derive(Debug, Clone)]
+pub(crate) struct CachedLoad {
+    /// When the load was computed, on the steady clock.
+    computed_at_ms: u64,
+    load: PoolLoad,
+    by_workspace: HashMap<WorkspaceName, (Weight, Work)>,
+}
+
 /// Holds the decision on a submitted job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SubmitDecision {
@@ -86,14 +98,34 @@
         let admission = if is_always_accepted || !self.settings.mechanisms.admission {
             Admission::Accept
         } else {
-            admission::admit(&load, &job_demand)
+            let workspace = workspace.filter(|_| self.settings.mechanisms.weighted_shares);
+            let rate_wait_ms = workspace
+                .and_then(|workspace| self.usage.record_submission(workspace, self.now.steady_ms));
+            let own = workspace.filter(|_| rate_wait_ms.is_none());
+            let own = own.map(|workspace| self.workspace_load(&queue.pool, workspace, &load));
+            match admission::admit(&load, own.as_ref(), &job_demand) {
+                Admission::Accept => {
+                    if rate_wait_ms.is_some() {
+                        self.usage.beyond_rate.insert(key);
+                    }
+                    Admission::Accept
+                }
+                Admission::RetryAfter { after_ms } => Admission::RetryAfter {
+                    after_ms: after_ms.max(rate_wait_ms.unwrap_or(0)),
+                },
+            }
         };
         match admission {
             Admission::Accept => {
                 self.counts.jobs_accepted += 1;
-                if let Some((_, cached)) = self.load_cache.get_mut(&queue.pool) {
-                    cached.backlog = cached.backlog.plus(&job_demand.work);
-                    cached.free = cached.free.minus(&job_demand.startable);
+                if let Some(cached) = self.load_cache.get_mut(&queue.pool) {
+                    cached.load.backlog = cached.load.backlog.plus(&job_demand.work);
+                    cached.load.free = cached.load.free.minus(&job_demand.startable);
+                    if let Some(workspace) = workspace {
+                        let own = cached.by_workspace.entry(workspace.name.clone());
+                        let (_, own) = own.or_insert((workspace.weight, Work::default()));
+                        *own = own.plus(&job_demand.work);
+                    }
                 }
                 self.log_event(format!(
                     "event=job_admitted job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
@@ -155,18 +187,53 @@
     /// jobs accepted since then.
     fn cached_load(&mut self, pool: &SmolStr, state: &JobsState) -> PoolLoad {
         let now_ms = self.now.steady_ms;
-        if let Some((at_ms, cached)) = self.load_cache.get(pool)
-            && now_ms < at_ms + LOAD_CACHE_TTL_MS
+        if let Some(cached) = self.load_cache.get(pool)
+            && now_ms < cached.computed_at_ms + LOAD_CACHE_TTL_MS
         {
-            return *cached;
+            return cached.load;
         }
-        let load = self.pool_load(pool, state);
-        self.load_cache.insert(pool.clone(), (now_ms, load));
+        let (load, by_workspace) = self.pool_load(pool, state);
+        let computed_at_ms = now_ms;
+        let cached = CachedLoad {
+            computed_at_ms,
+            load,
+            by_workspace,
+        };
+        self.load_cache.insert(pool.clone(), cached);
         load
     }
 
-    /// Computes the capacity, the free resources, the reserve and the backlog of a pool.
-    fn pool_load(&self, pool: &SmolStr, state: &JobsState) -> PoolLoad {
+    /// Returns the load of a workspace in a pool whose load has just been computed. Its share is that
+    /// among the workspaces that have work in the pool.
+    fn workspace_load(
+        &self,
+        pool: &SmolStr,
+        workspace: &Workspace,
+        load: &PoolLoad,
+    ) -> WorkspaceLoad {
+        let mut shares = PoolShares::new(load.capacity);
+        let cached = self.load_cache.get(pool);
+        let mut backlog = Work::default();
+        for (name, (weight, work)) in cached.iter().flat_map(|cached| &cached.by_workspace) {
+            shares.add(name, *weight, Resources::default());
+            if *name == workspace.name {
+                backlog = *work;
+            }
+        }
+        WorkspaceLoad {
+            backlog,
+            share: shares.share(&workspace.name, workspace.weight),
+        }
+    }
+
+    /// Computes the capacity, the free resources, the reserve and the backlog of a pool, and the
+    /// backlogs of its workspaces.
+    fn pool_load(
+        &self,
+        pool: &SmolStr,
+        state: &JobsState,
+    ) -> (PoolLoad, HashMap<WorkspaceName, (Weight, Work)>) {
+        let mut by_workspace = HashMap::new();
         let mut load = PoolLoad::default();
         let mut max_instance = Resources::default();
         for handle in self.directory.in_pool(pool) {
@@ -204,14 +271,23 @@
             let task_ms = self.durations.estimate_ms(&step.kind, spec.estimated_ms);
             // Counts halves of tasks, since a running task is half done on average.
             let half_tasks = spec.reserved().times(waiting * 2 + running);
-            load.backlog = load.backlog.plus(&Work::new(&half_tasks, task_ms / 2));
+            let work = Work::new(&half_tasks, task_ms / 2);
+            load.backlog = load.backlog.plus(&work);
+            let name = step.workspace.as_ref();
+            if let Some(name) = name.filter(|_| work != Work::default())
+                && let Some(workspace) = state.configuration.access.workspace(name)
+            {
+                let own = by_workspace.entry(name.clone());
+                let (_, own) = own.or_insert((workspace.weight, Work::default()));
+                *own = own.plus(&work);
+            }
             debug_assert!(
                 id.step as usize == step.position,
                 "a step is stored under its position in the job"
             );
         }
         load.free = load.free.minus(&waiting_now);
-        load
+        (load, by_workspace)
     }
 
     /// Returns the capacity of a worker that long-running tasks do not reserve.
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -27,6 +27,8 @@
     pub(crate) pool: SmolStr,
     /// The workspace that the job belongs to.
     pub(crate) workspace: Option<WorkspaceName>,
+    /// Whether the job was submitted beyond the rate of its workspace.
+    pub(crate) beyond_rate: bool,
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) position: usize,
     pub(crate) priority: Priority,
@@ -93,6 +95,7 @@
                 });
             }
         }
+        self.usage.beyond_rate.remove(&key);
     }
 
     fn step_state(
@@ -127,6 +130,7 @@
             queue: job.queue.clone(),
             pool: queue.map_or_else(SmolStr::default, |queue| queue.pool.clone()),
             workspace: state.workspace_of(key).cloned(),
+            beyond_rate: self.usage.beyond_rate.contains(&key),
             position,
             priority,
             latest_start_ms: priority.soft_deadline_ms.saturating_sub(remaining_ms),
--- a/crates/jasminefall-jobs/src/leader/usage.rs
+++ b/crates/jasminefall-jobs/src/leader/usage.rs
@@ -4,7 +4,7 @@
 //! that an earlier leader may have started on workers whose run list has not been received yet. Until it is,
 //! every waiting task of a job that the leader inherited counts as running.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use smol_str::SmolStr;
 
@@ -12,8 +12,9 @@
 use super::{Leader, Run};
 use crate::ids::{JobKey, StepId};
 use crate::job::Resources;
+use crate::policy::shares::{PoolShares, RateMeter};
 use crate::state::{JobOwner, JobsState};
-use crate::workspace::WorkspaceName;
+use crate::workspace::{Workspace, WorkspaceName};
 
 /// The interval at which the unconfirmed use is computed, in milliseconds; it only decreases between two
 /// computations, so an older value is never too low.
@@ -28,6 +29,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Charge {
     pub(crate) workspace: WorkspaceName,
+    /// The pool of the worker; empty for a run that an earlier leader started for a job that has ended.
+    pub(crate) pool: SmolStr,
     pub(crate) needs: Resources,
 }
 
@@ -52,12 +55,16 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct UsageTracker {
     running: HashMap<WorkspaceName, Resources>,
+    running_in_pool: HashMap<(SmolStr, WorkspaceName), Resources>,
     unconfirmed: HashMap<WorkspaceName, Resources>,
     unconfirmed_computed_at_ms: u64,
     /// Jobs that have ended while runs of them may be active on workers whose run list has not been
     /// received yet.
     ended_jobs: HashMap<JobKey, JobOwner>,
     cap_logged_at_ms: HashMap<WorkspaceName, u64>,
+    rates: HashMap<WorkspaceName, RateMeter>,
+    /// Accepted jobs that were submitted beyond the rate of their workspace and are not committed yet.
+    pub(super) beyond_rate: HashSet<JobKey>,
 }
 
 impl UsageTracker {
@@ -81,6 +88,9 @@
         if let Some(charge) = &run.charge {
             let used = self.running.entry(charge.workspace.clone()).or_default();
             *used = used.plus(&charge.needs);
+            let key = (charge.pool.clone(), charge.workspace.clone());
+            let used = self.running_in_pool.entry(key).or_default();
+            *used = used.plus(&charge.needs);
         }
     }
 
@@ -95,6 +105,18 @@
                 self.running.remove(&charge.workspace);
             }
         }
+        let key = (charge.pool.clone(), charge.workspace.clone());
+        if let Some(used) = self.running_in_pool.get_mut(&key) {
+            *used = used.minus(&charge.needs);
+        }
+    }
+
+    /// Records a submission; returns whether it is within the rate of its workspace, and otherwise the
+    /// time until one is, in milliseconds.
+    pub(super) fn record_submission(&mut self, workspace: &Workspace, now_ms: u64) -> Option<u64> {
+        let meter = self.rates.entry(workspace.name.clone()).or_default();
+        let is_within = meter.record(now_ms, workspace.weight);
+        (!is_within).then(|| meter.wait_ms(workspace.weight))
     }
 
     /// Returns the use of a workspace.
@@ -111,6 +133,7 @@
     pub(super) fn charge_of_ended_job(&self, job: JobKey) -> Option<Charge> {
         self.ended_jobs.get(&job).map(|owner| Charge {
             workspace: owner.workspace.clone(),
+            pool: SmolStr::default(),
             needs: owner.largest_task,
         })
     }
@@ -121,6 +144,7 @@
     pub(super) fn charge(&self) -> Option<Charge> {
         self.workspace.as_ref().map(|workspace| Charge {
             workspace: workspace.clone(),
+            pool: self.pool.clone(),
             needs: self.step().needs,
         })
     }
@@ -179,6 +203,28 @@
         false
     }
 
+    /// Returns the shares of the workspaces that have work in a pool.
+    pub(super) fn pool_shares(&self, pool: &SmolStr, state: &JobsState) -> PoolShares {
+        let workers = self.directory.in_pool(pool);
+        let workers = workers.filter_map(|handle| self.workers.get(&handle));
+        let capacity = workers.fold(Resources::default(), |sum, worker| {
+            sum.plus(&worker.heartbeat.capacity)
+        });
+        let mut shares = PoolShares::new(capacity);
+        for (_, id) in self.open_steps.get(pool).into_iter().flatten() {
+            let step = self.steps.get(id);
+            let Some(name) = step.and_then(|step| step.workspace.as_ref()) else {
+                continue;
+            };
+            if let Some(workspace) = state.configuration.access.workspace(name) {
+                let key = (pool.clone(), name.clone());
+                let used = self.usage.running_in_pool.get(&key);
+                shares.add(name, workspace.weight, used.copied().unwrap_or_default());
+            }
+        }
+        shares
+    }
+
     /// Computes the use that earlier leaders may have caused on workers whose run list has not been
     /// received yet.
     pub(super) fn refresh_unconfirmed_use(&mut self) {
--- a/crates/jasminefall-jobs/src/policy.rs
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -6,6 +6,7 @@
 //! - [`pace`]: CPU throttling of best-effort tasks
 //! - [`health`]: quarantine of workers on which tasks keep failing
 //! - [`pools`]: number of instances that each pool needs
+//! - [`shares`]: shares of workspaces in a full pool, and their rates of submissions
 //! - [`surges`]: detection and prediction of demand surges
 //! - [`placement`]: choice of a worker for a task
 //! - [`request_limiter`]: rate limit of requests that stop or move instances
@@ -23,5 +24,6 @@
 pub mod priority;
 pub mod receivers;
 pub mod request_limiter;
+pub mod shares;
 pub mod surges;
 pub mod waves;
--- a/crates/jasminefall-jobs/src/policy/admission.rs
+++ b/crates/jasminefall-jobs/src/policy/admission.rs
@@ -33,6 +33,15 @@
     pub slack_ms: u64,
 }
 
+/// Describes the load of one workspace in a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct WorkspaceLoad {
+    /// The accepted work of the workspace that is not done.
+    pub backlog: Work,
+    /// The part of the pool's capacity that the workspace gets while the pool is full.
+    pub share: Resources,
+}
+
 /// The part of a pool that tasks can fill, in thousandths; the rest is lost to fragmentation.
 const PACKABLE_MILLIS: u64 = 900;
 /// The longest accepted wait, in thousandths of the slack. It exceeds the slack, since a job that
@@ -90,9 +99,22 @@
 }
 
 /// Decides whether a job is accepted.
+///
+/// `workspace` is the load of the workspace that the job belongs to, if its share of the pool is kept for
+/// it: the job then waits only for the work of its own workspace.
 #[must_use]
-pub const fn admit(load: &PoolLoad, job_demand: &JobDemand) -> Admission {
-    let wait_ms = load.wait_ms();
+pub const fn admit(
+    load: &PoolLoad,
+    workspace: Option<&WorkspaceLoad>,
+    job_demand: &JobDemand,
+) -> Admission {
+    let mut wait_ms = load.wait_ms();
+    if let Some(workspace) = workspace {
+        let own_wait_ms = drain_ms(&workspace.backlog, &workspace.share);
+        if own_wait_ms < wait_ms {
+            wait_ms = own_wait_ms;
+        }
+    }
     let max_wait_ms = job_demand.slack_ms * LATENESS_TOLERANCE_MILLIS / 1_000;
     // A job that can start at once is accepted whatever the forecast is.
     if wait_ms <= max_wait_ms || load.free.can_fit(&job_demand.startable) {
--- a/crates/jasminefall-jobs/src/policy/mechanisms.rs
+++ b/crates/jasminefall-jobs/src/policy/mechanisms.rs
@@ -38,13 +38,15 @@
     /// Learns how much longer the longest task of a step takes than the others
     /// ([`durations`](super::durations)).
     pub step_durations: bool,
+    /// Divides full pools among workspaces by weight ([`shares`](super::shares)).
+    pub weighted_shares: bool,
 }
 
 /// The name of a mechanism and the accessor of its switch.
 type NamedMechanism = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
 /// All mechanisms, by the names with which the command line disables them.
-const MECHANISMS: [NamedMechanism; 12] = [
+const MECHANISMS: [NamedMechanism; 13] = [
     ("moves", |all| &mut all.moves),
     ("expected-rises", |all| &mut all.surge_prediction),
     ("rise-heights", |all| &mut all.surge_peaks),
@@ -57,6 +59,7 @@
     ("waiting-waves", |all| &mut all.wave_deferral),
     ("late-steps-last", |all| &mut all.late_steps_last),
     ("step-durations", |all| &mut all.step_durations),
+    ("weighted-shares", |all| &mut all.weighted_shares),
 ];
 
 impl Mechanisms {
@@ -74,6 +77,7 @@
         wave_deferral: true,
         late_steps_last: true,
         step_durations: true,
+        weighted_shares: true,
     };
 
     /// Returns the names of all mechanisms.
--- /dev/null
+++ b/crates/jasminefall-jobs/src/policy/shares.rs
@@ -0,0 +1,116 @@
+//! Shares of workspaces in a full pool, and their rates of submissions.
+//!
+//! For some seconds one workspace can send several times its usual load, more than its pool holds. Without
+//! shares every workspace would wait behind that load. A workspace that uses less of the pool than its share,
+//! by weight among those that use the pool, is placed before those that use more; what it leaves goes to the
+//! others. Submissions beyond the rate of a workspace are placed like work beyond its share.
+
+use std::collections::HashMap;
+
+use crate::job::Resources;
+use crate::workspace::{Weight, WorkspaceName};
+
+/// Holds the use of one pool by the workspaces that have work in it.
+#[derive(Debug, Clone, Default)]
+pub struct PoolShares {
+    capacity: Resources,
+    total_weight_millis: u64,
+    used: HashMap<WorkspaceName, (Weight, Resources)>,
+}
+
+impl PoolShares {
+    /// Creates the shares of a pool with this capacity, without workspaces.
+    #[must_use]
+    pub fn new(capacity: Resources) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a workspace that has work in the pool, and the resources that its tasks use there; has no
+    /// effect on one that was added before.
+    pub fn add(&mut self, name: &WorkspaceName, weight: Weight, used: Resources) {
+        if !self.used.contains_key(name) {
+            self.total_weight_millis += weight.as_millis();
+            self.used.insert(name.clone(), (weight, used));
+        }
+    }
+
+    /// Records that a task of a workspace starts.
+    pub fn record_start(&mut self, name: &WorkspaceName, needs: &Resources) {
+        if let Some((_, used)) = self.used.get_mut(name) {
+            *used = used.plus(needs);
+        }
+    }
+
+    /// Returns whether a workspace uses its whole share of the pool, or more.
+    #[must_use]
+    pub fn is_over_share(&self, name: &WorkspaceName) -> bool {
+        let Some((weight, used)) = self.used.get(name) else {
+            return false;
+        };
+        let exceeds = |used: u64, capacity: u64| {
+            let used = u128::from(used) * u128::from(self.total_weight_millis);
+            capacity > 0 && used >= u128::from(capacity) * u128::from(weight.as_millis())
+        };
+        exceeds(used.cpu_millis, self.capacity.cpu_millis)
+            || exceeds(used.memory_mb, self.capacity.memory_mb)
+    }
+
+    /// Returns the share of a workspace, including one that has no work in the pool yet.
+    #[must_use]
+    pub fn share(&self, name: &WorkspaceName, weight: Weight) -> Resources {
+        let is_known = self.used.contains_key(name);
+        let own = if is_known { 0 } else { weight.as_millis() };
+        let total = (self.total_weight_millis + own).max(1);
+        let part = |capacity: u64| capacity.saturating_mul(weight.as_millis()) / total;
+        Resources {
+            cpu_millis: part(self.capacity.cpu_millis),
+            memory_mb: part(self.capacity.memory_mb),
+            gpus: part(self.capacity.gpus),
+        }
+    }
+}
+
+/// Measures whether the submissions of a workspace exceed its rate.
+///
+/// It is a token bucket that holds the submissions of one second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RateMeter {
+    /// The submissions in thousandths of a thousandth that the bucket lacks.
+    debt_micros: u64,
+    observed_at_ms: u64,
+}
+
+/// One submission, in the unit of [`RateMeter`].
+const SUBMISSION_MICROS: u64 = 1_000_000;
+
+impl RateMeter {
+    /// Records a submission; returns whether it is within the rate.
+    ///
+    /// A submission beyond the rate takes nothing from the bucket.
+    pub fn record(&mut self, now_ms: u64, weight: Weight) -> bool {
+        let rate = weight.as_millis();
+        let elapsed_ms = now_ms.saturating_sub(self.observed_at_ms);
+        self.observed_at_ms = now_ms;
+        let repaid_micros = elapsed_ms.saturating_mul(rate);
+        self.debt_micros = self.debt_micros.saturating_sub(repaid_micros);
+        // A workspace may submit at least one job at once, however low its rate is.
+        let capacity_micros = (rate * 1_000).max(SUBMISSION_MICROS);
+        let is_within = self.debt_micros + SUBMISSION_MICROS <= capacity_micros;
+        if is_within {
+            self.debt_micros += SUBMISSION_MICROS;
+        }
+        is_within
+    }
+
+    /// Returns the time until a submission is within the rate again, in milliseconds.
+    #[must_use]
+    pub fn wait_ms(&self, weight: Weight) -> u64 {
+        let rate = weight.as_millis();
+        let capacity_micros = (rate * 1_000).max(SUBMISSION_MICROS);
+        let missing = (self.debt_micros + SUBMISSION_MICROS).saturating_sub(capacity_micros);
+        missing.div_ceil(rate.max(1))
+    }
+}
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -4,6 +4,8 @@
 mod caps;
 #[path = "leader/harness.rs"]
 mod harness;
+#[path = "leader/hot_workspace.rs"]
+mod hot_workspace;
 
 use harness::{Harness, long_running_job, task};
 use jasminefall_jobs::leader::{
--- a/crates/jasminefall-jobs/tests/policy.rs
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -1,7 +1,7 @@
 //! Tests of the policy functions.
 
 use jasminefall_jobs::job::{JobSpec, Resources, StepSpec, Work};
-use jasminefall_jobs::policy::admission::{Admission, JobDemand, PoolLoad, admit};
+use jasminefall_jobs::policy::admission::{Admission, JobDemand, PoolLoad, WorkspaceLoad, admit};
 use jasminefall_jobs::policy::durations::{DurationEstimator, StepKind};
 use jasminefall_jobs::policy::health::WorkerHealth;
 use jasminefall_jobs::policy::mechanisms::Mechanisms;
@@ -9,8 +9,9 @@
 use jasminefall_jobs::policy::placement::{Candidate, TaskRequirements, best_candidate};
 use jasminefall_jobs::policy::pools::{InstanceUse, PoolDemand, divide_instances};
 use jasminefall_jobs::policy::priority::longest_chain_ms;
+use jasminefall_jobs::policy::shares::{PoolShares, RateMeter};
 use jasminefall_jobs::policy::waves::{RemainingWave, may_defer};
-use jasminefall_jobs::prelude::QueueKey;
+use jasminefall_jobs::prelude::{QueueKey, Weight, WorkspaceName};
 
 const fn cores(cpu_millis: u64) -> Resources {
     Resources {
@@ -45,8 +46,8 @@
 
 #[test]
 fn job_is_refused_only_if_it_would_be_late() {
-    assert_eq!(admit(&load(90_000), &JOB_DEMAND), Admission::Accept);
-    let refused = admit(&load(450_000), &JOB_DEMAND);
+    assert_eq!(admit(&load(90_000), None, &JOB_DEMAND), Admission::Accept);
+    let refused = admit(&load(450_000), None, &JOB_DEMAND);
     assert_eq!(refused, Admission::RetryAfter { after_ms: 3_500 });
 }
 
@@ -56,13 +57,13 @@
         free: cores(4_000),
         ..load(450_000)
     };
-    assert_eq!(admit(&free, &JOB_DEMAND), Admission::Accept);
+    assert_eq!(admit(&free, None, &JOB_DEMAND), Admission::Accept);
     let with_reserve = PoolLoad {
         reserve: cores(1_000_000_000),
         reserve_after_ms: 1_000,
         ..load(450_000)
     };
-    assert_eq!(admit(&with_reserve, &JOB_DEMAND), Admission::Accept);
+    assert_eq!(admit(&with_reserve, None, &JOB_DEMAND), Admission::Accept);
 }
 
 #[test]
@@ -304,7 +305,7 @@
         ..JOB_DEMAND
     };
     assert_eq!(
-        admit(&memory_bound, &job_demand),
+        admit(&memory_bound, None, &job_demand),
         Admission::RetryAfter { after_ms: 3_500 }
     );
 }
@@ -395,3 +396,58 @@
             .starts_with("unknown mechanism `luck`; known are moves,")
     );
 }
+
+#[test]
+fn share_goes_by_weight_among_the_workspaces_that_have_work() {
+    let (first, second) = (WorkspaceName::new("first"), WorkspaceName::new("second"));
+    let weight = |text: &str| text.parse::<Weight>().unwrap();
+    let mut shares = PoolShares::new(cores(100_000));
+    shares.add(&first, weight("3"), cores(80_000));
+    assert_eq!(shares.share(&first, weight("3")), cores(100_000));
+    assert!(
+        !shares.is_over_share(&first),
+        "an idle share goes to the others"
+    );
+    assert_eq!(shares.share(&second, weight("1")), cores(25_000));
+    shares.add(&second, weight("1"), cores(0));
+    assert!(shares.is_over_share(&first));
+    assert!(!shares.is_over_share(&second));
+    shares.record_start(&second, &cores(25_000));
+    assert!(shares.is_over_share(&second));
+}
+
+#[test]
+fn rate_is_measured_over_one_second() {
+    let weight = "2".parse::<Weight>().unwrap();
+    let mut meter = RateMeter::default();
+    let within = [0, 0, 0, 400, 500].map(|now_ms| meter.record(now_ms, weight));
+    assert_eq!(within, [true, true, false, false, true]);
+    assert_eq!(meter.wait_ms(weight), 500);
+    assert!(meter.record(1_000, weight));
+}
+
+#[test]
+fn workspace_of_a_low_rate_may_submit_one_job_at_once() {
+    let weight = "0.1".parse::<Weight>().unwrap();
+    let mut meter = RateMeter::default();
+    assert!(meter.record(0, weight));
+    assert!(!meter.record(5_000, weight));
+    assert_eq!(meter.wait_ms(weight), 5_000);
+    assert!(meter.record(10_000, weight));
+}
+
+#[test]
+fn job_within_the_share_of_its_workspace_waits_only_for_its_own() {
+    let within_share = WorkspaceLoad {
+        backlog: core_ms(9_000),
+        share: cores(10_000),
+    };
+    let accepted = admit(&load(450_000), Some(&within_share), &JOB_DEMAND);
+    assert_eq!(accepted, Admission::Accept);
+    let beyond_share = WorkspaceLoad {
+        backlog: core_ms(90_000),
+        ..within_share
+    };
+    let refused = admit(&load(450_000), Some(&beyond_share), &JOB_DEMAND);
+    assert_eq!(refused, Admission::RetryAfter { after_ms: 3_500 });
+}
