test(testing): wait until a stopped entry has stopped

Cause: resumed_entry_does_not_serve_under_its_expired_lease failed now and then beside busy processes. The test sent SIGSTOP and then a request, but the system delivers the signal later: until then the entry serves the request, under a lease that is still valid. Shown by a run that lets the request arrive 20 ms before the signal: it fails every time with the message that was seen. The entry is right, the test was not. Change: signalling STOP returns once every thread of the entry is stopped, so the request arrives during the pause, as the test states.

--- a/crates/jasminefall-testing/src/site.rs
+++ b/crates/jasminefall-testing/src/site.rs
@@ -273,7 +273,8 @@
         std::fs::write(&path, edit(text)).expect("the settings can be written");
     }
 
-    /// Sends a signal, such as `TERM`, `STOP` or `CONT`, to a running entry.
+    /// Sends a signal, such as `TERM`, `STOP` or `CONT`, to a running entry; returns after `STOP` only
+    /// once all its threads have stopped, since the system delivers the signal later.
     ///
     /// # Panics
     ///
@@ -289,6 +290,9 @@
             sent.is_ok_and(|status| status.success()),
             "sending SIG{signal} failed"
         );
+        while signal == "STOP" && !is_stopped(child.id()) {
+            std::thread::yield_now();
+        }
     }
 
     /// Returns the process id of an entry.
@@ -573,3 +577,18 @@
         tokio::time::sleep(WAIT_POLL_INTERVAL).await;
     }
 }
+
+/// Returns whether every thread of a process is stopped.
+fn is_stopped(process_id: u32) -> bool {
+    let threads = std::fs::read_dir(format!("/proc/{process_id}/task"));
+    let mut threads = threads.expect("the process exists");
+    threads.all(|thread| {
+        let status = thread.and_then(|thread| std::fs::read_to_string(thread.path().join("stat")));
+        // The state follows the name of the program, which ends with the last parenthesis.
+        let state = status.ok().and_then(|status| {
+            let (_, after_name) = status.rsplit_once(')')?;
+            after_name.split_whitespace().next().map(str::to_owned)
+        });
+        state.is_none_or(|state| state.eq_ignore_ascii_case("t"))
+    })
+}
