feat(dispatch): report the use and the refusals of workspaces

Cause: an operator could not see what a workspace uses, may still use, or how often it was refused. Change: gauges for the ten workspaces that use the most and for the sum of the others; the line of a refusal names the workspace.

--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -41,6 +41,8 @@
 const LEADER_HEARTBEAT_MS: u64 = 120;
 /// How often the membership is checked for a necessary change, in ticks.
 const REPAIR_INTERVAL_TICKS: u64 = 8;
+/// The interval at which the metrics of workspaces are updated, in ticks.
+const WORKSPACE_METRICS_INTERVAL_TICKS: u64 = 40;
 /// The time without messages from a voter after which another available replica replaces it, in
 /// milliseconds; longer than a restart takes.
 const REPLACE_AFTER_MS: u64 = 4_000;
@@ -395,11 +397,19 @@
         }
         inner.outdated = inner.replica.is_outdated();
         if inner.catch_up(self) {
-            let Inner { leader, state, .. } = &mut *inner;
+            let Inner {
+                leader,
+                state,
+                ticks,
+                ..
+            } = &mut *inner;
             if let Some(leader) = leader {
                 leader.set_now(now());
                 leader.tick(state);
                 self.publish_metrics(leader);
+                if ticks.is_multiple_of(WORKSPACE_METRICS_INTERVAL_TICKS) {
+                    self.metrics.set_workspaces(leader.workspace_uses());
+                }
             }
             inner.execute_effects_and_schedule(self);
         }
--- a/crates/jasminefall-dispatch/src/metrics.rs
+++ b/crates/jasminefall-dispatch/src/metrics.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jasminefall_jobs::leader::WorkspaceUse;
+use jasminefall_jobs::prelude::WorkspaceName;
 use jasminefall_platform::settings::PlatformSettings;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -33,6 +35,18 @@
     decision: &'static str,
 }
 
+/// Labels a gauge of a workspace.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WorkspaceLabels {
+    workspace: String,
+    amount: &'static str,
+}
+
+/// The number of workspaces with metrics of their own; the others are summed up.
+const MAX_WORKSPACES: usize = 10;
+/// The label of the sum over the other workspaces.
+const OTHER_WORKSPACES: &str = "(other)";
+
 /// Holds the metrics and their registry.
 #[derive(Clone)]
 pub struct Metrics {
@@ -41,6 +55,7 @@
     call_seconds: Histogram,
     decisions: Family<DecisionLabels, Gauge>,
     commit_seconds: Histogram,
+    workspaces: Family<WorkspaceLabels, Gauge>,
 }
 
 impl Default for Metrics {
@@ -67,12 +82,16 @@
         registry.register("decisions", help, Family::clone(&decisions));
         let help = "Time from a proposal until it is applied";
         registry.register("commit_seconds", help, commit_seconds.clone());
+        let workspaces = Family::default();
+        let help = "Use and refusals of the workspaces that use the most";
+        registry.register("workspaces", help, Family::clone(&workspaces));
         Self {
             registry: Rc::new(registry),
             calls,
             call_seconds,
             decisions,
             commit_seconds,
+            workspaces,
         }
     }
 
@@ -98,6 +117,36 @@
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauges of the workspaces: those that use the most processor time, and the sum of the rest.
+    pub fn set_workspaces<'a>(
+        &self,
+        uses: impl Iterator<Item = (&'a WorkspaceName, WorkspaceUse)>,
+    ) {
+        let mut uses: Vec<_> = uses.collect();
+        uses.sort_by_key(|(_, used)| std::cmp::Reverse(used.total().cpu_millis));
+        self.workspaces.clear();
+        for (position, (name, used)) in uses.into_iter().enumerate() {
+            let workspace = if position < MAX_WORKSPACES {
+                name.as_str()
+            } else {
+                OTHER_WORKSPACES
+            };
+            let amounts = [
+                ("running_cpu_millis", used.running.cpu_millis),
+                ("running_memory_mb", used.running.memory_mb),
+                ("unconfirmed_cpu_millis", used.unconfirmed.cpu_millis),
+                ("unconfirmed_memory_mb", used.unconfirmed.memory_mb),
+                ("refused", used.refused),
+            ];
+            for (amount, value) in amounts {
+                let workspace = workspace.to_owned();
+                let labels = WorkspaceLabels { workspace, amount };
+                let gauge = self.workspaces.get_or_create(&labels);
+                gauge.inc_by(i64::try_from(value).unwrap_or(i64::MAX));
+            }
+        }
+    }
+
     fn render(&self) -> HttpResponse {
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -84,6 +84,7 @@
                 "event=job_over_cap job={key} queue={} workspace={} step={step} version={} {}",
                 queue.name, workspace.name, state.configuration.version, workspace.cap
             ));
+            self.usage.record_refusal(workspace);
             return SubmitDecision::OverCap { step };
         }
         let (load, job_demand) = (
@@ -140,11 +141,16 @@
             }
             Admission::RetryAfter { after_ms } => {
                 self.counts.jobs_refused += 1;
+                if let Some(workspace) = workspace {
+                    self.usage.record_refusal(workspace);
+                }
                 self.pool_planner.record_refusal(key, self.now.steady_ms);
                 self.log_event(format!(
-                    "event=job_refused job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
-                     free_cpu_millis={} reserve_cpu_millis={} slack_ms={} retry_after_ms={after_ms}",
+                    "event=job_refused job={key} queue={} workspace={} backlog_core_ms={} \
+                     capacity_cpu_millis={} free_cpu_millis={} reserve_cpu_millis={} slack_ms={} \
+                     retry_after_ms={after_ms}",
                     queue.name,
+                    workspace.map_or("none", |workspace| workspace.name.as_str()),
                     load.backlog.core_ms,
                     load.capacity.cpu_millis,
                     load.free.cpu_millis,
--- a/crates/jasminefall-jobs/src/leader/usage.rs
+++ b/crates/jasminefall-jobs/src/leader/usage.rs
@@ -41,6 +41,8 @@
     pub running: Resources,
     /// The needs of tasks that may run on workers whose run list has not been received yet.
     pub unconfirmed: Resources,
+    /// The submissions that this leader has refused.
+    pub refused: u64,
 }
 
 impl WorkspaceUse {
@@ -63,6 +65,7 @@
     ended_jobs: HashMap<JobKey, JobOwner>,
     cap_logged_at_ms: HashMap<WorkspaceName, u64>,
     rates: HashMap<WorkspaceName, RateMeter>,
+    refused: HashMap<WorkspaceName, u64>,
     /// Accepted jobs that were submitted beyond the rate of their workspace and are not committed yet.
     pub(super) beyond_rate: HashSet<JobKey>,
 }
@@ -119,12 +122,18 @@
         (!is_within).then(|| meter.wait_ms(workspace.weight))
     }
 
+    /// Counts a refused submission.
+    pub(super) fn record_refusal(&mut self, workspace: &Workspace) {
+        *self.refused.entry(workspace.name.clone()).or_default() += 1;
+    }
+
     /// Returns the use of a workspace.
     pub(super) fn of(&self, workspace: &WorkspaceName) -> WorkspaceUse {
         let known = |uses: &HashMap<_, Resources>| uses.get(workspace).copied().unwrap_or_default();
         WorkspaceUse {
             running: known(&self.running),
             unconfirmed: known(&self.unconfirmed),
+            refused: self.refused.get(workspace).copied().unwrap_or(0),
         }
     }
 
@@ -151,14 +160,11 @@
 }
 
 impl Leader {
-    /// Returns the use of every workspace that uses anything, in no particular order.
+    /// Returns the use of every workspace that uses anything or was refused, by name.
     pub fn workspace_uses(&self) -> impl Iterator<Item = (&WorkspaceName, WorkspaceUse)> {
-        let names: BTreeSet<_> = self
-            .usage
-            .running
-            .keys()
-            .chain(self.usage.unconfirmed.keys())
-            .collect();
+        let known = self.usage.running.keys();
+        let known = known.chain(self.usage.unconfirmed.keys());
+        let names: BTreeSet<_> = known.chain(self.usage.refused.keys()).collect();
         names.into_iter().map(|name| (name, self.usage.of(name)))
     }
 
