perf(jobs): rank steps by share at intervals

Cause: in a full pool every placement pass, several hundred a second, computed the shares and sorted the open steps again, on a leader whose processor share is the limit. Change: steps carry whether they are beyond the share of their workspace, like lateness; it is computed at most every 50 ms for each pool.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -284,6 +284,8 @@
     /// Limits the rate of maintenance and move requests.
     request_limiter: InstanceRequestLimiter,
     load_cache: HashMap<SmolStr, CachedLoad>,
+    /// When the shares of each pool were computed last, on the steady clock.
+    shares_ranked_at_ms: HashMap<SmolStr, u64>,
     pacing: PaceTracker,
     /// Pools in which a waiting task may fit by now, so that placement has to run.
     dirty_pools: BTreeSet<SmolStr>,
@@ -329,6 +331,7 @@
                 now.steady_ms,
             ),
             load_cache: HashMap::new(),
+            shares_ranked_at_ms: HashMap::new(),
             pacing: PaceTracker::default(),
             dirty_pools: BTreeSet::new(),
             placement_retried_at_ms: now.steady_ms,
--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -2,12 +2,11 @@
 
 use smol_str::SmolStr;
 
-use super::steps::{Priority, StepState};
+use super::steps::StepState;
 use super::{Effect, Leader, Run, RunState, StartRequest, Worker, WorkerHandle};
 use crate::ids::StepId;
 use crate::job::{Resources, StepSpec};
 use crate::policy::placement::{self, Candidate, TaskRequirements};
-use crate::policy::shares::PoolShares;
 use crate::state::JobsState;
 
 /// The time in which a start request must take effect, in milliseconds on the worker's clock;
@@ -60,6 +59,7 @@
 
     fn place_pool(&mut self, pool: &SmolStr, state: &JobsState) {
         self.demote_late_steps(pool);
+        self.rank_by_share(pool, state);
         let ids = self.steps_by_priority(pool);
         if ids.is_empty() {
             return;
@@ -67,12 +67,6 @@
         let mut eligible_workers = self.eligible_workers(pool);
         let unreconciled = self.is_unreconciled(pool);
         let mut unplaceable: Vec<Resources> = Vec::new();
-        let ids =
-            if self.settings.mechanisms.weighted_shares && self.is_full(&ids, &eligible_workers) {
-                self.order_by_share(ids, self.pool_shares(pool, state))
-            } else {
-                ids
-            };
         for id in ids {
             let Some(step) = self.steps.get(&id) else {
                 continue;
@@ -110,47 +104,6 @@
         }
     }
 
-    /// Returns whether the waiting tasks of steps need more than the workers have free.
-    fn is_full(&self, ids: &[StepId], eligible_workers: &[EligibleWorker]) -> bool {
-        let steps = ids.iter().filter_map(|id| self.steps.get(id));
-        let needed = steps.fold(Resources::default(), |sum, step| {
-            let waiting = step.waiting.len() as u64;
-            sum.plus(&step.step().reserved().times(waiting))
-        });
-        let free = eligible_workers
-            .iter()
-            .fold(Resources::default(), |sum, eligible| {
-                sum.plus(&eligible.free)
-            });
-        !free.can_fit(&needed)
-    }
-
-    /// Moves the steps of workspaces that would use more than their share behind the others of the same
-    /// rank.
-    fn order_by_share(&self, ids: Vec<StepId>, mut shares: PoolShares) -> Vec<StepId> {
-        let mut ranked = Vec::with_capacity(ids.len());
-        for id in ids {
-            let Some(step) = self.steps.get(&id) else {
-                continue;
-            };
-            let mut beyond_share = step.beyond_rate;
-            if let Some(name) = &step.workspace {
-                beyond_share |= shares.is_over_share(name);
-                let waiting = step.waiting.len() as u64;
-                shares.record_start(name, &step.step().reserved().times(waiting));
-            }
-            let Priority {
-                rank,
-                best_effort,
-                late,
-                ..
-            } = step.priority;
-            ranked.push(((rank, best_effort, late, beyond_share), id));
-        }
-        ranked.sort_by_key(|(order, _)| *order);
-        ranked.into_iter().map(|(_, id)| id).collect()
-    }
-
     /// Returns the open steps of a pool that have waiting tasks, by priority.
     fn steps_by_priority(&self, pool: &SmolStr) -> Vec<StepId> {
         let open = self.open_steps.get(pool).into_iter().flatten();
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -17,6 +17,10 @@
 /// below the retention time of ended jobs.
 const ENDED_JOBS_INTERVAL_MS: u64 = 10_000;
 
+/// The interval at which the shares of a pool are computed, in milliseconds; what workspaces use changes
+/// little within it, since tasks take hundreds of milliseconds.
+const SHARES_INTERVAL_MS: u64 = 50;
+
 /// Orders the open steps of a pool; the lowest value is placed first.
 pub(crate) type Priority = priority::Priority;
 
@@ -225,6 +229,55 @@
         }
     }
 
+    /// Places the steps of workspaces that use more than their share of a pool behind the others of
+    /// their rank, at intervals.
+    ///
+    /// The waiting tasks of a workspace count towards its share in the order in which they are placed,
+    /// so that its most urgent steps keep their place.
+    pub(super) fn rank_by_share(&mut self, pool: &SmolStr, state: &JobsState) {
+        let now_ms = self.now.steady_ms;
+        let ranked_at_ms = self.shares_ranked_at_ms.entry(pool.clone()).or_default();
+        if !self.settings.mechanisms.weighted_shares
+            || state.configuration.access.workspaces().is_empty()
+            || now_ms < *ranked_at_ms + SHARES_INTERVAL_MS
+        {
+            return;
+        }
+        *ranked_at_ms = now_ms;
+        let mut shares = self.pool_shares(pool, state);
+        let mut open: Vec<_> = self
+            .open_steps
+            .get(pool)
+            .into_iter()
+            .flatten()
+            .copied()
+            .collect();
+        open.sort_by_key(|(priority, _)| Priority {
+            beyond_share: false,
+            ..*priority
+        });
+        for (priority, id) in open {
+            let Some(step) = self.steps.get_mut(&id) else {
+                continue;
+            };
+            let mut beyond_share = step.beyond_rate;
+            if let Some(name) = &step.workspace {
+                beyond_share |= shares.is_over_share(name);
+                let waiting = step.waiting.len() as u64;
+                shares.record_start(name, &step.step().reserved().times(waiting));
+            }
+            if priority.beyond_share == beyond_share {
+                continue;
+            }
+            step.priority.beyond_share = beyond_share;
+            let ranked = step.priority;
+            if let Some(open) = self.open_steps.get_mut(pool) {
+                open.remove(&(priority, id));
+                open.insert((ranked, id));
+            }
+        }
+    }
+
     /// Opens the scheduled steps that have become due.
     pub(super) fn open_due_steps(&mut self) {
         while let Some((due_ms, id)) = self.not_yet_due.first().copied() {
--- a/crates/jasminefall-jobs/src/policy/priority.rs
+++ b/crates/jasminefall-jobs/src/policy/priority.rs
@@ -18,6 +18,9 @@
     pub best_effort: bool,
     /// Whether the job will be late; such steps come last among those above.
     pub late: bool,
+    /// Whether the workspace of the job uses more than its share of the pool, or submitted the job
+    /// beyond its rate; such steps come last among those above.
+    pub beyond_share: bool,
     /// The time after which the job is late, in milliseconds since 1970.
     pub soft_deadline_ms: u64,
 }
@@ -50,6 +53,7 @@
         rank: urgency.rank,
         best_effort: spec.steps[position].best_effort,
         late: false,
+        beyond_share: false,
         soft_deadline_ms: urgency.arrived_at_ms.saturating_add(allowed_ms),
     }
 }
