--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -20,13 +20,34 @@
 /// take hundreds of milliseconds.
 const LOAD_CACHE_TTL_MS: u64 = 30;
 
+/// The weight and the accepted work that is not done of each workspace with work in a pool.
+type WorkspaceBacklogs = HashMap<WorkspaceName, (Weight, Work)>;
+
 /// Holds the load of a pool and of its workspaces, updated by the jobs accepted since it was computed.
 #[derive(Debug, Clone)]
 pub(crate) struct CachedLoad {
     /// When the load was computed, on the steady clock.
     computed_at_ms: u64,
     load: PoolLoad,
-    by_workspace: HashMap<WorkspaceName, (Weight, Work)>,
+    by_workspace: WorkspaceBacklogs,
+}
+
+impl CachedLoad {
+    /// Adds an accepted job.
+    fn add_job(&mut self, job_demand: &JobDemand, workspace: Option<&Workspace>) {
+        self.load.backlog = self.load.backlog.plus(&job_demand.work);
+        self.load.free = self.load.free.minus(&job_demand.startable);
+        if let Some(workspace) = workspace {
+            add_backlog(&mut self.by_workspace, workspace, &job_demand.work);
+        }
+    }
+}
+
+/// Adds work to the backlog of a workspace.
+fn add_backlog(backlogs: &mut WorkspaceBacklogs, workspace: &Workspace, work: &Work) {
+    let entry = backlogs.entry(workspace.name.clone());
+    let (_, backlog) = entry.or_insert((workspace.weight, Work::default()));
+    *backlog = backlog.plus(work);
 }
 
 /// Holds the decision on a submitted job.
@@ -99,34 +120,13 @@
         let admission = if is_always_accepted || !self.settings.mechanisms.admission {
             Admission::Accept
         } else {
-            let workspace = workspace.filter(|_| self.settings.mechanisms.weighted_shares);
-            let rate_wait_ms = workspace
-                .and_then(|workspace| self.usage.record_submission(workspace, self.now.steady_ms));
-            let own = workspace.filter(|_| rate_wait_ms.is_none());
-            let own = own.map(|workspace| self.workspace_load(&queue.pool, workspace, &load));
-            match admission::admit(&load, own.as_ref(), &job_demand) {
-                Admission::Accept => {
-                    if rate_wait_ms.is_some() {
-                        self.usage.beyond_rate.insert(key);
-                    }
-                    Admission::Accept
-                }
-                Admission::RetryAfter { after_ms } => Admission::RetryAfter {
-                    after_ms: after_ms.max(rate_wait_ms.unwrap_or(0)),
-                },
-            }
+            self.admit(key, (&queue.pool, workspace), &load, &job_demand)
         };
         match admission {
             Admission::Accept => {
                 self.counts.jobs_accepted += 1;
                 if let Some(cached) = self.load_cache.get_mut(&queue.pool) {
-                    cached.load.backlog = cached.load.backlog.plus(&job_demand.work);
-                    cached.load.free = cached.load.free.minus(&job_demand.startable);
-                    if let Some(workspace) = workspace {
-                        let own = cached.by_workspace.entry(workspace.name.clone());
-                        let (_, own) = own.or_insert((workspace.weight, Work::default()));
-                        *own = own.plus(&job_demand.work);
-                    }
+                    cached.add_job(&job_demand, workspace);
                 }
                 self.log_event(format!(
                     "event=job_admitted job={key} queue={} backlog_core_ms={} capacity_cpu_millis={} \
@@ -162,6 +162,36 @@
         }
     }
 
+    /// Decides by load whether a job is accepted.
+    ///
+    /// A job within the rate of its workspace has the workspace's share of the pool kept for it; one
+    /// beyond it waits behind all other work, and is marked so.
+    fn admit(
+        &mut self,
+        key: JobKey,
+        (pool, workspace): (&SmolStr, Option<&Workspace>),
+        load: &PoolLoad,
+        job_demand: &JobDemand,
+    ) -> Admission {
+        let Some(workspace) = workspace.filter(|_| self.settings.mechanisms.weighted_shares) else {
+            return admission::admit(load, None, job_demand);
+        };
+        let now_ms = self.now.steady_ms;
+        let Some(rate_wait_ms) = self.usage.record_submission(workspace, now_ms) else {
+            let own_load = self.workspace_load(pool, workspace, load);
+            return admission::admit(load, Some(&own_load), job_demand);
+        };
+        match admission::admit(load, None, job_demand) {
+            Admission::Accept => {
+                self.usage.beyond_rate.insert(key);
+                Admission::Accept
+            }
+            Admission::RetryAfter { after_ms } => Admission::RetryAfter {
+                after_ms: after_ms.max(rate_wait_ms),
+            },
+        }
+    }
+
     /// Returns the demand of a job on its pool, from the estimated durations of its steps.
     fn job_demand(&self, queue: &Queue, spec: &JobSpec) -> JobDemand {
         let estimate_ms = |step: &StepSpec| {
@@ -199,9 +229,8 @@
             return cached.load;
         }
         let (load, by_workspace) = self.pool_load(pool, state);
-        let computed_at_ms = now_ms;
         let cached = CachedLoad {
-            computed_at_ms,
+            computed_at_ms: now_ms,
             load,
             by_workspace,
         };
@@ -234,12 +263,8 @@
 
     /// Computes the capacity, the free resources, the reserve and the backlog of a pool, and the
     /// backlogs of its workspaces.
-    fn pool_load(
-        &self,
-        pool: &SmolStr,
-        state: &JobsState,
-    ) -> (PoolLoad, HashMap<WorkspaceName, (Weight, Work)>) {
-        let mut by_workspace = HashMap::new();
+    fn pool_load(&self, pool: &SmolStr, state: &JobsState) -> (PoolLoad, WorkspaceBacklogs) {
+        let mut by_workspace = WorkspaceBacklogs::new();
         let mut load = PoolLoad::default();
         let mut max_instance = Resources::default();
         for handle in self.directory.in_pool(pool) {
@@ -283,9 +308,7 @@
             if let Some(name) = name.filter(|_| work != Work::default())
                 && let Some(workspace) = state.configuration.access.workspace(name)
             {
-                let own = by_workspace.entry(name.clone());
-                let (_, own) = own.or_insert((workspace.weight, Work::default()));
-                *own = own.plus(&work);
+                add_backlog(&mut by_workspace, workspace, &work);
             }
             debug_assert!(
                 id.step as usize == step.position,
