--- a/crates/jasminefall-dispatch/src/control/api.rs
+++ b/crates/jasminefall-dispatch/src/control/api.rs
@@ -219,20 +219,32 @@
     }
 }
 
-/// Handles a client's operation. The configuration in force decides in this order whether the queue
-/// exists, whether the client may use it, and whether the operation is valid.
-async fn handle_client_operation(
-    node: &Node,
-    (host, path): (&str, &str),
+/// Holds what a client's call refers to, and for whom it is made.
+struct CallTarget {
+    queue: Queue,
+    /// The path below the queue's prefix, which names the job; empty for the queue itself.
+    job_path: SmolStr,
+    /// The workspace that the call belongs to; `None` on a public queue without a key.
+    workspace: Option<Workspace>,
+    /// The key of the call, which is checked again when a job becomes durable.
     api_key: Option<ApiKeyDigest>,
-    operation: ClientOperation,
-) -> Response {
-    let found = node.read_linearizable(|state| {
-        let configuration = &state.configuration;
+}
+
+impl CallTarget {
+    /// Finds the queue of a call by the configuration in force, and checks that the client may use it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response that refuses the call.
+    fn find(
+        configuration: &Configuration,
+        (host, path): (&str, &str),
+        api_key: Option<ApiKeyDigest>,
+    ) -> Result<Self, Response> {
         if configuration.document.is_empty() {
             return Err(Response::NoConfiguration);
         }
-        let Some((queue, rest)) = configuration.find_queue(host, path) else {
+        let Some((queue, job_path)) = configuration.find_queue(host, path) else {
             return Err(Response::NoQueue);
         };
         let workspace = match configuration.access.caller(&queue.key, api_key.as_ref()) {
@@ -248,15 +260,32 @@
                 return Err(Response::Unauthorized);
             }
         };
-        let submitter = Submitter { workspace, api_key };
-        Ok((queue.clone(), SmolStr::new(rest), submitter))
-    });
-    let (queue, rest, submitter) = match found {
+        Ok(Self {
+            queue: queue.clone(),
+            job_path: job_path.into(),
+            workspace,
+            api_key,
+        })
+    }
+}
+
+/// Handles a client's operation. The configuration in force decides in this order whether the queue
+/// exists, whether the client may use it, and whether the operation is valid.
+async fn handle_client_operation(
+    node: &Node,
+    (host, path): (&str, &str),
+    api_key: Option<ApiKeyDigest>,
+    operation: ClientOperation,
+) -> Response {
+    let found = node
+        .read_linearizable(|state| CallTarget::find(&state.configuration, (host, path), api_key));
+    let target = match found {
         None => return node.not_leader(),
         Some(Err(response)) => return response,
-        Some(Ok(found)) => found,
+        Some(Ok(target)) => target,
     };
-    if rest.is_empty() {
+    let queue = &target.queue;
+    if target.job_path.is_empty() {
         return match operation {
             ClientOperation::Read => {
                 let waiting =
@@ -269,23 +298,23 @@
             }
         };
     }
-    let Ok(key) = rest.parse::<JobKey>() else {
+    let Ok(key) = target.job_path.parse::<JobKey>() else {
         return match operation {
-            ClientOperation::SubmitInvalid(error) => Response::Invalid(error),
             ClientOperation::Submit(_) => {
                 Response::Invalid("a job key has 16 hexadecimal digits".into())
             }
+            ClientOperation::SubmitInvalid(error) => Response::Invalid(error),
             ClientOperation::Read | ClientOperation::Cancel => Response::NotFound,
         };
     };
     match operation {
         ClientOperation::SubmitInvalid(error) => Response::Invalid(error),
-        ClientOperation::Submit(spec) => submit(node, key, (&queue, submitter), *spec).await,
+        ClientOperation::Submit(spec) => submit(node, key, &target, *spec).await,
         ClientOperation::Read => {
             let status = node.with_leader(|leader, state| leader.status(&queue.key, key, state));
             query_response(node, status)
         }
-        ClientOperation::Cancel => cancel(node, key, &queue).await,
+        ClientOperation::Cancel => cancel(node, key, queue).await,
     }
 }
 
@@ -301,22 +330,10 @@
     }
 }
 
-/// Identifies who submits a job.
-struct Submitter {
-    workspace: Option<Workspace>,
-    /// The key of the call, which is checked again when the job becomes durable.
-    api_key: Option<ApiKeyDigest>,
-}
-
-async fn submit(
-    node: &Node,
-    key: JobKey,
-    (queue, submitter): (&Queue, Submitter),
-    spec: JobSpec,
-) -> Response {
-    let Submitter { workspace, api_key } = submitter;
+async fn submit(node: &Node, key: JobKey, target: &CallTarget, spec: JobSpec) -> Response {
+    let (queue, workspace) = (&target.queue, target.workspace.as_ref());
     let decision = node.with_leader(|leader, state| {
-        leader.decide_submission(key, (queue, workspace.as_ref()), &spec, state)
+        leader.decide_submission(key, (queue, workspace), &spec, state)
     });
     match decision {
         None => node.not_leader(),
@@ -335,7 +352,7 @@
                 queue: queue.key.clone(),
                 spec: Arc::new(spec),
                 at_ms: wall_ms(),
-                api_key,
+                api_key: target.api_key,
             };
             match node.propose(command).await {
                 Ok(Outcome::NoQueue) => Response::NoQueue,
