--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -264,7 +264,7 @@
             if let Some(name) = &step.workspace {
                 beyond_share |= shares.is_over_share(name);
                 let waiting = step.waiting.len() as u64;
-                shares.record_start(name, &step.step().reserved().times(waiting));
+                shares.add_use(name, &step.step().reserved().times(waiting));
             }
             if priority.beyond_share == beyond_share {
                 continue;
--- a/crates/jasminefall-jobs/src/leader/usage.rs
+++ b/crates/jasminefall-jobs/src/leader/usage.rs
@@ -37,7 +37,7 @@
 /// Holds the resources that a workspace uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct WorkspaceUse {
-    /// The needs of its runs, from the request to start them until they are known to have ended.
+    /// The needs of its runs, from the request to start them until they cannot be active any more.
     pub running: Resources,
     /// The needs of tasks that may run on workers whose run list has not been received yet.
     pub unconfirmed: Resources,
@@ -59,7 +59,7 @@
     running: HashMap<WorkspaceName, Resources>,
     running_in_pool: HashMap<(SmolStr, WorkspaceName), Resources>,
     unconfirmed: HashMap<WorkspaceName, Resources>,
-    unconfirmed_computed_at_ms: u64,
+    unconfirmed_computed_at_ms: Option<u64>,
     /// Jobs that have ended while runs of them may be active on workers whose run list has not been
     /// received yet.
     ended_jobs: HashMap<JobKey, JobOwner>,
@@ -240,11 +240,11 @@
             return;
         }
         let now_ms = self.now.steady_ms;
-        let is_first = self.usage.unconfirmed_computed_at_ms == 0;
-        if !is_first && now_ms < self.usage.unconfirmed_computed_at_ms + UNCONFIRMED_INTERVAL_MS {
+        let is_recent = |at_ms: u64| now_ms < at_ms + UNCONFIRMED_INTERVAL_MS;
+        if self.usage.unconfirmed_computed_at_ms.is_some_and(is_recent) {
             return;
         }
-        self.usage.unconfirmed_computed_at_ms = now_ms;
+        self.usage.unconfirmed_computed_at_ms = Some(now_ms);
         let pools: BTreeSet<&SmolStr> = self.unreconciled.values().collect();
         let mut unconfirmed: HashMap<WorkspaceName, Resources> = HashMap::new();
         let mut add = |workspace: &WorkspaceName, needs: &Resources| {
--- a/crates/jasminefall-jobs/src/policy/shares.rs
+++ b/crates/jasminefall-jobs/src/policy/shares.rs
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Records that a task of a workspace starts.
-    pub fn record_start(&mut self, name: &WorkspaceName, needs: &Resources) {
+    /// Adds tasks that a workspace starts or is about to start.
+    pub fn add_use(&mut self, name: &WorkspaceName, needs: &Resources) {
         if let Some((_, used)) = self.used.get_mut(name) {
             *used = used.plus(needs);
         }
@@ -78,12 +78,12 @@
 /// It is a token bucket that holds the submissions of one second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct RateMeter {
-    /// The submissions in thousandths of a thousandth that the bucket lacks.
+    /// What the bucket lacks, in millionths of a submission.
     debt_micros: u64,
     observed_at_ms: u64,
 }
 
-/// One submission, in the unit of [`RateMeter`].
+/// One submission, in millionths.
 const SUBMISSION_MICROS: u64 = 1_000_000;
 
 impl RateMeter {
@@ -94,6 +94,7 @@
         let rate = weight.as_millis();
         let elapsed_ms = now_ms.saturating_sub(self.observed_at_ms);
         self.observed_at_ms = now_ms;
+        // Thousandths of a submission per second are millionths per millisecond.
         let repaid_micros = elapsed_ms.saturating_mul(rate);
         self.debt_micros = self.debt_micros.saturating_sub(repaid_micros);
         // A workspace may submit at least one job at once, however low its rate is.
--- a/crates/jasminefall-jobs/tests/policy.rs
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -412,7 +412,7 @@
     shares.add(&second, weight("1"), cores(0));
     assert!(shares.is_over_share(&first));
     assert!(!shares.is_over_share(&second));
-    shares.record_start(&second, &cores(25_000));
+    shares.add_use(&second, &cores(25_000));
     assert!(shares.is_over_share(&second));
 }
 
