fix(jobs): saturate the arithmetic on weights, and compute a bucket's size in one place

Found by reading the diff again: an operator may declare any weight, and the largest ones overflowed the sum of the weights and the size of the bucket, which stood twice. Ordinary weights give the same results. A comment said "whether" of a function that returns the wait. Test: the largest weights are shared and measured.

--- a/crates/jasminefall-jobs/src/leader/usage.rs
+++ b/crates/jasminefall-jobs/src/leader/usage.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Records a submission; returns whether it is within the rate of its workspace, and otherwise the
+    /// Records a submission; returns `None` if it is within the rate of its workspace, and otherwise the
     /// time until one is, in milliseconds.
     pub(super) fn record_submission(&mut self, workspace: &Workspace, now_ms: u64) -> Option<u64> {
         let meter = self.rates.entry(workspace.name.clone()).or_default();
--- a/crates/jasminefall-jobs/src/policy/shares.rs
+++ b/crates/jasminefall-jobs/src/policy/shares.rs
@@ -32,7 +32,7 @@
     /// effect on one that was added before.
     pub fn add(&mut self, name: &WorkspaceName, weight: Weight, used: Resources) {
         if !self.used.contains_key(name) {
-            self.total_weight_millis += weight.as_millis();
+            self.total_weight_millis = self.total_weight_millis.saturating_add(weight.as_millis());
             self.used.insert(name.clone(), (weight, used));
         }
     }
@@ -63,7 +63,7 @@
     pub fn share(&self, name: &WorkspaceName, weight: Weight) -> Resources {
         let is_known = self.used.contains_key(name);
         let own = if is_known { 0 } else { weight.as_millis() };
-        let total = (self.total_weight_millis + own).max(1);
+        let total = self.total_weight_millis.saturating_add(own).max(1);
         let part = |capacity: u64| capacity.saturating_mul(weight.as_millis()) / total;
         Resources {
             cpu_millis: part(self.capacity.cpu_millis),
@@ -97,9 +97,8 @@
         // Thousandths of a submission per second are millionths per millisecond.
         let repaid_micros = elapsed_ms.saturating_mul(rate);
         self.debt_micros = self.debt_micros.saturating_sub(repaid_micros);
-        // A workspace may submit at least one job at once, however low its rate is.
-        let capacity_micros = (rate * 1_000).max(SUBMISSION_MICROS);
-        let is_within = self.debt_micros + SUBMISSION_MICROS <= capacity_micros;
+        let capacity_micros = Self::capacity_micros(weight);
+        let is_within = self.debt_micros.saturating_add(SUBMISSION_MICROS) <= capacity_micros;
         if is_within {
             self.debt_micros += SUBMISSION_MICROS;
         }
@@ -109,9 +108,17 @@
     /// Returns the time until a submission is within the rate again, in milliseconds.
     #[must_use]
     pub fn wait_ms(&self, weight: Weight) -> u64 {
-        let rate = weight.as_millis();
-        let capacity_micros = (rate * 1_000).max(SUBMISSION_MICROS);
-        let missing = (self.debt_micros + SUBMISSION_MICROS).saturating_sub(capacity_micros);
-        missing.div_ceil(rate.max(1))
+        let needed_micros = self.debt_micros.saturating_add(SUBMISSION_MICROS);
+        let missing_micros = needed_micros.saturating_sub(Self::capacity_micros(weight));
+        missing_micros.div_ceil(weight.as_millis().max(1))
+    }
+
+    /// Returns what the bucket holds: the submissions of one second, and at least one, however low the
+    /// rate is.
+    fn capacity_micros(weight: Weight) -> u64 {
+        weight
+            .as_millis()
+            .saturating_mul(1_000)
+            .max(SUBMISSION_MICROS)
     }
 }
--- a/crates/jasminefall-jobs/tests/policy.rs
+++ b/crates/jasminefall-jobs/tests/policy.rs
@@ -451,3 +451,18 @@
     let refused = admit(&load(450_000), Some(&beyond_share), &JOB_DEMAND);
     assert_eq!(refused, Admission::RetryAfter { after_ms: 3_500 });
 }
+
+/// Operators choose weights freely, so that no arithmetic on them may overflow.
+#[test]
+fn largest_weights_are_shared_and_measured() {
+    let weight = Weight::from_millis(u64::MAX);
+    let (first, second) = (WorkspaceName::new("first"), WorkspaceName::new("second"));
+    let mut shares = PoolShares::new(cores(100_000));
+    shares.add(&first, weight, cores(0));
+    shares.add(&second, weight, cores(0));
+    assert!(!shares.is_over_share(&first));
+    assert!(shares.share(&first, weight).cpu_millis > 0);
+    let mut meter = RateMeter::default();
+    assert!(meter.record(1_000, weight));
+    assert_eq!(meter.wait_ms(weight), 0);
+}
