feat(jobs): report what granted a worker's lease

A lapsed lease was logged with its end only, so that the records of two runs of one task could not tell whether a grant of an earlier leader, a late poll or the clock estimate was at fault. event=worker_reconciled and event=lease_lapsed now name the request that granted the latest lease end, the latter also the age of the leadership, and leases_expired counts the lapses. The bound moves into a type of its own; decisions are unchanged.

--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -423,6 +423,7 @@
             ("starts", counts.starts),
             ("starts_refused", counts.starts_refused),
             ("starts_unsure", counts.starts_unanswered),
+            ("leases_expired", counts.leases_expired),
             ("stops", counts.stops),
             ("looks", counts.polls),
             ("jobs_accepted", counts.jobs_accepted),
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -11,6 +11,7 @@
 //! - `clients`: submissions, status queries and cancellations
 //! - `directory`: index of the workers by name, address, instance and pool
 //! - `workers`: heartbeats, leases and polls
+//! - `lease`: the time until which a worker may hold a lease
 //! - `incarnations`: which incarnations have ended, and which replaces which
 //! - `responses`: responses of workers to requests, and their run lists
 //! - `steps`: open steps and their waiting tasks
@@ -30,6 +31,7 @@
 mod directory;
 mod fleet;
 mod incarnations;
+mod lease;
 mod maintenance;
 mod moves;
 mod placement;
@@ -237,6 +239,8 @@
     pub starts_refused: u64,
     /// Starts that got no response, so that their outcome is unknown.
     pub starts_unanswered: u64,
+    /// Workers whose lease expired while runs were active there.
+    pub leases_expired: u64,
     /// Requests to stop a run.
     pub stops: u64,
     /// Polls of workers.
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/lease.rs
@@ -0,0 +1,67 @@
+//! The lease of a worker, as far as the leader knows it.
+
+/// Names the request that granted the latest end of a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LeaseGrant {
+    /// No request has granted a lease.
+    None,
+    /// A request to start a task.
+    Start,
+    /// A poll.
+    Poll,
+}
+
+impl LeaseGrant {
+    /// Returns the name in log lines.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Start => "start",
+            Self::Poll => "poll",
+        }
+    }
+}
+
+/// Bounds the time until which a worker may hold a lease.
+///
+/// A worker has one lease for all of its runs, which never shortens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct LeaseBound {
+    until_ms: u64,
+    granted_by: LeaseGrant,
+}
+
+impl LeaseBound {
+    /// Creates the bound of a worker that has been granted no lease.
+    pub(crate) const fn new() -> Self {
+        Self {
+            until_ms: 0,
+            granted_by: LeaseGrant::None,
+        }
+    }
+
+    /// Records that a request may grant a lease until a time on the worker's clock.
+    pub(crate) const fn extend(&mut self, until_ms: u64, granted_by: LeaseGrant) {
+        if until_ms > self.until_ms {
+            *self = Self {
+                until_ms,
+                granted_by,
+            };
+        }
+    }
+
+    /// Returns the latest end of the lease, on the worker's clock in milliseconds.
+    pub(crate) const fn until_ms(&self) -> u64 {
+        self.until_ms
+    }
+
+    /// Returns what granted the latest end of the lease.
+    pub(crate) const fn granted_by(&self) -> LeaseGrant {
+        self.granted_by
+    }
+
+    /// Returns whether the lease has expired if the worker's clock is at least `min_clock_ms`.
+    pub(crate) const fn has_expired(&self, min_clock_ms: u64) -> bool {
+        min_clock_ms > self.until_ms
+    }
+}
--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use super::lease::LeaseGrant;
 use super::steps::StepState;
 use super::{Effect, Leader, Run, RunState, StartRequest, Worker, WorkerHandle};
 use crate::ids::StepId;
@@ -278,7 +279,7 @@
             return;
         };
         let deadline_ms = worker.estimated_clock_ms(now_ms) + START_DEADLINE_MS;
-        worker.lease_until_ms = worker.lease_until_ms.max(deadline_ms);
+        worker.lease.extend(deadline_ms, LeaseGrant::Start);
         let incarnation = worker.incarnation().clone();
         let ticket = step
             .tickets
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -189,13 +189,15 @@
         if is_first_list {
             worker.clock_reading = (list.clock_ms, now_ms);
         }
-        let pool = worker.heartbeat.pool.clone();
+        let (pool, lease) = (worker.heartbeat.pool.clone(), worker.lease);
         if was_unresponsive || is_first_list {
             self.log_event(format!(
-                "event=worker_reconciled worker={incarnation} running={} ended={} clock_ms={}",
+                "event=worker_reconciled worker={incarnation} running={} ended={} clock_ms={} lease_until_ms={} granted_by={}",
                 list.running.len(),
                 list.ended.len(),
-                list.clock_ms
+                list.clock_ms,
+                lease.until_ms(),
+                lease.granted_by().as_str()
             ));
             self.dirty_pools.insert(pool);
             self.retry_failed_polls(handle);
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 
+use super::lease::{LeaseBound, LeaseGrant};
 use super::{Effect, Leader, PollChannel, PollRequest};
 use crate::ids::{IncarnationId, TaskId};
 use crate::job::Resources;
@@ -65,8 +66,7 @@
     pub(crate) reconciled: bool,
     /// A reading of the worker's clock, and the leader's steady clock when it was received.
     pub(crate) clock_reading: (u64, u64),
-    /// The latest lease end that the worker may have been granted, on the worker's clock.
-    pub(crate) lease_until_ms: u64,
+    pub(crate) lease: LeaseBound,
     /// The state of each poll channel, indexed by [`PollChannel`].
     pub(crate) polls: [PollState; 3],
     /// The worker's clock in the latest run list; an older list is outdated.
@@ -172,7 +172,7 @@
             listed_at_ms: now_ms,
             registered,
             reconciled: false,
-            lease_until_ms: 0,
+            lease: LeaseBound::new(),
             polls: [PollState::Idle; 3],
             list_clock_ms: 0,
             probe_at_ms: None,
@@ -276,7 +276,7 @@
         for (handle, worker) in &self.workers {
             let silent_ms = now_ms.saturating_sub(worker.last_heartbeat_at_ms);
             let lease_expired = if worker.reconciled {
-                worker.min_clock_ms(now_ms) > worker.lease_until_ms
+                worker.lease.has_expired(worker.min_clock_ms(now_ms))
             } else {
                 earlier_leases_expired
             };
@@ -309,7 +309,7 @@
             if worker.unresponsive
                 && worker.reconciled
                 && !worker.runs.is_empty()
-                && worker.min_clock_ms(now_ms) > worker.lease_until_ms
+                && worker.lease.has_expired(worker.min_clock_ms(now_ms))
             {
                 expired.push(*handle);
             }
@@ -325,11 +325,14 @@
                 .map(|(task, run)| (*task, *run))
                 .collect();
             self.log_event(format!(
-                "event=lease_lapsed worker={incarnation} runs={} lease_until_ms={} clock_ms={}",
+                "event=lease_lapsed worker={incarnation} runs={} lease_until_ms={} granted_by={} clock_ms={} leader_age_ms={}",
                 runs.len(),
-                worker.lease_until_ms,
-                worker.min_clock_ms(now_ms)
+                worker.lease.until_ms(),
+                worker.lease.granted_by().as_str(),
+                worker.min_clock_ms(now_ms),
+                now_ms.saturating_sub(self.leader_since_ms)
             ));
+            self.counts.leases_expired += 1;
             for (task, run) in runs {
                 self.remove_run(task, run);
                 self.requeue_run(task, run);
@@ -387,7 +390,7 @@
         let extends_lease = extends_lease && channel != PollChannel::Probe;
         let deadline_ms = extends_lease.then(|| worker.estimated_clock_ms(now_ms) + max_lease_ms);
         if let Some(deadline_ms) = deadline_ms {
-            worker.lease_until_ms = worker.lease_until_ms.max(deadline_ms);
+            worker.lease.extend(deadline_ms, LeaseGrant::Poll);
         }
         let recorded_upto = state
             .incarnations
