feat(jobs): record the crashes of workers under their tasks

A task may crash each worker that starts it. Only the ends that workers report were recorded, so that nothing counted these runs, and a new leader could not know of them.

A crash is recorded as a run end with number zero and kind `Lapsed`.

The leader neither acknowledges nor requeues anything for a crash record, and logs the end of a job once for each command instead of once for each run end.

--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -484,13 +484,20 @@
         ends: &[RunEnd],
         state: &JobsState,
     ) {
+        // A worker awaits no acknowledgement of a crash, and the runs of a crashed worker are
+        // requeued when its incarnation ends.
+        let ends: Vec<_> = ends.iter().filter(|end| !end.is_crash()).collect();
+        let Some(last) = ends.iter().map(|end| end.number).max() else {
+            return;
+        };
+        let mut closed_jobs = BTreeSet::new();
         for end in ends {
             let key = end.task.job;
             match state.jobs.get(&key) {
                 Some(job) if job.ended.is_none() && end.kind == EndKind::Failed => {
                     self.requeue(end.task);
                 }
-                Some(job) if job.ended.is_some() => {
+                Some(job) if job.ended.is_some() && closed_jobs.insert(key) => {
                     let status = job.status();
                     self.log_event(format!("event=job_ended job={key} status={status:?}"));
                     self.close_job(key);
@@ -502,7 +509,6 @@
             return;
         };
         if let Some(worker) = self.workers.get_mut(&handle) {
-            let last = ends.iter().map(|end| end.number).max().unwrap_or(0);
             worker.ends_recorded = worker.ends_recorded.max(last);
             for poll in &mut worker.polls {
                 if *poll == PollState::AwaitingCommit {
--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -3,6 +3,7 @@
 //! [`JobsState::apply`] is deterministic: it reads no clock and iterates over ordered collections
 //! only. Commands carry all times.
 
+mod crashes;
 mod job;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,9 +12,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use self::crashes::{MAX_CRASHED_RUNS, MAX_ENDS_TO_FAIL, TaskCrashes};
 pub use self::job::{Job, JobStatus, Occurrence, StepProgress, TaskProgress};
 use crate::configuration::Configuration;
-use crate::ids::{IncarnationId, JobKey, QueueKey};
+use crate::ids::{IncarnationId, JobKey, QueueKey, TaskId};
 use crate::job::{JobSpec, Resources};
 use crate::worker::{Heartbeat, RunEnd};
 use crate::workspace::{Access, ApiKeyDigest, Caller, WorkspaceName};
@@ -44,12 +46,13 @@
     Register(Box<Heartbeat>),
     /// Removes an incarnation on which no run can exist any more.
     Retire(IncarnationId),
-    /// Records the run ends that a worker reported.
+    /// Records the run ends that a worker reported, and those by the crash of a worker.
     #[serde(rename = "NoteEnds")]
     RecordRunEnds {
-        /// The incarnation that reported the ends.
+        /// The incarnation that reported the ends or crashed.
         life: IncarnationId,
-        /// The ends, in ascending order of their numbers.
+        /// The ends, in ascending order of their numbers. Crash records have no effect in earlier
+        /// versions.
         ends: Vec<RunEnd>,
     },
     /// Adds a maintenance wave; has no effect if the same plan is known under its number.
@@ -223,6 +226,11 @@
     /// The workspaces of the jobs that belong to one. A snapshot holds them after the surges.
     #[serde(skip)]
     pub owners: BTreeMap<JobKey, JobOwner>,
+    /// The crashes under the tasks that are not done. A snapshot holds them after the workspaces,
+    /// unless there are none. They decide nothing in [`Self::apply`], since a replica that restored
+    /// a snapshot of an earlier version lacks them.
+    #[serde(skip)]
+    pub crashes: BTreeMap<TaskId, TaskCrashes>,
 }
 
 impl JobsState {
@@ -237,7 +245,11 @@
             access: self.configuration.access.clone(),
             owners: self.owners.clone(),
         };
-        postcard::to_extend(&workspaces, bytes)
+        let bytes = postcard::to_extend(&workspaces, bytes)?;
+        if self.crashes.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.crashes, bytes)
     }
 
     /// Decodes the state from a snapshot.
@@ -247,16 +259,20 @@
     /// Returns the error of the decoder, for example if an incompatible version wrote the snapshot.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        // Snapshots of earlier versions end before the surges or before the workspaces.
+        // Snapshots of earlier versions end before the surges, the workspaces or the crashes.
         if rest.is_empty() {
             return Ok(state);
         }
         let (surges, rest) = postcard::take_from_bytes(rest)?;
         state.surges = surges;
+        if rest.is_empty() {
+            return Ok(state);
+        }
+        let (workspaces, rest) = postcard::take_from_bytes::<WorkspaceState>(rest)?;
+        Arc::make_mut(&mut state.configuration).access = workspaces.access;
+        state.owners = workspaces.owners;
         if !rest.is_empty() {
-            let workspaces: WorkspaceState = postcard::from_bytes(rest)?;
-            Arc::make_mut(&mut state.configuration).access = workspaces.access;
-            state.owners = workspaces.owners;
+            state.crashes = postcard::from_bytes(rest)?;
         }
         Ok(state)
     }
@@ -323,6 +339,7 @@
                 for job in jobs {
                     self.jobs.remove(&job);
                     self.owners.remove(&job);
+                    self.remove_settled_crashes(job);
                 }
                 Outcome::Done
             }
@@ -393,6 +410,7 @@
             owner.unfinished = job.unfinished_needs();
         }
         job.cancel();
+        self.remove_settled_crashes(key);
         Outcome::Done
     }
 
@@ -413,8 +431,22 @@
         }
     }
 
-    /// Records run ends and skips those that are already recorded.
+    /// Records crashes and run ends.
     fn record_ends(&mut self, incarnation: &IncarnationId, ends: &[RunEnd]) -> Outcome {
+        // A crash counts even if the incarnation has been removed in the meantime.
+        for end in ends.iter().filter(|end| end.is_crash()) {
+            self.record_crash(end);
+        }
+        let outcome = self.record_reported_ends(incarnation, ends);
+        for end in ends {
+            self.remove_settled_crashes(end.task.job);
+        }
+        outcome
+    }
+
+    /// Records the run ends that a worker reported and skips those that are already recorded, and
+    /// with them the crash records, whose number is zero.
+    fn record_reported_ends(&mut self, incarnation: &IncarnationId, ends: &[RunEnd]) -> Outcome {
         let Some(record) = self.incarnations.get_mut(incarnation) else {
             return Outcome::Unknown;
         };
--- a/crates/jasminefall-jobs/src/state/job.rs
+++ b/crates/jasminefall-jobs/src/state/job.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::ids::QueueKey;
+use crate::ids::{QueueKey, TaskId};
 use crate::job::{JobSpec, Resources, StepSpec};
 use crate::worker::{EndKind, RunEnd};
 
@@ -179,6 +179,38 @@
         none
     }
 
+    fn progress(&self, task: TaskId) -> Option<(&StepProgress, &TaskProgress)> {
+        let occurrence = self.occurrences.get(task.occurrence as usize)?;
+        let step = occurrence.steps.get(usize::from(task.step))?;
+        Some((step, step.tasks.get(task.index as usize)?))
+    }
+
+    /// Returns whether the job is active and has this task, and the task is not done.
+    pub(super) fn is_unfinished(&self, task: TaskId) -> bool {
+        let progress = self.progress(task);
+        self.ended.is_none() && progress.is_some_and(|(_, task)| !task.done)
+    }
+
+    /// Returns how many more failures of a task end the job; zero if no number of them does.
+    /// `attempts` is as for [`Self::record_end`]; without it the result is at least one.
+    pub(super) fn failures_left(&self, task: TaskId, attempts: Option<u32>) -> u32 {
+        let Some(spec) = self.spec.steps.get(usize::from(task.step)) else {
+            return 0;
+        };
+        let Some((step, progress)) = self.progress(task) else {
+            return 0;
+        };
+        if spec.long_running || !self.is_unfinished(task) {
+            return 0;
+        }
+        let failures = if spec.gang {
+            step.gang_failures
+        } else {
+            progress.failures
+        };
+        attempts.unwrap_or(0).saturating_sub(failures).max(1)
+    }
+
     /// Ends the job and drops the data that only an active job needs.
     fn end(&mut self, status: JobStatus) {
         self.ended = Some(status);
--- a/crates/jasminefall-jobs/src/worker.rs
+++ b/crates/jasminefall-jobs/src/worker.rs
@@ -86,6 +86,31 @@
     pub checkpoint: SmolStr,
 }
 
+impl RunEnd {
+    /// The number of a crash record; workers number their ends from one.
+    pub const CRASH_NUMBER: u64 = 0;
+    /// The kind of a crash record. Earlier versions reject an unknown kind.
+    pub const CRASH_KIND: EndKind = EndKind::Lapsed;
+
+    /// Creates the record of a run that ended with the crash of its worker.
+    #[must_use]
+    pub const fn crashed(task: TaskId, run: u64) -> Self {
+        Self {
+            number: Self::CRASH_NUMBER,
+            task,
+            run,
+            kind: Self::CRASH_KIND,
+            checkpoint: SmolStr::new_static(""),
+        }
+    }
+
+    /// Returns whether this is the record of a crash, which no worker reports.
+    #[must_use]
+    pub fn is_crash(&self) -> bool {
+        self.number == Self::CRASH_NUMBER && self.kind == Self::CRASH_KIND
+    }
+}
+
 /// Reports the progress of a current run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunProgress {
