fix(jobs): isolate tasks under which workers crash, and give them up

Cause: only ends that a worker lists are counted, and a crashed worker lists none. The tasks of a crashed worker were placed again at once, together, on the next worker. The class: an outcome that nobody reports, and that no limit therefore covers.

Change: an incarnation that another one replaces, although its worker didn't drain and its instance neither moves nor is in maintenance, has crashed; so has one that vanished and whose instance started again before its lease expired. The crash is recorded under each task that was active there. These tasks are suspects: they run on a worker without other jobs, those first whose run began last before the crash; of a busy pool a quarter of the workers is emptied for them. A task is given up after two crashes of workers that ran only its job, after three if the first worker ran others, so that a crash by chance doesn't fail a job that ran beside the cause. Suspects whose crash is explained by a task that is given up, and whose runs had begun before its own, are cleared. A long-running task that has finished its start-up is no suspect.

Evidence: task_that_crashes_its_workers_is_given_up_after_two, crashes_are_counted_across_a_change_of_the_leader, suspects_share_no_worker_with_other_jobs and job_that_ran_beside_a_crashing_task_completes; on the code before, a task was started again after each crash.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -18,6 +18,8 @@
 //! - `usage`: resources that the tasks of each workspace use, and the caps on them
 //! - `runs`: runs that hold resources on a worker
 //! - `placement`: placement of waiting tasks on workers
+//! - `suspects`: tasks under which workers have crashed
+//! - `isolation`: placement of these tasks on workers of their own
 //! - `maintenance`: maintenance waves
 //! - `fleet`: the pool and state of every instance
 //! - `pools`: target sizes of the pools, and the moves that reach them
@@ -31,6 +33,7 @@
 mod directory;
 mod fleet;
 mod incarnations;
+mod isolation;
 mod lease;
 mod maintenance;
 mod moves;
@@ -39,6 +42,7 @@
 mod responses;
 mod runs;
 mod steps;
+mod suspects;
 mod usage;
 mod workers;
 
@@ -58,6 +62,7 @@
 use self::pools::PoolPlanner;
 pub(crate) use self::runs::{Run, RunState};
 use self::steps::StepState;
+use self::suspects::Suspects;
 use self::usage::UsageTracker;
 pub use self::usage::WorkspaceUse;
 pub use self::workers::{Worker, WorkerHandle};
@@ -241,6 +246,12 @@
     pub starts_unanswered: u64,
     /// Workers whose lease expired while runs were active there.
     pub leases_expired: u64,
+    /// Workers that crashed while runs were active there.
+    pub crashes: u64,
+    /// Runs that ended with the crash of their worker.
+    pub crashed_runs: u64,
+    /// Jobs that were ended since a task of them crashes its workers.
+    pub jobs_given_up: u64,
     /// Requests to stop a run.
     pub stops: u64,
     /// Polls of workers.
@@ -280,6 +291,11 @@
     runs: HashMap<TaskId, Vec<Run>>,
     usage: UsageTracker,
     last_run_numbers: HashMap<TaskId, u64>,
+    suspects: Suspects,
+    /// Workers that get no further tasks until suspects have run there.
+    isolated_workers: BTreeSet<WorkerHandle>,
+    /// Pools in which no worker could be emptied for suspects, and since when, on the steady clock.
+    isolation_blocked_since_ms: BTreeMap<SmolStr, u64>,
     durations: DurationEstimator,
     fleet: Fleet,
     maintenance: MaintenanceTracker,
@@ -321,6 +337,9 @@
             runs: HashMap::new(),
             usage: UsageTracker::resumed(now.wall_ms, state),
             last_run_numbers: HashMap::new(),
+            suspects: Suspects::resumed(state),
+            isolated_workers: BTreeSet::new(),
+            isolation_blocked_since_ms: BTreeMap::new(),
             durations: DurationEstimator::default(),
             fleet: Fleet::default(),
             maintenance: MaintenanceTracker::default(),
--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -47,11 +47,25 @@
         };
         let mut earlier = self.directory.matching_identity(heartbeat);
         earlier.retain(is_earlier);
+        self.record_crashes_of_vanished(heartbeat, state);
         for handle in earlier {
-            self.end_incarnation_permanently(handle, "replaced", state);
+            self.end_replaced_incarnation(handle, state);
         }
     }
 
+    /// Ends an incarnation that another one has replaced. Unless that was to be expected, the worker has
+    /// crashed.
+    pub(super) fn end_replaced_incarnation(&mut self, handle: WorkerHandle, state: &JobsState) {
+        let has_crashed = self
+            .workers
+            .get(&handle)
+            .is_some_and(|worker| !worker.departing && self.ends_unexpectedly(&worker.heartbeat));
+        if has_crashed {
+            self.record_worker_crash(handle, state);
+        }
+        self.end_incarnation_permanently(handle, "replaced", state);
+    }
+
     /// Returns whether a later incarnation has replaced the sender of a heartbeat.
     pub(super) fn has_later_incarnation(&self, heartbeat: &Heartbeat) -> bool {
         let matching_identity = self.directory.matching_identity(heartbeat);
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/isolation.rs
@@ -0,0 +1,251 @@
+//! Placement of suspects: tasks under which workers have crashed.
+//!
+//! The suspects of a job run on a worker without other jobs. Workers are emptied for them one after the
+//! other, so that most of a pool stays available to other tasks.
+
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+
+use super::placement::{EligibleWorker, candidate};
+use super::{Leader, Worker, WorkerHandle};
+use crate::ids::{JobKey, StepId, TaskId};
+use crate::policy::placement::{self, TaskRequirements};
+use crate::state::JobsState;
+
+/// The part of a pool's workers that suspects may hold while other tasks wait, as a divisor.
+const ISOLATION_DIVISOR: usize = 4;
+/// Time after which a suspect is placed beside other tasks if no worker of its pool could be emptied, in
+/// milliseconds.
+const ISOLATION_TIMEOUT_MS: u64 = 10_000;
+
+impl Leader {
+    /// Places the suspects of a pool that wait, and removes from `eligible` the workers that suspects hold.
+    pub(super) fn place_suspects(
+        &mut self,
+        pool: &SmolStr,
+        eligible: &mut Vec<EligibleWorker>,
+        state: &JobsState,
+    ) {
+        if self.suspects.is_empty() && self.isolated_workers.is_empty() {
+            return;
+        }
+        let waiting = self.waiting_suspects(pool);
+        self.release_isolated_workers(pool, waiting.is_empty());
+        let held = self.directory.in_pool(pool);
+        let held = held.filter(|handle| self.is_held_by_suspects(*handle));
+        let mut available = self.isolation_limit(pool).saturating_sub(held.count());
+        let mut unplaced_jobs = BTreeSet::new();
+        for task in waiting {
+            if !self.cap_permits(task.step_id(), false, state) {
+                continue;
+            }
+            let Some(position) = self.isolated_worker(task, eligible, available > 0) else {
+                unplaced_jobs.insert(task.job);
+                continue;
+            };
+            if !self.is_held_by_suspects(eligible[position].handle) {
+                available -= 1;
+            }
+            self.isolated_workers.remove(&eligible[position].handle);
+            self.start_suspect(task, &mut eligible[position]);
+        }
+        let in_pool = self.directory.in_pool(pool);
+        let emptying = in_pool.filter(|handle| self.isolated_workers.contains(handle));
+        let missing = unplaced_jobs.len().saturating_sub(emptying.count());
+        self.empty_workers(eligible, missing.min(available));
+        self.record_blocked_isolation(pool, !unplaced_jobs.is_empty());
+        eligible.retain(|known| !self.is_held_by_suspects(known.handle));
+    }
+
+    /// Records since when suspects of a pool wait without a worker that runs or is emptied for suspects.
+    fn record_blocked_isolation(&mut self, pool: &SmolStr, suspects_wait: bool) {
+        let mut in_pool = self.directory.in_pool(pool);
+        if suspects_wait && !in_pool.any(|handle| self.is_held_by_suspects(handle)) {
+            let now_ms = self.now.steady_ms;
+            self.isolation_blocked_since_ms
+                .entry(pool.clone())
+                .or_insert(now_ms);
+        } else {
+            self.isolation_blocked_since_ms.remove(pool);
+        }
+    }
+
+    /// Returns whether a waiting task of a gang is a suspect.
+    pub(super) fn is_suspected_gang(&self, id: StepId) -> bool {
+        let step = self.steps.get(&id);
+        let mut waiting = step.into_iter().flat_map(|step| step.waiting.iter());
+        !self.suspects.is_empty() && waiting.any(|index| self.suspects.contains(id.task(*index)))
+    }
+
+    /// Places the tasks of a gang with suspects on workers without other tasks.
+    pub(super) fn place_suspected_gang(
+        &mut self,
+        id: StepId,
+        eligible: &mut Vec<EligibleWorker>,
+        state: &JobsState,
+    ) {
+        let has_runs = |leader: &Self, known: &EligibleWorker| {
+            let worker = leader.workers.get(&known.handle);
+            worker.is_none_or(|worker| !worker.runs.is_empty())
+        };
+        let step = self.steps.get(&id);
+        let mut waiting = step.into_iter().flat_map(|step| step.waiting.iter());
+        if waiting.any(|index| self.suspects.is_given_up(id.task(*index))) {
+            return;
+        }
+        let (busy, mut empty): (Vec<_>, Vec<_>) = std::mem::take(eligible)
+            .into_iter()
+            .partition(|known| has_runs(self, known));
+        self.place_gang(id, &mut empty, state);
+        empty.retain(|known| !has_runs(self, known));
+        *eligible = busy;
+        eligible.extend(empty);
+    }
+
+    /// Returns whether a task must not be placed beside tasks of other jobs, or at all.
+    pub(super) fn needs_isolation(&self, task: TaskId) -> bool {
+        if !self.suspects.contains(task) {
+            return false;
+        }
+        let pool = self.steps.get(&task.step_id()).map(|step| &step.pool);
+        let blocked_since_ms = pool.and_then(|pool| self.isolation_blocked_since_ms.get(pool));
+        let is_overdue = |since_ms: &u64| self.now.steady_ms >= since_ms + ISOLATION_TIMEOUT_MS;
+        self.suspects.is_given_up(task) || !blocked_since_ms.is_some_and(is_overdue)
+    }
+
+    /// Returns the jobs whose suspects wait in a pool; each of them needs an instance of its own.
+    pub(super) fn jobs_awaiting_isolation(&self, pool: &SmolStr) -> usize {
+        if self.suspects.is_empty() {
+            return 0;
+        }
+        let jobs: BTreeSet<_> = self
+            .waiting_suspects(pool)
+            .into_iter()
+            .map(|task| task.job)
+            .collect();
+        jobs.len().min(self.isolation_limit(pool))
+    }
+
+    /// Returns the suspects that wait in a pool and may be started, in the order of their placement.
+    fn waiting_suspects(&self, pool: &SmolStr) -> Vec<TaskId> {
+        let unreconciled = self.is_unreconciled(pool);
+        let mut waiting = self.suspects.in_order();
+        waiting.retain(|task| {
+            self.steps.get(&task.step_id()).is_some_and(|step| {
+                step.open
+                    && step.pool == *pool
+                    && step.waiting.contains(&task.index)
+                    && !step.step().gang
+                    && !(step.inherited && unreconciled)
+            })
+        });
+        waiting
+    }
+
+    /// Returns the number of workers of a pool that suspects may hold.
+    fn isolation_limit(&self, pool: &SmolStr) -> usize {
+        let workers = self.directory.in_pool(pool).count();
+        let open = self.open_steps.get(pool).into_iter().flatten();
+        let mut steps = open.filter_map(|(_, id)| Some((id, self.steps.get(id)?)));
+        let others_wait = steps.any(|(id, step)| {
+            let mut waiting = step.waiting.iter();
+            waiting.any(|index| !self.suspects.contains(id.task(*index)))
+        });
+        if others_wait {
+            (workers / ISOLATION_DIVISOR).max(1)
+        } else {
+            workers
+        }
+    }
+
+    /// Returns whether a worker runs suspects, or is emptied for them.
+    fn is_held_by_suspects(&self, handle: WorkerHandle) -> bool {
+        self.isolated_workers.contains(&handle)
+            || self
+                .workers
+                .get(&handle)
+                .is_some_and(|worker| self.hosts_suspects(worker))
+    }
+
+    fn hosts_suspects(&self, worker: &Worker) -> bool {
+        worker.runs.keys().any(|task| self.suspects.contains(*task))
+    }
+
+    /// Makes workers available to other tasks that are no longer emptied for suspects of a pool.
+    fn release_isolated_workers(&mut self, pool: &SmolStr, no_suspects_wait: bool) {
+        let workers = &self.workers;
+        self.isolated_workers.retain(|handle| {
+            let worker = workers.get(handle);
+            worker.is_some_and(|worker| worker.heartbeat.pool != *pool || !no_suspects_wait)
+        });
+    }
+
+    /// Returns the position of the best worker for a suspect: one that already runs suspects of its job, or
+    /// an empty one if `may_hold_more` or it has been emptied for suspects.
+    fn isolated_worker(
+        &self,
+        task: TaskId,
+        eligible: &[EligibleWorker],
+        may_hold_more: bool,
+    ) -> Option<usize> {
+        let step = self.steps.get(&task.step_id())?;
+        let spec = step.step();
+        let is_usable = |known: &EligibleWorker, worker: &Worker| {
+            if worker.runs.is_empty() {
+                may_hold_more || self.isolated_workers.contains(&known.handle)
+            } else {
+                self.hosts_suspects(worker) && runs_only(worker, task.job)
+            }
+        };
+        let usable = eligible.iter().enumerate().filter_map(|(position, known)| {
+            let worker = self.workers.get(&known.handle)?;
+            let candidate = is_usable(known, worker)
+                .then(|| candidate(step, spec, known, worker))
+                .flatten()?;
+            Some(((worker.runs.is_empty(), position), candidate))
+        });
+        let mut usable: Vec<_> = usable.collect();
+        // A worker that already runs suspects of the job comes first.
+        if usable.iter().any(|((is_empty, _), _)| !is_empty) {
+            usable.retain(|((is_empty, _), _)| !is_empty);
+        }
+        let (positions, candidates): (Vec<_>, Vec<_>) = usable.into_iter().unzip();
+        let needs = TaskRequirements {
+            resources: spec.reserved(),
+            long_running: spec.long_running,
+        };
+        let best = placement::best_candidate(&candidates, &needs)?;
+        Some(positions[best].1)
+    }
+
+    fn start_suspect(&mut self, task: TaskId, eligible: &mut EligibleWorker) {
+        let Some(step) = self.steps.get(&task.step_id()) else {
+            return;
+        };
+        eligible.free = eligible.free.minus(&step.step().reserved());
+        let run = self.next_run_number(task);
+        self.request_start(task.step_id(), task.index, run, eligible.handle);
+    }
+
+    /// Chooses up to `count` workers that get no further tasks until suspects have run there: those without
+    /// long-running tasks that use the least.
+    fn empty_workers(&mut self, eligible: &[EligibleWorker], count: usize) {
+        let emptiable = eligible.iter().filter_map(|known| {
+            let worker = self.workers.get(&known.handle)?;
+            let is_emptiable =
+                worker.long_running_runs == 0 && !self.is_held_by_suspects(known.handle);
+            is_emptiable.then_some((worker.used.cpu_millis, known.handle))
+        });
+        let mut emptiable: Vec<_> = emptiable.collect();
+        emptiable.sort_unstable();
+        let chosen = emptiable.into_iter().take(count);
+        self.isolated_workers
+            .extend(chosen.map(|(_, handle)| handle));
+    }
+}
+
+/// Returns whether all runs of a worker are of one job.
+fn runs_only(worker: &Worker, job: JobKey) -> bool {
+    worker.runs.keys().all(|task| task.job == job)
+}
--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -16,10 +16,10 @@
 const START_DEADLINE_MS: u64 = 800;
 
 /// Describes a worker that can be given tasks in one placement pass over its pool.
-struct EligibleWorker {
-    handle: WorkerHandle,
+pub(super) struct EligibleWorker {
+    pub(super) handle: WorkerHandle,
     worker: SmolStr,
-    free: Resources,
+    pub(super) free: Resources,
     recent_failures: u32,
     /// Whether long-running tasks run on the worker.
     is_pinned: bool,
@@ -66,6 +66,7 @@
             return;
         }
         let mut eligible_workers = self.eligible_workers(pool);
+        self.place_suspects(pool, &mut eligible_workers, state);
         let unreconciled = self.is_unreconciled(pool);
         let mut unplaceable: Vec<Resources> = Vec::new();
         for id in ids {
@@ -98,7 +99,11 @@
                 self.refresh_tickets(id);
             }
             if is_gang {
-                self.place_gang(id, &mut eligible_workers, state);
+                if self.is_suspected_gang(id) {
+                    self.place_suspected_gang(id, &mut eligible_workers, state);
+                } else {
+                    self.place_gang(id, &mut eligible_workers, state);
+                }
             } else {
                 self.place_step(id, &mut eligible_workers, state);
             }
@@ -160,7 +165,8 @@
             let Some(step) = self.steps.get(&id) else {
                 return;
             };
-            let Some(index) = step.waiting.first().copied() else {
+            let mut waiting = step.waiting.iter().copied();
+            let Some(index) = waiting.find(|index| !self.needs_isolation(id.task(*index))) else {
                 return;
             };
             // The worker chosen for the previous task now has less room than before, so that it
@@ -193,7 +199,7 @@
     }
 
     /// Places all tasks of a gang at once, or none.
-    fn place_gang(
+    pub(super) fn place_gang(
         &mut self,
         id: StepId,
         eligible_workers: &mut [EligibleWorker],
@@ -266,7 +272,13 @@
         Some(positions[best])
     }
 
-    fn request_start(&mut self, id: StepId, index: u32, number: u64, handle: WorkerHandle) {
+    pub(super) fn request_start(
+        &mut self,
+        id: StepId,
+        index: u32,
+        number: u64,
+        handle: WorkerHandle,
+    ) {
         let now_ms = self.now.steady_ms;
         let task = id.task(index);
         let checkpoint = self.checkpoint(task);
@@ -318,7 +330,7 @@
 }
 
 /// Returns the worker as a placement candidate, or `None` if the step must not run on it.
-fn candidate(
+pub(super) fn candidate(
     step: &StepState,
     spec: &StepSpec,
     eligible: &EligibleWorker,
--- a/crates/jasminefall-jobs/src/leader/pools.rs
+++ b/crates/jasminefall-jobs/src/leader/pools.rs
@@ -404,6 +404,8 @@
                 demand.add_waiting(step.step(), step.waiting.len() as u64);
             }
         }
+        let isolated = self.jobs_awaiting_isolation(pool) as u64;
+        demand.ready = demand.ready.plus(&demand.instance.times(isolated));
         demand
     }
 }
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -65,7 +65,7 @@
                 }
             }
             WorkerResponse::OtherIncarnation => {
-                self.end_incarnation_permanently(handle, "replaced", state);
+                self.end_replaced_incarnation(handle, state);
             }
             WorkerResponse::NotSent => {
                 self.mark_unresponsive(handle);
@@ -124,7 +124,7 @@
             }
             WorkerResponse::Refused { .. } => {}
             WorkerResponse::OtherIncarnation => {
-                self.end_incarnation_permanently(handle, "replaced", state);
+                self.end_replaced_incarnation(handle, state);
             }
             WorkerResponse::NotSent | WorkerResponse::Unknown => self.mark_unresponsive(handle),
         }
@@ -161,7 +161,7 @@
         let list = match response {
             Ok(list) => list,
             Err(WorkerResponse::OtherIncarnation) => {
-                return self.end_incarnation_permanently(handle, "replaced", state);
+                return self.end_replaced_incarnation(handle, state);
             }
             Err(_) => return self.on_poll_failure(handle, channel),
         };
@@ -172,7 +172,7 @@
         };
         let incarnation = worker.incarnation().clone();
         if list.started_at_ms != 0 && list.started_at_ms != incarnation.started_at_ms {
-            return self.end_incarnation_permanently(handle, "replaced", state);
+            return self.end_replaced_incarnation(handle, state);
         }
         worker.observe_clock(list.clock_ms, now_ms);
         worker.polls[channel as usize] = PollState::Idle;
@@ -208,6 +208,7 @@
             self.dirty_pools.insert(pool);
             self.retry_failed_polls(handle);
         }
+        self.suspects.forget_vanished(&incarnation);
         self.on_run_ends((handle, channel), &incarnation, &list.ended, state);
         self.reconcile_runs(handle, &list);
         self.pace_worker(handle);
@@ -385,6 +386,7 @@
                 run.progressed_at_ms = now_ms;
             }
             run.gauge = progress.gauge;
+            let has_started_up = run.has_started_up();
             if !progress.checkpoint.is_empty() && run.checkpoint != progress.checkpoint {
                 run.checkpoint = progress.checkpoint.clone();
                 if let Some(step) = self.steps.get_mut(&progress.task.step_id()) {
@@ -392,6 +394,9 @@
                         .insert(progress.task.index, progress.checkpoint.clone());
                 }
             }
+            if has_started_up {
+                self.suspects.remove(progress.task);
+            }
             return;
         }
         self.adopt_run(handle, progress);
--- a/crates/jasminefall-jobs/src/leader/runs.rs
+++ b/crates/jasminefall-jobs/src/leader/runs.rs
@@ -55,6 +55,13 @@
     pub(crate) pace_percent: u64,
 }
 
+impl Run {
+    /// Returns whether this is a run of a long-running task that has finished its start-up.
+    pub(crate) const fn has_started_up(&self) -> bool {
+        self.long_running && self.percent >= 100
+    }
+}
+
 impl Leader {
     /// Adds a run and reserves its resources on the worker.
     pub(super) fn add_run(&mut self, run: Run) {
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -303,6 +303,7 @@
             task.index..task.index + 1
         };
         for index in indexes {
+            self.suspects.remove(id.task(index));
             step.waiting.remove(&index);
             if let Some(done) = step.done.get_mut(index as usize)
                 && !std::mem::replace(done, true)
@@ -341,6 +342,7 @@
 
     /// Removes the steps of a job that has ended, and stops its runs.
     pub(super) fn close_job(&mut self, job: JobKey) {
+        self.suspects.remove_job(job);
         let mut runs_to_stop = Vec::new();
         for id in self.step_ids(job) {
             let Some(step) = self.steps.remove(&id) else {
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -301,6 +301,7 @@
             self.end_incarnation_permanently(handle, "left", state);
         }
         for handle in removable {
+            self.record_vanished(handle);
             self.end_incarnation(handle, "silent", state);
         }
         for handle in draining {
@@ -351,6 +352,7 @@
             }
         }
         for handle in expired {
+            self.record_vanished(handle);
             let Some(worker) = self.workers.get(&handle) else {
                 continue;
             };
--- a/crates/jasminefall-jobs/src/policy.rs
+++ b/crates/jasminefall-jobs/src/policy.rs
@@ -15,6 +15,7 @@
 //! - [`admission`]: refusal of jobs that would be late
 
 pub mod admission;
+pub mod crashes;
 pub mod durations;
 pub mod health;
 pub mod mechanisms;
--- /dev/null
+++ b/crates/jasminefall-jobs/src/policy/crashes.rs
@@ -0,0 +1,50 @@
+//! Conclusions from crashes of workers about the tasks that ran there.
+//!
+//! A task may crash every worker that starts it, and a worker may crash for reasons of its own. All
+//! tasks on a crashed worker are suspects. The suspects of a job then run on a worker without other
+//! jobs, so that a further crash is most likely their own.
+
+/// The number of crashes after which a task is given up, if only its own job ran on the workers.
+const GIVE_UP_AFTER_ISOLATED_CRASHES: u32 = 2;
+/// The number of crashes after which a task is given up, if only its own job ran on the last worker.
+/// The first one may have come just after the task's run had ended, and the second by chance.
+const GIVE_UP_AFTER_CRASHES: u32 = 3;
+/// The number of crashes after which a task is given up, whatever ran on the workers.
+const GIVE_UP_AFTER_SHARED_CRASHES: u32 = 4;
+/// The number of crashes after which a task is given up, even if it isn't certain that its runs had
+/// begun.
+const GIVE_UP_AFTER_POSSIBLE_CRASHES: u32 = 5;
+
+/// Counts the crashes of workers under a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct CrashCounts {
+    /// The crashes while a run of the task was active.
+    pub certain: u32,
+    /// Those of them where only tasks of its job ran on the worker.
+    pub isolated: u32,
+    /// The crashes while a run was active or its start had no response.
+    pub possible: u32,
+}
+
+impl CrashCounts {
+    /// Counts a crash; `is_certain` states whether the run was active, `is_isolated` whether only tasks
+    /// of its job ran on the worker.
+    pub fn record(&mut self, is_certain: bool, is_isolated: bool) {
+        self.possible += 1;
+        self.certain += u32::from(is_certain);
+        self.isolated += u32::from(is_certain && is_isolated);
+    }
+
+    /// Returns whether the task is given up after a crash; `is_isolated` is as for [`Self::record`].
+    #[must_use]
+    pub const fn is_given_up(&self, is_isolated: bool) -> bool {
+        let limit = if is_isolated {
+            GIVE_UP_AFTER_CRASHES
+        } else {
+            GIVE_UP_AFTER_SHARED_CRASHES
+        };
+        self.isolated >= GIVE_UP_AFTER_ISOLATED_CRASHES
+            || self.certain >= limit
+            || self.possible >= GIVE_UP_AFTER_POSSIBLE_CRASHES
+    }
+}
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -2,6 +2,8 @@
 
 #[path = "leader/caps.rs"]
 mod caps;
+#[path = "leader/crashes.rs"]
+mod crashes;
 #[path = "leader/harness.rs"]
 mod harness;
 #[path = "leader/hot_workspace.rs"]
--- /dev/null
+++ b/crates/jasminefall-jobs/tests/leader/crashes.rs
@@ -0,0 +1,180 @@
+//! Tasks that crash their workers, and tasks that run beside them.
+
+use std::collections::BTreeSet;
+
+use jasminefall_jobs::leader::StartRequest;
+use jasminefall_jobs::prelude::*;
+
+use crate::harness::{self, Harness};
+
+/// Crashes the worker that received a start and starts it again while its lease is valid.
+fn crash_and_restart(harness: &mut Harness, start: &StartRequest) {
+    let name = harness.crash_worker(start);
+    for _ in 0..30 {
+        harness.advance(100);
+        harness.answer_polls();
+    }
+    harness.restart_worker(&name);
+    harness.advance(100);
+}
+
+fn starts_of(starts: &[StartRequest], job: u64) -> Vec<StartRequest> {
+    let of_job = starts.iter().filter(|start| start.task.job == JobKey(job));
+    of_job.cloned().collect()
+}
+
+/// Returns a leader with a job of one task and one of two tasks, all on the same worker.
+fn harness_with_two_jobs(workers: usize) -> (Harness, Vec<StartRequest>) {
+    let mut harness = Harness::new(workers);
+    harness.submit(1, harness::job(&[1], 4_000));
+    harness.submit(2, harness::job(&[2], 4_000));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    assert!(starts.iter().all(|start| start.worker == starts[0].worker));
+    harness.answer_polls();
+    (harness, starts)
+}
+
+#[test]
+fn task_that_crashes_its_workers_is_given_up_after_two() {
+    let mut harness = Harness::new(3);
+    harness.submit(1, harness::job(&[1], 100));
+    for _ in 0..2 {
+        let starts = harness.take_starts();
+        assert_eq!(starts.len(), 1);
+        harness.accept_starts(&starts);
+        crash_and_restart(&mut harness, &starts[0]);
+    }
+    assert!(harness.take_starts().is_empty());
+    assert_eq!(harness.status(1), Some(JobStatus::Failed));
+}
+
+#[test]
+fn crashes_are_counted_across_a_change_of_the_leader() {
+    let mut harness = Harness::new(3);
+    harness.submit(1, harness::job(&[1], 100));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    crash_and_restart(&mut harness, &starts[0]);
+    for _ in 0..2 {
+        harness.change_leader();
+        harness.answer_polls();
+        harness.advance(100);
+        let starts = harness.take_starts();
+        assert_eq!(starts.len(), 1);
+        harness.accept_starts(&starts);
+        crash_and_restart(&mut harness, &starts[0]);
+    }
+    assert_eq!(harness.status(1), Some(JobStatus::Failed));
+}
+
+#[test]
+fn job_that_ran_beside_a_crashing_task_completes() {
+    let (mut harness, starts) = harness_with_two_jobs(4);
+    crash_and_restart(&mut harness, &starts[0]);
+    let again = harness.take_starts();
+    harness.accept_starts(&again);
+    assert_eq!(again.len(), 3);
+    crash_and_restart(&mut harness, &starts_of(&again, 1)[0]);
+    let third = harness.take_starts();
+    harness.accept_starts(&third);
+    crash_and_restart(&mut harness, &third[0]);
+    assert_eq!(harness.status(1), Some(JobStatus::Failed));
+    for start in starts_of(&again, 2) {
+        harness.end_run(&start, EndKind::Done);
+    }
+    assert_eq!(harness.status(2), Some(JobStatus::Completed));
+}
+
+#[test]
+fn suspects_share_no_worker_with_other_jobs() {
+    let (mut harness, starts) = harness_with_two_jobs(4);
+    crash_and_restart(&mut harness, &starts[0]);
+    harness.submit(3, harness::job(&[8], 1_000));
+    let again = harness.take_starts();
+    let workers = |job| -> BTreeSet<_> {
+        let starts = starts_of(&again, job);
+        starts.iter().map(|start| start.worker).collect()
+    };
+    assert_eq!(starts_of(&again, 3).len(), 8);
+    assert!(workers(1).is_disjoint(&workers(2)));
+    assert!(workers(1).is_disjoint(&workers(3)));
+    assert!(workers(2).is_disjoint(&workers(3)));
+}
+
+#[test]
+fn worker_is_emptied_for_suspects_in_a_busy_pool() {
+    let mut harness = Harness::new(8);
+    harness.submit(1, harness::job(&[1], 8_000));
+    harness.submit(2, harness::job(&[1], 8_000));
+    harness.submit(3, harness::job(&[100], 8_000));
+    let mut starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.answer_polls();
+    let crashed = starts[0].clone();
+    assert_eq!(crashed.worker, starts[1].worker);
+    crash_and_restart(&mut harness, &crashed);
+    starts.retain(|start| start.worker != crashed.worker);
+    let mut started_suspects = BTreeSet::new();
+    for _ in 0..3 {
+        for start in std::mem::take(&mut starts) {
+            harness.end_run(&start, EndKind::Done);
+        }
+        harness.advance(100);
+        starts = harness.take_starts();
+        harness.accept_starts(&starts);
+        started_suspects.extend(starts.iter().map(|start| start.task.job));
+        starts.retain(|start| start.task.job == JobKey(3));
+    }
+    assert!(started_suspects.is_superset(&BTreeSet::from([JobKey(1), JobKey(2)])));
+}
+
+#[test]
+fn job_on_a_worker_that_was_cut_off_until_its_lease_expired_is_not_given_up() {
+    let mut harness = Harness::new(4);
+    harness.submit(1, harness::job(&[1], 100));
+    for _ in 0..3 {
+        let start = harness
+            .take_starts()
+            .pop()
+            .expect("the task starts elsewhere");
+        harness.accept_start(&start);
+        let name = harness.crash_worker(&start);
+        for _ in 0..70 {
+            harness.advance(100);
+            harness.answer_polls();
+        }
+        harness.restart_worker(&name);
+    }
+    assert!(harness.state.crashes.is_empty());
+    assert_eq!(harness.status(1), Some(JobStatus::Queued));
+}
+
+#[test]
+fn unanswered_start_is_not_counted_as_a_crash() {
+    let mut harness = Harness::new(4);
+    harness.submit(1, harness::job(&[1], 100));
+    for _ in 0..3 {
+        let starts = harness.take_starts();
+        assert_eq!(starts.len(), 1);
+        harness.lose_start_response(&starts[0]);
+        let name = harness.crash_worker(&starts[0]);
+        harness.answer_polls();
+        harness.restart_worker(&name);
+        harness.advance(100);
+    }
+    assert!(harness.state.crashes.is_empty());
+    assert_eq!(harness.status(1), Some(JobStatus::Queued));
+}
+
+#[test]
+fn started_long_running_task_is_no_suspect() {
+    let mut harness = Harness::new(2);
+    harness.submit(1, harness::long_running_job(2));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.report_full_progress(&starts);
+    crash_and_restart(&mut harness, &starts[0]);
+    assert!(harness.state.crashes.is_empty());
+    assert_eq!(harness.take_starts().len(), 2);
+}
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -78,6 +78,8 @@
     commits_enabled: bool,
     /// Workers that send no heartbeats.
     silent: Vec<SmolStr>,
+    /// When the workers that replaced crashed ones started, in milliseconds since 1970.
+    restarted_at_ms: BTreeMap<SmolStr, u64>,
 }
 
 impl Harness {
@@ -110,6 +112,7 @@
             log: VecDeque::new(),
             commits_enabled: true,
             silent: Vec::new(),
+            restarted_at_ms: BTreeMap::new(),
         };
         for number in 0..workers {
             let name = format_smolstr!("i-{number}");
@@ -128,7 +131,7 @@
         Heartbeat {
             incarnation: IncarnationId {
                 worker: name.clone(),
-                started_at_ms: 1,
+                started_at_ms: self.started_at_ms(name),
             },
             instance: Some(format_smolstr!("m-{number}")),
             pool: POOL.into(),
@@ -144,6 +147,27 @@
         }
     }
 
+    fn started_at_ms(&self, name: &str) -> u64 {
+        self.restarted_at_ms.get(name).copied().unwrap_or(1)
+    }
+
+    /// Crashes the worker that received a start.
+    pub(crate) fn crash_worker(&mut self, request: &StartRequest) -> SmolStr {
+        let name = self.worker_name(request);
+        self.remove_worker(&name);
+        name
+    }
+
+    /// Starts a crashed worker again under another name, and lets the leader read its run list.
+    pub(crate) fn restart_worker(&mut self, name: &SmolStr) {
+        let restarted = format_smolstr!("{name}-restarted");
+        self.workers
+            .insert(restarted.clone(), SimulatedWorker::default());
+        self.restarted_at_ms.insert(restarted, self.now.wall_ms);
+        self.send_heartbeats();
+        self.answer_polls();
+    }
+
     /// Delivers an edited heartbeat, for example with another address or a later incarnation;
     /// returns whether the leader accepts its incarnation.
     pub(crate) fn heartbeat_with(
@@ -181,12 +205,12 @@
 
     /// Delivers a heartbeat of every worker that is not silent.
     pub(crate) fn send_heartbeats(&mut self) {
-        let names: Vec<_> = self.workers.keys().cloned().enumerate().collect();
-        for (number, name) in names {
+        let names: Vec<_> = self.workers.keys().cloned().collect();
+        for name in names {
             if self.silent.contains(&name) {
                 continue;
             }
-            let heartbeat = self.heartbeat(number, &name);
+            let heartbeat = self.heartbeat(instance_number(&name), &name);
             self.leader.on_heartbeat(heartbeat, &self.state);
         }
         self.process_effects();
@@ -466,13 +490,15 @@
                 continue;
             }
             let clock_ms = self.now.steady_ms;
+            let name = self.worker_names[&poll.worker].clone();
+            let started_at_ms = self.started_at_ms(&name);
             let worker = self.worker(poll.worker);
             worker
                 .ended
                 .retain(|end| end.number > poll.acknowledged_upto);
             let run_list = RunList {
                 clock_ms,
-                started_at_ms: 1,
+                started_at_ms,
                 running: worker.running.values().cloned().collect(),
                 ended: worker.ended.clone(),
             };
@@ -623,6 +649,12 @@
     }
 }
 
+/// Returns the number of the instance of a worker, which follows the first hyphen of its name.
+fn instance_number(name: &str) -> usize {
+    let number = name.split('-').nth(1).and_then(|text| text.parse().ok());
+    number.expect("the name of a worker holds the number of its instance")
+}
+
 /// Returns an instance that is up and for which the list names no worker.
 pub(crate) fn up_instance(instance: &str, pool: &str) -> ListedInstance {
     ListedInstance {
