fix(jobs): count the ends of a worker that returns from silence once

What callers could see: a job shown as failed after fewer failed runs than its queue permits.

Cause: a worker without heartbeats and a valid lease is removed and its record in the replicated state with it, including the number up to which its ends are recorded. When the same incarnation returned, it was registered anew and listed ends that had been recorded but never acknowledged, and each failed one was counted again.

Why this works: the leader remembers up to which number it has processed the ends of an incarnation that it removes as silent, and treats these as recorded when it returns. A change of the leader in between is not covered: the replicated state can't hold the number without a difference to earlier builds.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -283,6 +283,9 @@
     unreconciled: BTreeMap<IncarnationId, SmolStr>,
     /// Incarnations that have ended permanently, and when, on the steady clock.
     ended_incarnations: HashMap<IncarnationId, u64>,
+    /// Incarnations that were removed as silent and may return, with the number of the last end that was
+    /// processed, and when, on the steady clock.
+    silent_incarnations: HashMap<IncarnationId, (u64, u64)>,
     steps: BTreeMap<StepId, StepState>,
     /// Steps whose tasks may start, by pool and in the order in which they are placed.
     open_steps: BTreeMap<SmolStr, BTreeSet<(steps::Priority, StepId)>>,
@@ -331,6 +334,7 @@
             directory: Directory::default(),
             unreconciled: BTreeMap::new(),
             ended_incarnations: HashMap::new(),
+            silent_incarnations: HashMap::new(),
             steps: BTreeMap::new(),
             open_steps: BTreeMap::new(),
             not_yet_due: BTreeSet::new(),
--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -105,12 +105,14 @@
         }
     }
 
-    /// Removes the records of ended incarnations that are older than the retention time.
+    /// Removes the records of ended and silent incarnations that are older than the retention time.
     pub(super) fn expire_ended_incarnations(&mut self) {
         let now_ms = self.now.steady_ms;
         let ended_retention_ms = self.settings.ended_retention_ms;
         self.ended_incarnations
             .retain(|_, at_ms| now_ms < *at_ms + ended_retention_ms);
+        self.silent_incarnations
+            .retain(|_, (_, at_ms)| now_ms < *at_ms + ended_retention_ms);
     }
 
     /// Removes an incarnation on which no run can be active any more, and requeues its tasks. A
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -236,10 +236,8 @@
         ended: &[RunEnd],
         state: &JobsState,
     ) {
-        let recorded_upto = state
-            .incarnations
-            .get(incarnation)
-            .map_or(0, |record| record.recorded_upto);
+        let worker = self.workers.get(&handle);
+        let recorded_upto = worker.map_or(0, |worker| worker.recorded_upto(state));
         let mut uncommitted = Vec::new();
         for end in ended {
             let Some(worker) = self.workers.get_mut(&handle) else {
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -74,6 +74,9 @@
     /// Time from which a probe shows whether a start without a response has taken effect, on the
     /// leader's steady clock.
     pub(crate) probe_at_ms: Option<u64>,
+    /// The number of the last end that was processed before the incarnation was removed as silent; its
+    /// return begins a new record in the replicated state, which doesn't hold this number.
+    settled_upto: u64,
     /// The number of the last run end that was processed.
     pub(crate) ends_seen: u64,
     /// The number of the last run end that is committed.
@@ -147,6 +150,13 @@
         self.has_no_runs() && self.ends_seen <= self.ends_recorded
     }
 
+    /// Returns the number up to which the run ends of the worker are recorded.
+    pub(crate) fn recorded_upto(&self, state: &JobsState) -> u64 {
+        let record = state.incarnations.get(self.incarnation());
+        let recorded_upto = record.map_or(0, |record| record.recorded_upto);
+        recorded_upto.max(self.settled_upto)
+    }
+
     /// Returns whether no run can be active on the worker.
     pub(crate) fn has_no_runs(&self) -> bool {
         self.reconciled && self.runs.is_empty()
@@ -169,6 +179,8 @@
         let evacuating = heartbeat.instance.as_ref().is_some_and(|instance| {
             self.maintenance.is_pending(instance) || self.moves.is_pending(instance)
         });
+        let silent = self.silent_incarnations.remove(&heartbeat.incarnation);
+        let settled_upto = silent.map_or(0, |(ends_seen, _)| ends_seen);
         let worker = Worker {
             // The clock in a stored heartbeat is outdated; the first run list supplies the current
             // one.
@@ -183,8 +195,9 @@
             polls: [PollState::Idle; 3],
             list_clock_ms: 0,
             probe_at_ms: None,
-            ends_seen: 0,
-            ends_recorded: 0,
+            settled_upto,
+            ends_seen: settled_upto,
+            ends_recorded: settled_upto,
             acknowledgement_due: false,
             runs: BTreeMap::new(),
             used: Resources::default(),
@@ -302,6 +315,7 @@
         }
         for handle in removable {
             self.record_vanished(handle);
+            self.record_silent(handle);
             self.end_incarnation(handle, "silent", state);
         }
         for handle in draining {
@@ -320,6 +334,16 @@
         }
     }
 
+    /// Remembers which ends of an incarnation have been processed, should it return and list them again.
+    fn record_silent(&mut self, handle: WorkerHandle) {
+        let now_ms = self.now.steady_ms;
+        if let Some(worker) = self.workers.get(&handle) {
+            let incarnation = worker.incarnation().clone();
+            self.silent_incarnations
+                .insert(incarnation, (worker.ends_seen, now_ms));
+        }
+    }
+
     /// Stops the long-running tasks on a draining worker, so that they restart elsewhere before it
     /// leaves; they count as unavailable from the start of draining.
     fn stop_long_running_runs(&mut self, handle: WorkerHandle) {
@@ -432,10 +456,7 @@
         if let Some(deadline_ms) = deadline_ms {
             worker.lease.extend(deadline_ms, LeaseGrant::Poll);
         }
-        let recorded_upto = state
-            .incarnations
-            .get(worker.incarnation())
-            .map_or(0, |record| record.recorded_upto);
+        let recorded_upto = worker.recorded_upto(state);
         let wait_ms = if awaits_ends && channel != PollChannel::Probe {
             LONG_POLL_WAIT_MS
         } else {
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -4,6 +4,8 @@
 mod caps;
 #[path = "leader/crashes.rs"]
 mod crashes;
+#[path = "leader/ends.rs"]
+mod ends;
 #[path = "leader/harness.rs"]
 mod harness;
 #[path = "leader/hot_workspace.rs"]
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -478,39 +478,39 @@
     /// Answers the polls in flight; polls to removed workers get no response.
     pub(crate) fn answer_polls(&mut self) {
         for _ in 0..64 {
-            let Some(poll) = self.polls.pop_front() else {
-                return;
-            };
-            self.record_worker_name(poll.worker);
-            if !self.workers.contains_key(&self.worker_names[&poll.worker]) {
-                let no_response = Err(WorkerResponse::Unknown);
-                self.leader
-                    .on_poll_response(poll.worker, poll.channel, no_response, &self.state);
-                self.process_effects();
-                continue;
+            match self.answer_next_poll() {
+                None => return,
+                // Stops here, since a worker holds the remaining long polls open until a run ends.
+                Some(0) if self.polls.len() >= self.workers.len() => return,
+                Some(_) => {}
             }
-            let clock_ms = self.now.steady_ms;
-            let name = self.worker_names[&poll.worker].clone();
-            let started_at_ms = self.started_at_ms(&name);
-            let worker = self.worker(poll.worker);
+        }
+    }
+
+    /// Answers the oldest poll in flight and returns the number of ends in the list, or `None` without
+    /// a poll. A poll to a removed worker gets no response and counts as one end.
+    pub(crate) fn answer_next_poll(&mut self) -> Option<usize> {
+        let poll = self.polls.pop_front()?;
+        self.record_worker_name(poll.worker);
+        let name = self.worker_names[&poll.worker].clone();
+        let (clock_ms, started_at_ms) = (self.now.steady_ms, self.started_at_ms(&name));
+        let list = self.workers.get_mut(&name).map(|worker| {
             worker
                 .ended
                 .retain(|end| end.number > poll.acknowledged_upto);
-            let run_list = RunList {
+            RunList {
                 clock_ms,
                 started_at_ms,
                 running: worker.running.values().cloned().collect(),
                 ended: worker.ended.clone(),
-            };
-            let nothing_new = run_list.ended.is_empty();
-            self.leader
-                .on_poll_response(poll.worker, poll.channel, Ok(run_list), &self.state);
-            self.process_effects();
-            // Stops here, since a worker holds the remaining long polls open until a run ends.
-            if nothing_new && self.polls.len() >= self.workers.len() {
-                return;
             }
-        }
+        });
+        let ends = list.as_ref().map_or(1, |list| list.ended.len());
+        let response = list.ok_or(WorkerResponse::Unknown);
+        self.leader
+            .on_poll_response(poll.worker, poll.channel, response, &self.state);
+        self.process_effects();
+        Some(ends)
     }
 
     /// Fails the poll of the worker that received a start.
@@ -577,6 +577,11 @@
         self.silent.push(name);
     }
 
+    /// Lets silent workers send heartbeats again.
+    pub(crate) fn end_silence(&mut self) {
+        self.silent.clear();
+    }
+
     /// Fails the polls of silent workers.
     pub(crate) fn fail_polls_of_silent_workers(&mut self) {
         for poll in std::mem::take(&mut self.polls) {
