fix(jobs): count the crash of a worker whose instance is being evacuated

Cause: a crash during the evacuation of an instance was taken for the end by the move or the maintenance, though neither had been requested yet. The planner evacuated just these instances, since a worker that runs one suspect, or is emptied for one, looks idle.

Why this works: only a request that the platform may have carried out explains the end of a worker; instances that suspects hold are not moved.

--- a/crates/jasminefall-jobs/src/leader/isolation.rs
+++ b/crates/jasminefall-jobs/src/leader/isolation.rs
@@ -160,7 +160,7 @@
     }
 
     /// Returns whether a worker runs suspects, or is emptied for them.
-    fn is_held_by_suspects(&self, handle: WorkerHandle) -> bool {
+    pub(super) fn is_held_by_suspects(&self, handle: WorkerHandle) -> bool {
         self.isolated_workers.contains(&handle)
             || self
                 .workers
--- a/crates/jasminefall-jobs/src/leader/maintenance.rs
+++ b/crates/jasminefall-jobs/src/leader/maintenance.rs
@@ -70,6 +70,15 @@
         self.in_progress.contains(instance) && phases.any(|(_, phase)| !is_down(phase))
     }
 
+    /// Returns whether the platform may have begun the maintenance of an instance.
+    pub(crate) fn is_requested(&self, instance: &str) -> bool {
+        let mut phases = self.phases.iter();
+        self.in_progress.contains(instance)
+            && phases.any(|((_, known), phase)| {
+                known == instance && !matches!(phase, Phase::Evacuating { .. })
+            })
+    }
+
     /// Returns whether an instance belongs to a wave and its maintenance has not begun.
     pub(crate) fn is_due(&self, instance: Option<&str>) -> bool {
         instance.is_some_and(|instance| self.due.contains(instance))
--- a/crates/jasminefall-jobs/src/leader/moves.rs
+++ b/crates/jasminefall-jobs/src/leader/moves.rs
@@ -76,6 +76,12 @@
         planned.is_some_and(|planned| !matches!(planned.phase, Phase::InTransit { .. }))
     }
 
+    /// Returns whether the platform may have begun the move of an instance.
+    pub(crate) fn is_requested(&self, instance: &str) -> bool {
+        let planned = self.by_instance.get(instance);
+        planned.is_some_and(|planned| !matches!(planned.phase, Phase::Evacuating { .. }))
+    }
+
     /// Returns the instances in transit, with their destination pools.
     pub(crate) fn in_transit(&self) -> impl Iterator<Item = (&SmolStr, &SmolStr)> {
         let is_in_transit = |planned: &Move| matches!(planned.phase, Phase::InTransit { .. });
@@ -125,6 +131,9 @@
         let may_request = self.may_request_instance_changes();
         let ranked = self.stable_instances(from).filter_map(|instance| {
             let worker = self.worker_on(instance);
+            if worker.is_some_and(|handle| self.is_held_by_suspects(handle)) {
+                return None;
+            }
             if !may_request && !self.is_untouched_by_earlier_leader(worker, is_standby) {
                 return None;
             }
--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -170,11 +170,11 @@
 }
 
 impl Leader {
-    /// Returns whether the end of an incarnation was not to be expected: the worker had not drained, and its
-    /// instance neither moves nor is in maintenance.
+    /// Returns whether the end of an incarnation was not to be expected: the worker had not drained, and
+    /// neither a move nor maintenance of its instance has been requested.
     pub(super) fn ends_unexpectedly(&self, heartbeat: &Heartbeat) -> bool {
         let is_requested = heartbeat.instance.as_ref().is_some_and(|instance| {
-            self.moves.is_moving(instance) || self.maintenance.is_in_progress(instance)
+            self.moves.is_requested(instance) || self.maintenance.is_requested(instance)
         });
         !heartbeat.draining && !is_requested
     }
--- a/crates/jasminefall-jobs/tests/leader/crashes.rs
+++ b/crates/jasminefall-jobs/tests/leader/crashes.rs
@@ -178,3 +178,18 @@
     assert!(harness.state.crashes.is_empty());
     assert_eq!(harness.take_starts().len(), 2);
 }
+
+#[test]
+fn crash_of_a_worker_under_evacuation_is_counted() {
+    let mut harness = Harness::new(3);
+    harness.list_instances();
+    harness.submit(1, harness::job(&[1], 100));
+    let start = harness.take_starts().remove(0);
+    harness.accept_start(&start);
+    harness.answer_polls();
+    let instance = harness.worker_name(&start).replace('i', "m");
+    harness.start_wave(&[&instance]);
+    harness.advance(200);
+    crash_and_restart(&mut harness, &start);
+    assert_eq!(harness.state.crashes_of(start.task), 1);
+}
