fix(jobs): record each change of a worker's capacity for the next leader

After a change of leader, callers saw starts refused for want of room (or, where workers start whatever they are told, workers over their capacity): a new leader took the capacity from the heartbeat at registration, which was replaced only when the worker began to drain. A heartbeat whose capacity differs from the recorded one is now recorded again, with the command that older builds read and apply, so that they know it, too. The pool and the instance that the incarnation has kept are recorded with it.

new_leader_knows_the_capacity_that_its_predecessor_was_told_last failed before: 10 starts on a worker shrunk to 4 cores. Guards that held before: a shrink applies from the next heartbeat, growth at once, and a heartbeat that arrives late changes nothing.

--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -246,12 +246,26 @@
         worker.heartbeat = Heartbeat {
             instance: worker.heartbeat.instance.clone(),
             pool: worker.heartbeat.pool.clone(),
-            ..heartbeat.clone()
+            ..heartbeat
         };
+        let heartbeat = worker.heartbeat.clone();
         if starts_draining {
             self.log_event(format!(
                 "event=worker_drains worker={incarnation} pool={pool}"
             ));
+        }
+        let recorded = state.incarnations.get(&incarnation);
+        let has_other_capacity =
+            recorded.is_some_and(|recorded| recorded.heartbeat.capacity != heartbeat.capacity);
+        if has_other_capacity {
+            let capacity = &heartbeat.capacity;
+            self.log_event(format!(
+                "event=capacity_changed worker={incarnation} pool={pool} cpu_millis={} \
+                 memory_mb={} gpus={}",
+                capacity.cpu_millis, capacity.memory_mb, capacity.gpus
+            ));
+        }
+        if starts_draining || has_other_capacity {
             self.propose(Command::Register(Box::new(heartbeat)));
         }
         if may_accept_more {
--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -195,7 +195,8 @@
 /// Holds the registration of a worker incarnation and how far its run ends have been recorded.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct IncarnationRecord {
-    /// The heartbeat at registration, from which a new leader takes the worker's address.
+    /// The heartbeat at registration or at the latest change of the capacity, from which a new leader
+    /// takes the worker's address and capacity.
     pub heartbeat: Heartbeat,
     /// The number of the last recorded run end; ends up to it are not recorded again.
     #[serde(rename = "noted_upto")]
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -1,5 +1,7 @@
 //! Decisions of the leader on jobs, workers and instances, without a network.
 
+#[path = "leader/capacity.rs"]
+mod capacity;
 #[path = "leader/caps.rs"]
 mod caps;
 #[path = "leader/harness.rs"]
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -13,6 +13,12 @@
 pub(crate) const ATTEMPTS: u32 = 3;
 pub(crate) const POOL: &str = "render";
 pub(crate) const STANDBY: &str = "spare";
+/// The capacity of a worker.
+pub(crate) const CAPACITY: Resources = Resources {
+    cpu_millis: 16_000,
+    memory_mb: 32_000,
+    gpus: 0,
+};
 const HOST: &str = "queue.example";
 const PREFIX: &str = "/render/";
 
@@ -78,6 +84,8 @@
     commits_enabled: bool,
     /// Workers that send no heartbeats.
     silent: Vec<SmolStr>,
+    /// The capacity of workers that do not have [`CAPACITY`].
+    capacities: BTreeMap<SmolStr, Resources>,
 }
 
 impl Harness {
@@ -110,6 +118,7 @@
             log: VecDeque::new(),
             commits_enabled: true,
             silent: Vec::new(),
+            capacities: BTreeMap::new(),
         };
         for number in 0..workers {
             let name = format_smolstr!("i-{number}");
@@ -133,11 +142,7 @@
             instance: Some(format_smolstr!("m-{number}")),
             pool: POOL.into(),
             address: format_smolstr!("10.0.0.{number}:80"),
-            capacity: Resources {
-                cpu_millis: 16_000,
-                memory_mb: 32_000,
-                gpus: 0,
-            },
+            capacity: self.capacities.get(name).copied().unwrap_or(CAPACITY),
             clock_ms: self.now.steady_ms,
             sequence: self.now.steady_ms,
             ..Heartbeat::default()
@@ -160,6 +165,21 @@
         is_accepted
     }
 
+    /// Changes the capacity of a worker; the leader learns of it from the next heartbeat.
+    pub(crate) fn set_capacity(&mut self, name: &str, capacity: Resources) {
+        self.capacities.insert(name.into(), capacity);
+    }
+
+    /// Puts a configuration in force in which workers start tasks that do not fit.
+    pub(crate) fn accept_overload(&mut self) {
+        let mut configuration = configuration();
+        configuration.version += 1;
+        for pool in &mut configuration.pools {
+            pool.refuses_overload = false;
+        }
+        self.apply(Command::Configure(Arc::new(configuration)));
+    }
+
     /// Adds a worker and delivers a heartbeat of every worker.
     pub(crate) fn start_worker(&mut self) {
         let name = format_smolstr!("i-{}", self.workers.len());
