fix(jobs): rely on a worker's capacity only while it is recent, where workers accept overload

Callers saw a worker that starts whatever it is told run more than its capacity, after it had shrunk. A new leader placed tasks by the capacity in the replicated state, which does not show a shrink that its predecessor was not told of or did not commit; and any leader relied on the latest heartbeat for 4.5 s, although a start takes effect up to 0.8 s later, and for longer where a delayed heartbeat arrived.

Pools whose workers refuse what does not fit are not affected.

Failed before: new_leader_awaits_a_heartbeat_before_it_relies_on_a_capacity (10 starts on 4 cores), capacity_from_before_missed_heartbeats_is_not_relied_on and delayed_heartbeat_does_not_confirm_the_capacity.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -83,6 +83,9 @@
     pub stop_ms: u64,
     /// Interval between two heartbeats of a worker, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Time, beyond one heartbeat interval, after which a worker's reduced capacity binds every start,
+    /// in milliseconds.
+    pub capacity_notice_ms: u64,
     /// Time after which a task that no longer works counts as unavailable, in milliseconds.
     pub unavailability_notice_ms: u64,
     /// Time that an instance is down for its maintenance, in milliseconds.
@@ -106,6 +109,7 @@
             max_lease_ms: 6_000,
             stop_ms: 900,
             heartbeat_ms: 1_500,
+            capacity_notice_ms: 3_000,
             unavailability_notice_ms: 4_500,
             maintenance_ms: 2_000,
             move_ms: 1_500,
--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 
 use super::steps::StepState;
+use super::workers::without_clock_drift_ms;
 use super::{Effect, Leader, Run, RunState, StartRequest, Worker, WorkerHandle};
 use crate::ids::StepId;
 use crate::job::{Resources, StepSpec};
@@ -64,7 +65,7 @@
         if ids.is_empty() {
             return;
         }
-        let mut eligible_workers = self.eligible_workers(pool);
+        let mut eligible_workers = self.eligible_workers(pool, state);
         let unreconciled = self.is_unreconciled(pool);
         let mut unplaceable: Vec<Resources> = Vec::new();
         for id in ids {
@@ -115,8 +116,10 @@
     }
 
     /// Returns the workers of a pool that can be given tasks.
-    fn eligible_workers(&self, pool: &SmolStr) -> Vec<EligibleWorker> {
+    fn eligible_workers(&self, pool: &SmolStr, state: &JobsState) -> Vec<EligibleWorker> {
         let now_ms = self.now.steady_ms;
+        let configured = state.configuration.pool(pool);
+        let refuses_overload = configured.is_some_and(|pool| pool.refuses_overload);
         let is_eligible = |worker: &Worker| {
             worker.registered
                 && worker.reconciled
@@ -126,6 +129,7 @@
                 && now_ms >= worker.backoff_until_ms
                 && !worker.health.is_quarantined(now_ms)
                 && !self.is_silent(worker)
+                && (refuses_overload || self.has_current_capacity(worker))
         };
         let workers = self.directory.in_pool(pool);
         let workers = workers.filter_map(|handle| Some((handle, self.workers.get(&handle)?)));
@@ -145,6 +149,14 @@
             .collect()
     }
 
+    /// Returns whether a start that is requested now takes effect before a capacity smaller than the
+    /// one in the worker's latest heartbeat can bind it.
+    const fn has_current_capacity(&self, worker: &Worker) -> bool {
+        let notice_ms = self.settings.capacity_notice_ms + self.settings.heartbeat_ms;
+        let max_age_ms = without_clock_drift_ms(notice_ms.saturating_sub(START_DEADLINE_MS));
+        worker.heartbeat_age_ms(self.now.steady_ms) <= max_age_ms
+    }
+
     fn place_step(
         &mut self,
         id: StepId,
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -115,7 +115,7 @@
     const fn min_clock_ms(&self, now_ms: u64) -> u64 {
         let (clock_ms, observed_at_ms) = self.clock_reading;
         let elapsed_ms = now_ms.saturating_sub(observed_at_ms);
-        clock_ms + elapsed_ms - elapsed_ms * CLOCK_DRIFT_MILLIS / 1_000
+        clock_ms + without_clock_drift_ms(elapsed_ms)
     }
 
     /// Returns the value of the worker's clock now, assuming no drift.
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Returns the time since the worker sent its latest heartbeat, by its own clock, so that a delayed
+    /// or stored heartbeat counts as old.
+    pub(crate) const fn heartbeat_age_ms(&self, now_ms: u64) -> u64 {
+        self.estimated_clock_ms(now_ms)
+            .saturating_sub(self.heartbeat.clock_ms)
+    }
+
     /// Returns the unreserved part of the worker's capacity.
     #[must_use]
     pub const fn free(&self) -> Resources {
@@ -465,6 +472,11 @@
     }
 }
 
+/// Returns the part of a time on the leader's clock that passes on every worker's clock.
+pub(super) const fn without_clock_drift_ms(elapsed_ms: u64) -> u64 {
+    elapsed_ms - elapsed_ms * CLOCK_DRIFT_MILLIS / 1_000
+}
+
 const fn is_silent(worker: &Worker, now_ms: u64, heartbeat_ms: u64) -> bool {
     now_ms.saturating_sub(worker.last_heartbeat_at_ms)
         > heartbeat_ms * SILENT_AFTER_MISSED_HEARTBEATS
--- a/crates/jasminefall-jobs/tests/leader/capacity.rs
+++ b/crates/jasminefall-jobs/tests/leader/capacity.rs
@@ -43,6 +43,20 @@
     assert_eq!(harness.take_starts().len(), 6);
 }
 
+/// The stored heartbeat of a new leader does not show that the worker has shrunk since.
+#[test]
+fn new_leader_awaits_a_heartbeat_before_it_relies_on_a_capacity() {
+    let mut harness = accepting_overload(1);
+    harness.set_capacity(WORKER, cores(4));
+    harness.change_leader();
+    harness.answer_polls();
+    harness.submit(1, job(&[10], 1_000));
+    assert!(harness.take_starts().is_empty());
+    harness.send_heartbeats();
+    harness.advance(100);
+    assert_eq!(harness.take_starts().len(), 4);
+}
+
 #[test]
 fn new_leader_knows_the_capacity_that_its_predecessor_was_told_last() {
     let mut harness = Harness::new(1);
@@ -54,6 +68,37 @@
     assert_eq!(harness.take_starts().len(), 4);
 }
 
+/// The worker may have shrunk right after its last heartbeat; the start takes effect within 0.8 s.
+#[test]
+fn capacity_from_before_missed_heartbeats_is_not_relied_on() {
+    let mut harness = accepting_overload(1);
+    harness.stop_heartbeats(WORKER);
+    harness.advance(3_500);
+    harness.submit(1, job(&[1], 1_000));
+    assert_eq!(harness.take_starts().len(), 1, "two heartbeats are missing");
+    harness.advance(200);
+    harness.submit(2, job(&[1], 1_000));
+    assert!(harness.take_starts().is_empty());
+    harness.resume_heartbeats(WORKER);
+    harness.advance(100);
+    assert_eq!(harness.take_starts().len(), 1);
+}
+
+/// A delayed heartbeat shows that the worker was there, but not what its capacity is now.
+#[test]
+fn delayed_heartbeat_does_not_confirm_the_capacity() {
+    let mut harness = accepting_overload(1);
+    let sent_at_ms = harness.worker_clock_ms();
+    harness.stop_heartbeats(WORKER);
+    harness.advance(4_000);
+    harness.heartbeat_with(0, |heartbeat| {
+        heartbeat.clock_ms = sent_at_ms + 50;
+        heartbeat.sequence = sent_at_ms + 50;
+    });
+    harness.submit(1, job(&[1], 1_000));
+    assert!(harness.take_starts().is_empty());
+}
+
 /// Guards against a capacity that a later heartbeat has replaced.
 #[test]
 fn overtaken_heartbeat_does_not_restore_the_capacity() {
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -170,6 +170,16 @@
         self.capacities.insert(name.into(), capacity);
     }
 
+    /// Stops the heartbeats of a worker.
+    pub(crate) fn stop_heartbeats(&mut self, name: &str) {
+        self.silent.push(name.into());
+    }
+
+    /// Resumes the heartbeats of a worker.
+    pub(crate) fn resume_heartbeats(&mut self, name: &str) {
+        self.silent.retain(|silent| silent != name);
+    }
+
     /// Puts a configuration in force in which workers start tasks that do not fit.
     pub(crate) fn accept_overload(&mut self) {
         let mut configuration = configuration();
