fix(jobs): count the runs of ended jobs that a new leader finds on a worker

Callers saw a worker over its capacity after a change of leader: a run whose job had ended under the earlier leader reserved nothing on its worker until it had stopped, since the replicated state drops the specification of an ended job. A run of a workspace's job now reserves the job's largest task, which is recorded; where nothing bounds the needs, no task is placed on the worker until the run has ended, unless its pool refuses what does not fit.

Failed before: nothing_is_placed_beside_a_run_of_unknown_needs (a task of 8 cores beside one of 12 on 16) and run_of_an_ended_job_of_a_workspace_counts_as_its_largest_task (6 starts where 4 fit).

--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -129,7 +129,7 @@
                 && now_ms >= worker.backoff_until_ms
                 && !worker.health.is_quarantined(now_ms)
                 && !self.is_silent(worker)
-                && (refuses_overload || self.has_current_capacity(worker))
+                && (refuses_overload || self.is_free_room_known(worker))
         };
         let workers = self.directory.in_pool(pool);
         let workers = workers.filter_map(|handle| Some((handle, self.workers.get(&handle)?)));
@@ -149,12 +149,13 @@
             .collect()
     }
 
-    /// Returns whether a start that is requested now takes effect before a capacity smaller than the
-    /// one in the worker's latest heartbeat can bind it.
-    const fn has_current_capacity(&self, worker: &Worker) -> bool {
+    /// Returns whether the needs of all runs on a worker are known, and a start that is requested now
+    /// takes effect before a capacity smaller than the one in its latest heartbeat can bind the start.
+    const fn is_free_room_known(&self, worker: &Worker) -> bool {
         let notice_ms = self.settings.capacity_notice_ms + self.settings.heartbeat_ms;
         let max_age_ms = without_clock_drift_ms(notice_ms.saturating_sub(START_DEADLINE_MS));
-        worker.heartbeat_age_ms(self.now.steady_ms) <= max_age_ms
+        worker.runs_of_unknown_needs == 0
+            && worker.heartbeat_age_ms(self.now.steady_ms) <= max_age_ms
     }
 
     fn place_step(
@@ -306,6 +307,7 @@
             worker: handle,
             state: RunState::Requested,
             reserved,
+            has_unknown_needs: false,
             charge,
             long_running,
             start_deadline_ms: deadline_ms,
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -7,7 +7,6 @@
 use super::workers::PollState;
 use super::{Leader, PollChannel, Run, RunState, StartRequest, WorkerHandle};
 use crate::ids::{IncarnationId, TaskId};
-use crate::job::Resources;
 use crate::state::{Command, JobsState};
 use crate::worker::{EndKind, Refusal, RunEnd, RunList, RunProgress, WorkerResponse};
 
@@ -394,12 +393,16 @@
     fn adopt_run(&mut self, handle: WorkerHandle, progress: &RunProgress) {
         self.record_run_number(progress.task, progress.run);
         let step = self.steps.get(&progress.task.step_id());
-        let reserved = step.map_or_else(Resources::default, |step| step.step().reserved());
         let long_running = step.is_some_and(|step| step.step().long_running);
         let charge = match step {
             Some(step) => step.charge(),
             None => self.usage.charge_of_ended_job(progress.task.job),
         };
+        let reserved = match (step, &charge) {
+            (Some(step), _) => Some(step.step().reserved()),
+            (None, Some(charge)) => Some(charge.needs),
+            (None, None) => None,
+        };
         let is_incomplete = step.is_some_and(|step| {
             step.open && step.done.get(progress.task.index as usize) == Some(&false)
         });
@@ -422,7 +425,8 @@
             number: progress.run,
             worker: handle,
             state: RunState::Running,
-            reserved,
+            reserved: reserved.unwrap_or_default(),
+            has_unknown_needs: reserved.is_none(),
             charge,
             long_running,
             start_deadline_ms: 0,
--- a/crates/jasminefall-jobs/src/leader/runs.rs
+++ b/crates/jasminefall-jobs/src/leader/runs.rs
@@ -34,7 +34,10 @@
     pub(crate) number: u64,
     pub(crate) worker: WorkerHandle,
     pub(crate) state: RunState,
+    /// The resources that the run reserves; zero if its needs are unknown.
     pub(crate) reserved: crate::job::Resources,
+    /// Whether the leader does not know what the run needs, since its job ended under an earlier leader.
+    pub(crate) has_unknown_needs: bool,
     /// The use that counts towards the cap of a workspace; `None` if the job belongs to none.
     pub(crate) charge: Option<Charge>,
     /// Whether the task runs until its job is cancelled.
@@ -62,6 +65,7 @@
             worker.runs.insert(run.task, run.number);
             worker.used = worker.used.plus(&run.reserved);
             worker.long_running_runs += usize::from(run.long_running);
+            worker.runs_of_unknown_needs += usize::from(run.has_unknown_needs);
         }
         if let Some(step) = self.steps.get_mut(&run.task.step_id()) {
             step.waiting.remove(&run.task.index);
@@ -98,6 +102,9 @@
             worker.long_running_runs = worker
                 .long_running_runs
                 .saturating_sub(usize::from(run.long_running));
+            worker.runs_of_unknown_needs = worker
+                .runs_of_unknown_needs
+                .saturating_sub(usize::from(run.has_unknown_needs));
             self.dirty_pools.insert(worker.heartbeat.pool.clone());
         }
         Some(run)
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -86,6 +86,8 @@
     pub(crate) used: Resources,
     /// The number of runs of long-running tasks.
     pub(crate) long_running_runs: usize,
+    /// The number of runs whose needs are unknown.
+    pub(crate) runs_of_unknown_needs: usize,
     /// End of the period in which responses of the worker are assumed to get lost, so that it is polled
     /// twice, on the leader's steady clock.
     pub(crate) response_loss_until_ms: u64,
@@ -189,6 +191,7 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             long_running_runs: 0,
+            runs_of_unknown_needs: 0,
             response_loss_until_ms: 0,
             unresponsive: false,
             backoff_until_ms: 0,
--- a/crates/jasminefall-jobs/tests/leader/capacity.rs
+++ b/crates/jasminefall-jobs/tests/leader/capacity.rs
@@ -114,3 +114,42 @@
     harness.submit(1, job(&[10], 1_000));
     assert_eq!(harness.take_starts().len(), 4);
 }
+
+/// The replicated state does not tell what the tasks of an ended job need.
+#[test]
+fn nothing_is_placed_beside_a_run_of_unknown_needs() {
+    let mut harness = accepting_overload(1);
+    harness.submit(1, job(&[1], 12_000));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.state.apply(Command::Cancel(JobKey(1)));
+    harness.change_leader();
+    harness.send_heartbeats();
+    harness.answer_polls();
+    harness.submit(2, job(&[1], 8_000));
+    assert!(harness.take_starts().is_empty());
+    harness.end_run(&starts[0], EndKind::Stopped);
+    assert_eq!(harness.take_starts().len(), 1);
+}
+
+/// The record of a workspace's job bounds what its runs need, so that the rest of the worker is used.
+#[test]
+fn run_of_an_ended_job_of_a_workspace_counts_as_its_largest_task() {
+    let mut harness = Harness::new(1);
+    let workspace = Workspace {
+        name: WorkspaceName::new("first"),
+        keys: vec![ApiKeyDigest::of("key")],
+        weight: "100".parse().unwrap(),
+        cap: ResourceCap::default(),
+    };
+    harness.configure_workspaces(2, vec![workspace]);
+    harness.submit_with_key(1, "key", job(&[1], 12_000));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.state.apply(Command::Cancel(JobKey(1)));
+    harness.change_leader();
+    harness.send_heartbeats();
+    harness.answer_polls();
+    harness.submit_with_key(2, "key", job(&[6], 1_000));
+    assert_eq!(harness.take_starts().len(), 4);
+}
