fix(jobs): place nothing on a worker whose runs exceed its shrunk capacity

Callers saw a task start on a worker that was over its capacity already: after a shrink below what runs, a task that needs none of the short resource, such as a best-effort task, still fitted into the others, since what is free of each resource is at least zero. In pools whose workers accept overload such a worker is given nothing until what runs fits again.

Failed before: nothing_is_placed_on_a_worker_whose_runs_exceed_its_capacity. Guards that held before: a shrink stops no run, since that would throw work away and make tasks that last unavailable, and a job that fits no worker any more waits and starts once one has grown.

--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -129,7 +129,7 @@
                 && now_ms >= worker.backoff_until_ms
                 && !worker.health.is_quarantined(now_ms)
                 && !self.is_silent(worker)
-                && (refuses_overload || self.is_free_room_known(worker))
+                && (refuses_overload || self.has_reliable_room(worker))
         };
         let workers = self.directory.in_pool(pool);
         let workers = workers.filter_map(|handle| Some((handle, self.workers.get(&handle)?)));
@@ -149,12 +149,15 @@
             .collect()
     }
 
-    /// Returns whether the needs of all runs on a worker are known, and a start that is requested now
-    /// takes effect before a capacity smaller than the one in its latest heartbeat can bind the start.
-    const fn is_free_room_known(&self, worker: &Worker) -> bool {
+    /// Returns whether a worker that does not refuse tasks may be given further ones by its free room.
+    ///
+    /// The needs of all its runs must be known and within its capacity, and a start that is requested
+    /// now must take effect before a capacity smaller than that in its latest heartbeat can bind it.
+    const fn has_reliable_room(&self, worker: &Worker) -> bool {
         let notice_ms = self.settings.capacity_notice_ms + self.settings.heartbeat_ms;
         let max_age_ms = without_clock_drift_ms(notice_ms.saturating_sub(START_DEADLINE_MS));
         worker.runs_of_unknown_needs == 0
+            && worker.heartbeat.capacity.can_fit(&worker.used)
             && worker.heartbeat_age_ms(self.now.steady_ms) <= max_age_ms
     }
 
--- a/crates/jasminefall-jobs/tests/leader/capacity.rs
+++ b/crates/jasminefall-jobs/tests/leader/capacity.rs
@@ -2,7 +2,7 @@
 
 use jasminefall_jobs::prelude::*;
 
-use crate::harness::{CAPACITY, Harness, job};
+use crate::harness::{CAPACITY, Harness, job, long_running_job};
 
 const WORKER: &str = "i-0";
 
@@ -153,3 +153,56 @@
     harness.submit_with_key(2, "key", job(&[6], 1_000));
     assert_eq!(harness.take_starts().len(), 4);
 }
+
+/// A best-effort task needs memory only, which is free, but the worker has less processor time than its
+/// runs need.
+#[test]
+fn nothing_is_placed_on_a_worker_whose_runs_exceed_its_capacity() {
+    let mut harness = accepting_overload(1);
+    harness.submit(1, job(&[8], 1_000));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.set_capacity(WORKER, cores(4));
+    harness.send_heartbeats();
+    let mut best_effort = job(&[1], 1_000);
+    best_effort.steps[0].best_effort = true;
+    harness.submit(2, best_effort);
+    assert!(harness.take_starts().is_empty());
+    for start in &starts[..4] {
+        harness.end_run(start, EndKind::Done);
+    }
+    assert_eq!(harness.take_starts().len(), 1);
+}
+
+/// Work that has begun is not thrown away, and tasks that last stay available.
+#[test]
+fn shrink_below_what_runs_stops_nothing() {
+    let mut harness = accepting_overload(1);
+    harness.submit(1, long_running_job(4));
+    harness.submit(2, job(&[4], 1_000));
+    let starts = harness.take_starts();
+    assert_eq!(starts.len(), 8);
+    harness.accept_starts(&starts);
+    harness.set_capacity(WORKER, cores(1));
+    harness.advance(5_000);
+    assert!(harness.take_stops().is_empty());
+    assert!(harness.take_starts().is_empty());
+}
+
+/// A shrunk worker has no room for the job now, but may have it later.
+#[test]
+fn job_that_fits_no_worker_any_more_starts_once_one_has_grown() {
+    let mut harness = accepting_overload(1);
+    harness.submit(1, job(&[1], 8_000));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.set_capacity(WORKER, cores(4));
+    harness.send_heartbeats();
+    harness.end_run(&starts[0], EndKind::Failed);
+    harness.advance(10_000);
+    assert!(harness.take_starts().is_empty());
+    assert_eq!(harness.status(1), Some(JobStatus::Running));
+    harness.set_capacity(WORKER, cores(8));
+    harness.send_heartbeats();
+    assert_eq!(harness.take_starts().len(), 1);
+}
