test(jobs): play random shrinks, growths and changes of leader against what workers run

An observer keeps what runs on two workers that accept overload, with each capacity that they had, and checks after every start that the worker holds no more than it may: lost and unanswered starts, cancelled jobs, silent workers, delayed heartbeats and changes of leader come in any order. In the end all room must be usable, so that no reservation is lost.

--- a/crates/jasminefall-jobs/tests/leader/capacity.rs
+++ b/crates/jasminefall-jobs/tests/leader/capacity.rs
@@ -1,6 +1,11 @@
 //! No start brings a worker that accepts overload over its capacity, which may shrink and grow.
 
+use std::collections::BTreeMap;
+
+use jasminefall_jobs::leader::StartRequest;
 use jasminefall_jobs::prelude::*;
+use proptest::prelude::*;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::harness::{CAPACITY, Harness, job, long_running_job};
 
@@ -206,3 +211,259 @@
     harness.send_heartbeats();
     assert_eq!(harness.take_starts().len(), 1);
 }
+
+const WORKERS: usize = 2;
+/// The time after a shrink for which the earlier capacity still counts, in milliseconds.
+const SHRINK_NOTICE_MS: u64 = 4_500;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Submit {
+        tasks: u32,
+        cores: u64,
+        best_effort: bool,
+    },
+    Accept,
+    AcceptUnanswered,
+    Lose,
+    End(EndKind),
+    Cancel,
+    ChangeLeader,
+    SetCapacity {
+        worker: usize,
+        cores: u64,
+    },
+    StopHeartbeats(usize),
+    ResumeHeartbeats(usize),
+    DelayedHeartbeat {
+        worker: usize,
+        sent_ago_ms: u64,
+    },
+    Wait {
+        duration_ms: u64,
+    },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let submit = (1_u32..6, 1_u64..9, prop::bool::weighted(0.2));
+    let submit = submit.prop_map(|(tasks, cores, best_effort)| Event::Submit {
+        tasks,
+        cores,
+        best_effort,
+    });
+    let kinds = [EndKind::Done, EndKind::Failed, EndKind::Stopped];
+    let capacity = (0..WORKERS, 0_u64..17);
+    prop_oneof![
+        4 => submit,
+        8 => Just(Event::Accept),
+        1 => Just(Event::AcceptUnanswered),
+        1 => Just(Event::Lose),
+        4 => prop::sample::select(kinds.to_vec()).prop_map(Event::End),
+        1 => Just(Event::Cancel),
+        1 => Just(Event::ChangeLeader),
+        2 => capacity.prop_map(|(worker, cores)| Event::SetCapacity { worker, cores }),
+        1 => (0..WORKERS).prop_map(Event::StopHeartbeats),
+        1 => (0..WORKERS).prop_map(Event::ResumeHeartbeats),
+        1 => (0..WORKERS, 0_u64..60).prop_map(|(worker, hundreds)| Event::DelayedHeartbeat {
+            worker,
+            sent_ago_ms: hundreds * 100,
+        }),
+        4 => (1_u64..25).prop_map(|hundreds| Event::Wait {
+            duration_ms: hundreds * 100,
+        }),
+    ]
+}
+
+fn reserved(start: &StartRequest) -> Resources {
+    start.spec.steps[usize::from(start.task.step)].reserved()
+}
+
+/// Holds what runs on the workers and their capacities, observed from outside the leader.
+struct Observer {
+    harness: Harness,
+    /// The starts that have not reached their worker.
+    requested: Vec<StartRequest>,
+    active: BTreeMap<TaskId, (SmolStr, StartRequest)>,
+    /// Each capacity of each worker, and the time since when it has it.
+    capacities: BTreeMap<SmolStr, Vec<(u64, Resources)>>,
+    jobs: u64,
+}
+
+impl Observer {
+    fn new() -> Self {
+        let harness = accepting_overload(WORKERS);
+        let names = (0..WORKERS).map(|number| format_smolstr!("i-{number}"));
+        Self {
+            capacities: names.map(|name| (name, vec![(0, CAPACITY)])).collect(),
+            harness,
+            requested: Vec::new(),
+            active: BTreeMap::new(),
+            jobs: 0,
+        }
+    }
+
+    /// Returns the most that a worker may hold now, with each capacity that it had within the notice.
+    fn counted_capacity(&self, name: &str) -> Resources {
+        let since_ms = self.harness.worker_clock_ms() - SHRINK_NOTICE_MS;
+        let capacities = &self.capacities[name];
+        let until_ms = capacities.iter().skip(1).map(|(from_ms, _)| *from_ms);
+        let counted = capacities
+            .iter()
+            .zip(until_ms.chain([u64::MAX]))
+            .filter(|(_, until_ms)| *until_ms >= since_ms);
+        counted.fold(Resources::default(), |counted, ((_, capacity), _)| {
+            counted.component_max(capacity)
+        })
+    }
+
+    fn capacity_at(&self, name: &str, at_ms: u64) -> Resources {
+        let capacities = self.capacities[name].iter();
+        let mut until = capacities.filter(|(from_ms, _)| *from_ms <= at_ms);
+        until
+            .next_back()
+            .map_or(CAPACITY, |(_, capacity)| *capacity)
+    }
+
+    fn used(&self, name: &str) -> Resources {
+        let on_worker = self.active.values().filter(|(worker, _)| worker == name);
+        on_worker.fold(Resources::default(), |sum, (_, start)| {
+            sum.plus(&reserved(start))
+        })
+    }
+
+    /// Collects the starts that can still take effect.
+    fn collect_starts(&mut self) {
+        self.requested.extend(self.harness.take_starts());
+        let clock_ms = self.harness.worker_clock_ms();
+        self.requested.retain(|start| start.deadline_ms >= clock_ms);
+    }
+
+    fn carry_out_start(&mut self, is_answered: bool) {
+        let Some(start) = self.requested.pop() else {
+            return;
+        };
+        let name = self.harness.worker_name(&start);
+        if is_answered {
+            self.harness.accept_start(&start);
+        } else {
+            self.harness.accept_start_unanswered(&start);
+        }
+        self.active.insert(start.task, (name.clone(), start));
+        let (counted, used) = (self.counted_capacity(&name), self.used(&name));
+        assert!(
+            counted.can_fit(&used),
+            "{name} runs {used:?} on {counted:?}"
+        );
+    }
+
+    fn end_run(&mut self, kind: EndKind) {
+        if let Some((_, (name, start))) = self.active.pop_first() {
+            self.harness.end_on_worker(&name, &start, kind);
+            self.harness.answer_polls();
+        }
+    }
+
+    fn wait(&mut self, duration_ms: u64) {
+        for _ in 0..duration_ms / 100 {
+            self.harness.advance(100);
+            for _ in 0..WORKERS {
+                self.harness.answer_polls();
+            }
+        }
+    }
+
+    fn on_event(&mut self, event: &Event) {
+        let name_of = |worker: usize| format_smolstr!("i-{worker}");
+        match *event {
+            Event::Submit {
+                tasks,
+                cores,
+                best_effort,
+            } => {
+                self.jobs += 1;
+                let mut job = job(&[tasks], cores * 1_000);
+                job.steps[0].best_effort = best_effort;
+                self.harness.submit(self.jobs, job);
+            }
+            Event::Accept => self.carry_out_start(true),
+            Event::AcceptUnanswered => self.carry_out_start(false),
+            Event::Lose => {
+                if let Some(start) = self.requested.pop() {
+                    self.harness.lose_start_response(&start);
+                }
+            }
+            Event::End(kind) => self.end_run(kind),
+            Event::Cancel => self.harness.apply(Command::Cancel(JobKey(self.jobs))),
+            Event::ChangeLeader => {
+                // The workers refuse the requests of the earlier leader.
+                self.requested.clear();
+                self.harness.change_leader();
+            }
+            Event::SetCapacity { worker, cores: now } => {
+                let (name, at_ms) = (name_of(worker), self.harness.worker_clock_ms());
+                self.harness.set_capacity(&name, cores(now));
+                let capacities = self.capacities.entry(name).or_default();
+                capacities.push((at_ms, cores(now)));
+            }
+            Event::StopHeartbeats(worker) => self.harness.stop_heartbeats(&name_of(worker)),
+            Event::ResumeHeartbeats(worker) => self.harness.resume_heartbeats(&name_of(worker)),
+            Event::DelayedHeartbeat {
+                worker,
+                sent_ago_ms,
+            } => {
+                let sent_at_ms = self.harness.worker_clock_ms() - sent_ago_ms;
+                let capacity = self.capacity_at(&name_of(worker), sent_at_ms);
+                self.harness.heartbeat_with(worker, |heartbeat| {
+                    heartbeat.capacity = capacity;
+                    heartbeat.clock_ms = sent_at_ms;
+                    heartbeat.sequence = sent_at_ms;
+                });
+            }
+            Event::Wait { duration_ms } => self.wait(duration_ms),
+        }
+        self.collect_starts();
+    }
+
+    /// Restores the capacities, and carries out and ends everything; returns how many tasks of one core
+    /// the workers then hold.
+    fn drained_room(&mut self) -> usize {
+        for worker in 0..WORKERS {
+            self.on_event(&Event::ResumeHeartbeats(worker));
+            let cores = 16;
+            self.on_event(&Event::SetCapacity { worker, cores });
+        }
+        // The longest quarantine of a worker on which tasks failed lasts 16 s.
+        for _ in 0..40 {
+            self.on_event(&Event::Wait { duration_ms: 500 });
+            while !self.requested.is_empty() {
+                self.carry_out_start(true);
+            }
+            while !self.active.is_empty() {
+                self.end_run(EndKind::Done);
+            }
+        }
+        self.collect_starts();
+        self.jobs += 1;
+        self.harness.submit(self.jobs, job(&[100], 1_000));
+        self.collect_starts();
+        self.requested.len()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    /// No start brings a worker over a capacity of which the leader could know, and no room is lost.
+    #[test]
+    fn no_start_exceeds_the_capacity_of_its_worker(events in prop::collection::vec(event(), 1..80)) {
+        let mut observer = Observer::new();
+        for event in events {
+            observer.on_event(&event);
+        }
+        prop_assert_eq!(observer.drained_room(), WORKERS * 16);
+    }
+}
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -434,6 +434,12 @@
         }
     }
 
+    /// Carries out a start on its worker and loses the response.
+    pub(crate) fn accept_start_unanswered(&mut self, request: &StartRequest) {
+        self.record_start(request);
+        self.lose_start_response(request);
+    }
+
     /// Loses a start request before it reaches its worker, so that the leader gets no response.
     pub(crate) fn lose_start_response(&mut self, request: &StartRequest) {
         self.leader
@@ -456,7 +462,16 @@
 
     /// Ends a run without answering a poll.
     pub(crate) fn end_unreported(&mut self, request: &StartRequest, kind: EndKind) {
-        let worker = self.worker(request.worker);
+        let name = self.worker_name(request);
+        self.end_on_worker(&name, request, kind);
+    }
+
+    /// Ends a run on a worker, whose handle may have changed since the start, without answering a poll.
+    pub(crate) fn end_on_worker(&mut self, name: &str, request: &StartRequest, kind: EndKind) {
+        let worker = self
+            .workers
+            .get_mut(name)
+            .expect("the worker has not been removed");
         worker.running.remove(&request.task);
         worker.last_end_number += 1;
         let number = worker.last_end_number;
@@ -469,6 +484,11 @@
         });
     }
 
+    /// Returns the name of the worker that the present leader has asked to start a task.
+    pub(crate) fn worker_name(&self, request: &StartRequest) -> SmolStr {
+        self.worker_names[&request.worker].clone()
+    }
+
     /// Ends a run and answers the polls.
     pub(crate) fn end_run(&mut self, request: &StartRequest, kind: EndKind) {
         self.end_unreported(request, kind);
