test(jobs): cut workers off in the random play, too, until their leases end

A worker that is cut off keeps its runs until the lease that it was granted has expired, and lists what is left when it is connected again.

--- a/crates/jasminefall-jobs/tests/leader/capacity.rs
+++ b/crates/jasminefall-jobs/tests/leader/capacity.rs
@@ -239,6 +239,8 @@
         worker: usize,
         sent_ago_ms: u64,
     },
+    CutOff(usize),
+    Reconnect(usize),
     Wait {
         duration_ms: u64,
     },
@@ -268,6 +270,8 @@
             worker,
             sent_ago_ms: hundreds * 100,
         }),
+        1 => (0..WORKERS).prop_map(Event::CutOff),
+        2 => (0..WORKERS).prop_map(Event::Reconnect),
         4 => (1_u64..25).prop_map(|hundreds| Event::Wait {
             duration_ms: hundreds * 100,
         }),
@@ -343,12 +347,17 @@
             return;
         };
         let name = self.harness.worker_name(&start);
+        if self.harness.is_cut_off(&name) {
+            return self.harness.lose_start_response(&start);
+        }
         if is_answered {
             self.harness.accept_start(&start);
         } else {
             self.harness.accept_start_unanswered(&start);
         }
-        self.active.insert(start.task, (name.clone(), start));
+        let task = start.task;
+        let earlier = self.active.insert(task, (name.clone(), start));
+        assert!(earlier.is_none(), "two runs of {task} are active");
         let (counted, used) = (self.counted_capacity(&name), self.used(&name));
         assert!(
             counted.can_fit(&used),
@@ -363,9 +372,21 @@
         }
     }
 
+    fn end_runs_of_expired_leases(&mut self) {
+        let harness = &mut self.harness;
+        self.active.retain(|_, (name, start)| {
+            let is_expired = harness.has_expired_lease(name);
+            if is_expired {
+                harness.end_on_worker(name, start, EndKind::Lapsed);
+            }
+            !is_expired
+        });
+    }
+
     fn wait(&mut self, duration_ms: u64) {
         for _ in 0..duration_ms / 100 {
             self.harness.advance(100);
+            self.end_runs_of_expired_leases();
             for _ in 0..WORKERS {
                 self.harness.answer_polls();
             }
@@ -419,6 +440,8 @@
                     heartbeat.sequence = sent_at_ms;
                 });
             }
+            Event::CutOff(worker) => self.harness.cut_off(&name_of(worker)),
+            Event::Reconnect(worker) => self.harness.reconnect(&name_of(worker)),
             Event::Wait { duration_ms } => self.wait(duration_ms),
         }
         self.collect_starts();
@@ -428,6 +451,7 @@
     /// the workers then hold.
     fn drained_room(&mut self) -> usize {
         for worker in 0..WORKERS {
+            self.on_event(&Event::Reconnect(worker));
             self.on_event(&Event::ResumeHeartbeats(worker));
             let cores = 16;
             self.on_event(&Event::SetCapacity { worker, cores });
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -64,6 +64,8 @@
     running: BTreeMap<TaskId, RunProgress>,
     ended: Vec<RunEnd>,
     last_end_number: u64,
+    /// The latest lease end that the worker was granted, on its clock.
+    lease_until_ms: u64,
 }
 
 /// Holds a leader, its replicated state and simulated workers.
@@ -84,6 +86,8 @@
     commits_enabled: bool,
     /// Workers that send no heartbeats.
     silent: Vec<SmolStr>,
+    /// Workers that neither send nor receive anything.
+    cut_off: Vec<SmolStr>,
     /// The capacity of workers that do not have [`CAPACITY`].
     capacities: BTreeMap<SmolStr, Resources>,
 }
@@ -118,6 +122,7 @@
             log: VecDeque::new(),
             commits_enabled: true,
             silent: Vec::new(),
+            cut_off: Vec::new(),
             capacities: BTreeMap::new(),
         };
         for number in 0..workers {
@@ -180,6 +185,26 @@
         self.silent.retain(|silent| silent != name);
     }
 
+    /// Cuts a worker off from the leader.
+    pub(crate) fn cut_off(&mut self, name: &str) {
+        self.cut_off.push(name.into());
+    }
+
+    /// Connects a worker again.
+    pub(crate) fn reconnect(&mut self, name: &str) {
+        self.cut_off.retain(|cut_off| cut_off != name);
+    }
+
+    /// Returns whether a worker is cut off.
+    pub(crate) fn is_cut_off(&self, name: &str) -> bool {
+        self.cut_off.iter().any(|cut_off| cut_off == name)
+    }
+
+    /// Returns whether the lease of the runs on a worker has expired.
+    pub(crate) fn has_expired_lease(&self, name: &str) -> bool {
+        self.now.steady_ms > self.workers[name].lease_until_ms
+    }
+
     /// Puts a configuration in force in which workers start tasks that do not fit.
     pub(crate) fn accept_overload(&mut self) {
         let mut configuration = configuration();
@@ -213,7 +238,7 @@
     pub(crate) fn send_heartbeats(&mut self) {
         let names: Vec<_> = self.workers.keys().cloned().enumerate().collect();
         for (number, name) in names {
-            if self.silent.contains(&name) {
+            if self.silent.contains(&name) || self.cut_off.contains(&name) {
                 continue;
             }
             let heartbeat = self.heartbeat(number, &name);
@@ -413,9 +438,9 @@
             percent: 0,
             gauge: None,
         };
-        self.worker(request.worker)
-            .running
-            .insert(request.task, progress);
+        let worker = self.worker(request.worker);
+        worker.lease_until_ms = worker.lease_until_ms.max(request.deadline_ms);
+        worker.running.insert(request.task, progress);
     }
 
     /// Carries out a start on its worker and delivers the response.
@@ -502,7 +527,8 @@
                 return;
             };
             self.record_worker_name(poll.worker);
-            if !self.workers.contains_key(&self.worker_names[&poll.worker]) {
+            let name = &self.worker_names[&poll.worker];
+            if !self.workers.contains_key(name) || self.cut_off.contains(name) {
                 let no_response = Err(WorkerResponse::Unknown);
                 self.leader
                     .on_poll_response(poll.worker, poll.channel, no_response, &self.state);
@@ -511,6 +537,8 @@
             }
             let clock_ms = self.now.steady_ms;
             let worker = self.worker(poll.worker);
+            let granted_ms = poll.deadline_ms.unwrap_or(0);
+            worker.lease_until_ms = worker.lease_until_ms.max(granted_ms);
             worker
                 .ended
                 .retain(|end| end.number > poll.acknowledged_upto);
