--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -4,6 +4,7 @@
 
 use super::lease::LeaseGrant;
 use super::steps::StepState;
+use super::workers::without_clock_drift_ms;
 use super::{Effect, Leader, Run, RunState, StartRequest, Worker, WorkerHandle};
 use crate::ids::StepId;
 use crate::job::{Resources, StepSpec};
@@ -65,7 +66,7 @@
         if ids.is_empty() {
             return;
         }
-        let mut eligible_workers = self.eligible_workers(pool);
+        let mut eligible_workers = self.eligible_workers(pool, state);
         self.place_suspects(pool, &mut eligible_workers, state);
         let unreconciled = self.is_unreconciled(pool);
         let mut unplaceable: Vec<Resources> = Vec::new();
@@ -121,8 +122,10 @@
     }
 
     /// Returns the workers of a pool that can be given tasks.
-    fn eligible_workers(&self, pool: &SmolStr) -> Vec<EligibleWorker> {
+    fn eligible_workers(&self, pool: &SmolStr, state: &JobsState) -> Vec<EligibleWorker> {
         let now_ms = self.now.steady_ms;
+        let configured = state.configuration.pool(pool);
+        let refuses_overload = configured.is_some_and(|pool| pool.refuses_overload);
         let is_eligible = |worker: &Worker| {
             worker.registered
                 && worker.reconciled
@@ -132,6 +135,7 @@
                 && now_ms >= worker.backoff_until_ms
                 && !worker.health.is_quarantined(now_ms)
                 && !self.is_silent(worker)
+                && (refuses_overload || self.has_reliable_room(worker))
         };
         let workers = self.directory.in_pool(pool);
         let workers = workers.filter_map(|handle| Some((handle, self.workers.get(&handle)?)));
@@ -151,6 +155,18 @@
             .collect()
     }
 
+    /// Returns whether a worker that does not refuse tasks may be given further ones by its free room.
+    ///
+    /// The needs of all its runs must be known and within its capacity, and a start that is requested
+    /// now must take effect before a capacity smaller than that in its latest heartbeat can bind it.
+    const fn has_reliable_room(&self, worker: &Worker) -> bool {
+        let notice_ms = self.settings.capacity_notice_ms + self.settings.heartbeat_ms;
+        let max_age_ms = without_clock_drift_ms(notice_ms.saturating_sub(START_DEADLINE_MS));
+        worker.runs_of_unknown_needs == 0
+            && worker.heartbeat.capacity.can_fit(&worker.used)
+            && worker.heartbeat_age_ms(self.now.steady_ms) <= max_age_ms
+    }
+
     fn place_step(
         &mut self,
         id: StepId,
@@ -307,6 +323,7 @@
             worker: handle,
             state: RunState::Requested,
             reserved,
+            has_unknown_needs: false,
             charge,
             long_running,
             start_deadline_ms: deadline_ms,
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -89,6 +89,8 @@
     pub(crate) used: Resources,
     /// The number of runs of long-running tasks.
     pub(crate) long_running_runs: usize,
+    /// The number of runs whose needs are unknown.
+    pub(crate) runs_of_unknown_needs: usize,
     /// End of the period in which responses of the worker are assumed to get lost, so that it is polled
     /// twice, on the leader's steady clock.
     pub(crate) response_loss_until_ms: u64,
@@ -120,7 +122,7 @@
     const fn min_clock_ms(&self, now_ms: u64) -> u64 {
         let (clock_ms, observed_at_ms) = self.clock_reading;
         let elapsed_ms = now_ms.saturating_sub(observed_at_ms);
-        clock_ms + elapsed_ms - elapsed_ms * CLOCK_DRIFT_MILLIS / 1_000
+        clock_ms + without_clock_drift_ms(elapsed_ms)
     }
 
     /// Returns the value of the worker's clock now, assuming no drift.
@@ -137,6 +139,13 @@
         }
     }
 
+    /// Returns the time since the worker sent its latest heartbeat, by its own clock, so that a delayed
+    /// or stored heartbeat counts as old.
+    pub(crate) const fn heartbeat_age_ms(&self, now_ms: u64) -> u64 {
+        self.estimated_clock_ms(now_ms)
+            .saturating_sub(self.heartbeat.clock_ms)
+    }
+
     /// Returns the unreserved part of the worker's capacity.
     #[must_use]
     pub const fn free(&self) -> Resources {
@@ -202,6 +211,7 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             long_running_runs: 0,
+            runs_of_unknown_needs: 0,
             response_loss_until_ms: 0,
             unresponsive: false,
             backoff_until_ms: 0,
@@ -267,12 +277,26 @@
         worker.heartbeat = Heartbeat {
             instance: worker.heartbeat.instance.clone(),
             pool: worker.heartbeat.pool.clone(),
-            ..heartbeat.clone()
+            ..heartbeat
         };
+        let heartbeat = worker.heartbeat.clone();
         if starts_draining {
             self.log_event(format!(
                 "event=worker_drains worker={incarnation} pool={pool}"
             ));
+        }
+        let recorded = state.incarnations.get(&incarnation);
+        let has_other_capacity =
+            recorded.is_some_and(|recorded| recorded.heartbeat.capacity != heartbeat.capacity);
+        if has_other_capacity {
+            let capacity = &heartbeat.capacity;
+            self.log_event(format!(
+                "event=capacity_changed worker={incarnation} pool={pool} cpu_millis={} \
+                 memory_mb={} gpus={}",
+                capacity.cpu_millis, capacity.memory_mb, capacity.gpus
+            ));
+        }
+        if starts_draining || has_other_capacity {
             self.propose(Command::Register(Box::new(heartbeat)));
         }
         if may_accept_more {
@@ -519,6 +543,11 @@
     }
 }
 
+/// Returns the part of a time on the leader's clock that passes on every worker's clock.
+pub(super) const fn without_clock_drift_ms(elapsed_ms: u64) -> u64 {
+    elapsed_ms - elapsed_ms * CLOCK_DRIFT_MILLIS / 1_000
+}
+
 const fn is_silent(worker: &Worker, now_ms: u64, heartbeat_ms: u64) -> bool {
     now_ms.saturating_sub(worker.last_heartbeat_at_ms)
         > heartbeat_ms * SILENT_AFTER_MISSED_HEARTBEATS
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -13,6 +13,12 @@
 pub(crate) const ATTEMPTS: u32 = 3;
 pub(crate) const POOL: &str = "render";
 pub(crate) const STANDBY: &str = "spare";
+/// The capacity of a worker.
+pub(crate) const CAPACITY: Resources = Resources {
+    cpu_millis: 16_000,
+    memory_mb: 32_000,
+    gpus: 0,
+};
 const HOST: &str = "queue.example";
 const PREFIX: &str = "/render/";
 
@@ -58,6 +64,8 @@
     running: BTreeMap<TaskId, RunProgress>,
     ended: Vec<RunEnd>,
     last_end_number: u64,
+    /// The latest lease end that the worker was granted, on its clock.
+    lease_until_ms: u64,
 }
 
 /// Holds a leader, its replicated state and simulated workers.
@@ -80,6 +88,10 @@
     silent: Vec<SmolStr>,
     /// When the workers that replaced crashed ones started, in milliseconds since 1970.
     restarted_at_ms: BTreeMap<SmolStr, u64>,
+    /// Workers that neither send nor receive anything.
+    cut_off: Vec<SmolStr>,
+    /// The capacity of workers that do not have [`CAPACITY`].
+    capacities: BTreeMap<SmolStr, Resources>,
 }
 
 impl Harness {
@@ -113,6 +125,8 @@
             commits_enabled: true,
             silent: Vec::new(),
             restarted_at_ms: BTreeMap::new(),
+            cut_off: Vec::new(),
+            capacities: BTreeMap::new(),
         };
         for number in 0..workers {
             let name = format_smolstr!("i-{number}");
@@ -136,11 +150,7 @@
             instance: Some(format_smolstr!("m-{number}")),
             pool: POOL.into(),
             address: format_smolstr!("10.0.0.{number}:80"),
-            capacity: Resources {
-                cpu_millis: 16_000,
-                memory_mb: 32_000,
-                gpus: 0,
-            },
+            capacity: self.capacities.get(name).copied().unwrap_or(CAPACITY),
             clock_ms: self.now.steady_ms,
             sequence: self.now.steady_ms,
             ..Heartbeat::default()
@@ -184,6 +194,51 @@
         is_accepted
     }
 
+    /// Changes the capacity of a worker; the leader learns of it from the next heartbeat.
+    pub(crate) fn set_capacity(&mut self, name: &str, capacity: Resources) {
+        self.capacities.insert(name.into(), capacity);
+    }
+
+    /// Stops the heartbeats of a worker.
+    pub(crate) fn stop_heartbeats(&mut self, name: &str) {
+        self.silent.push(name.into());
+    }
+
+    /// Resumes the heartbeats of a worker.
+    pub(crate) fn resume_heartbeats(&mut self, name: &str) {
+        self.silent.retain(|silent| silent != name);
+    }
+
+    /// Cuts a worker off from the leader.
+    pub(crate) fn cut_off(&mut self, name: &str) {
+        self.cut_off.push(name.into());
+    }
+
+    /// Connects a worker again.
+    pub(crate) fn reconnect(&mut self, name: &str) {
+        self.cut_off.retain(|cut_off| cut_off != name);
+    }
+
+    /// Returns whether a worker is cut off.
+    pub(crate) fn is_cut_off(&self, name: &str) -> bool {
+        self.cut_off.iter().any(|cut_off| cut_off == name)
+    }
+
+    /// Returns whether the lease of the runs on a worker has expired.
+    pub(crate) fn has_expired_lease(&self, name: &str) -> bool {
+        self.now.steady_ms > self.workers[name].lease_until_ms
+    }
+
+    /// Puts a configuration in force in which workers start tasks that do not fit.
+    pub(crate) fn accept_overload(&mut self) {
+        let mut configuration = configuration();
+        configuration.version += 1;
+        for pool in &mut configuration.pools {
+            pool.refuses_overload = false;
+        }
+        self.apply(Command::Configure(Arc::new(configuration)));
+    }
+
     /// Adds a worker and delivers a heartbeat of every worker.
     pub(crate) fn start_worker(&mut self) {
         let name = format_smolstr!("i-{}", self.workers.len());
@@ -207,7 +262,7 @@
     pub(crate) fn send_heartbeats(&mut self) {
         let names: Vec<_> = self.workers.keys().cloned().collect();
         for name in names {
-            if self.silent.contains(&name) {
+            if self.silent.contains(&name) || self.cut_off.contains(&name) {
                 continue;
             }
             let heartbeat = self.heartbeat(instance_number(&name), &name);
@@ -407,9 +462,9 @@
             percent: 0,
             gauge: None,
         };
-        self.worker(request.worker)
-            .running
-            .insert(request.task, progress);
+        let worker = self.worker(request.worker);
+        worker.lease_until_ms = worker.lease_until_ms.max(request.deadline_ms);
+        worker.running.insert(request.task, progress);
     }
 
     /// Carries out a start on its worker and delivers the response.
@@ -429,7 +484,7 @@
     }
 
     /// Carries out a start on its worker and loses the response.
-    pub(crate) fn carry_out_without_response(&mut self, request: &StartRequest) {
+    pub(crate) fn accept_start_unanswered(&mut self, request: &StartRequest) {
         self.record_start(request);
         self.lose_start_response(request);
     }
@@ -456,7 +511,16 @@
 
     /// Ends a run without answering a poll.
     pub(crate) fn end_unreported(&mut self, request: &StartRequest, kind: EndKind) {
-        let worker = self.worker(request.worker);
+        let name = self.worker_name(request);
+        self.end_on_worker(&name, request, kind);
+    }
+
+    /// Ends a run on a worker, whose handle may have changed since the start, without answering a poll.
+    pub(crate) fn end_on_worker(&mut self, name: &str, request: &StartRequest, kind: EndKind) {
+        let worker = self
+            .workers
+            .get_mut(name)
+            .expect("the worker has not been removed");
         worker.running.remove(&request.task);
         worker.last_end_number += 1;
         let number = worker.last_end_number;
@@ -469,6 +533,11 @@
         });
     }
 
+    /// Returns the name of the worker that the present leader has asked to start a task.
+    pub(crate) fn worker_name(&self, request: &StartRequest) -> SmolStr {
+        self.worker_names[&request.worker].clone()
+    }
+
     /// Ends a run and answers the polls.
     pub(crate) fn end_run(&mut self, request: &StartRequest, kind: EndKind) {
         self.end_unreported(request, kind);
@@ -494,7 +563,11 @@
         self.record_worker_name(poll.worker);
         let name = self.worker_names[&poll.worker].clone();
         let (clock_ms, started_at_ms) = (self.now.steady_ms, self.started_at_ms(&name));
-        let list = self.workers.get_mut(&name).map(|worker| {
+        let reachable = self.workers.get_mut(&name);
+        let reachable = reachable.filter(|_| !self.cut_off.contains(&name));
+        let list = reachable.map(|worker| {
+            let granted_ms = poll.deadline_ms.unwrap_or(0);
+            worker.lease_until_ms = worker.lease_until_ms.max(granted_ms);
             worker
                 .ended
                 .retain(|end| end.number > poll.acknowledged_upto);
@@ -566,11 +639,6 @@
         self.answer_polls();
     }
 
-    /// Returns the name of the worker that received a start.
-    pub(crate) fn worker_name(&self, request: &StartRequest) -> SmolStr {
-        self.worker_names[&request.worker].clone()
-    }
-
     /// Stops the heartbeats of the worker that received a start.
     pub(crate) fn silence_worker(&mut self, request: &StartRequest) {
         let name = self.worker_name(request);
--- a/crates/jasminefall-jobs/tests/leader/leases.rs
+++ b/crates/jasminefall-jobs/tests/leader/leases.rs
@@ -22,7 +22,7 @@
     harness.submit(2, harness::job(&[1], 100));
     let starts = harness.take_starts();
     assert_eq!(starts.len(), 1);
-    harness.carry_out_without_response(&starts[0]);
+    harness.accept_start_unanswered(&starts[0]);
     harness.silence_worker(&starts[0]);
     harness
 }
