fix(jobs): draw no conclusion from a full run list about runs that it lacks

What callers could see: a task that is done runs again, when a worker has more unacknowledged run ends than one list holds.

Cause: a worker lists at most 500 ends. The leader took a run that was neither listed as running nor as ended for a start without effect and restarted its task, although the end was only waiting for room in the list. A new leader took the first list for complete, too, and started tasks whose ends were yet to come.

The simulated worker of the tests now lists at most 500 ends, as workers do.

Why this works: a full list still shows what runs and what has ended, but a missing run counts as a start without effect, and an incarnation as reconciled, only after a list with room to spare. Since each list's ends are acknowledged once they are committed, that list follows within a few polls.

--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -211,7 +211,7 @@
         self.on_run_ends((handle, channel), &incarnation, &list.ended, state);
         self.reconcile_runs(handle, &list);
         self.pace_worker(handle);
-        if is_first_list {
+        if !list.may_lack_ends() {
             self.mark_reconciled(&incarnation);
         }
         self.poll_if_due(handle, state);
@@ -346,6 +346,9 @@
             listed.insert((progress.task, progress.run));
             self.reconcile_run(handle, progress);
         }
+        if list.may_lack_ends() {
+            return;
+        }
         let ended: BTreeSet<_> = list.ended.iter().map(|end| (end.task, end.run)).collect();
         let Some(worker) = self.workers.get(&handle) else {
             return;
--- a/crates/jasminefall-jobs/src/worker.rs
+++ b/crates/jasminefall-jobs/src/worker.rs
@@ -111,10 +111,22 @@
     pub started_at_ms: u64,
     /// The runs that have not ended, with their progress.
     pub running: Vec<RunProgress>,
-    /// The unacknowledged ends, oldest first.
+    /// The unacknowledged ends, oldest first, at most [`Self::MAX_ENDS`].
     pub ended: Vec<RunEnd>,
 }
 
+impl RunList {
+    /// The largest number of ends in one list; further ends follow once these are acknowledged.
+    pub const MAX_ENDS: usize = 500;
+
+    /// Returns whether the worker may have ends that the list has no room for, so that a run which is
+    /// not listed may have ended.
+    #[must_use]
+    pub const fn may_lack_ends(&self) -> bool {
+        self.ended.len() >= Self::MAX_ENDS
+    }
+}
+
 /// The result of a request to a worker about a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WorkerResponse {
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -8,6 +8,8 @@
 mod hot_workspace;
 #[path = "leader/leases.rs"]
 mod leases;
+#[path = "leader/run_lists.rs"]
+mod run_lists;
 
 use harness::{Harness, long_running_job, task};
 use jasminefall_jobs::leader::{
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -474,7 +474,12 @@
                 clock_ms,
                 started_at_ms: 1,
                 running: worker.running.values().cloned().collect(),
-                ended: worker.ended.clone(),
+                ended: worker
+                    .ended
+                    .iter()
+                    .take(RunList::MAX_ENDS)
+                    .cloned()
+                    .collect(),
             };
             let nothing_new = run_list.ended.is_empty();
             self.leader
