fix(jobs): keep a worker that joined after the request to take its instance down

What callers could see: capacity that is missing for ten minutes: the heartbeats of a working instance are ignored as those of an ended incarnation. No two runs of a task, since such a worker has none.

Cause: the platform answers a repeated maintenance request with success, also when the instance is back already, and a slow response to the first request may arrive by then, too. The leader took the incarnation that it knew on the instance at that time for the one that was taken down and recorded its end permanently.

Evidence: worker_that_joined_since_the_maintenance_request_gets_tasks failed before.

Why this works: an incarnation that joined after the first request is kept. Since it may have been taken down nevertheless, it gets tasks only once the change is over. Not covered: the first request of a new leader for an instance whose maintenance an earlier leader requested.

--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -77,13 +77,22 @@
     }
 
     /// Ends the incarnation on an instance that the platform has taken down.
+    ///
+    /// The response may arrive when the instance is up again, so an incarnation that has joined since
+    /// the request is kept, without new tasks until the change is over. `requested_at_ms` is `None` if
+    /// it is over already.
     pub(super) fn on_instance_taken_down(
         &mut self,
         instance: &str,
         cause: &str,
+        requested_at_ms: Option<u64>,
         state: &JobsState,
     ) {
         if let Some(handle) = self.worker_on(instance) {
+            let joined_at_ms = self.workers.get(&handle).map(|worker| worker.joined_at_ms);
+            if requested_at_ms.is_none() || joined_at_ms > requested_at_ms {
+                return;
+            }
             self.end_incarnation_permanently(handle, cause, state);
         }
         if let Some(known) = self.fleet.instances.get_mut(instance) {
@@ -91,6 +100,16 @@
         }
     }
 
+    /// Lets the worker on an instance be given tasks again.
+    pub(super) fn stop_evacuation(&mut self, instance: &str) {
+        let handle = self.worker_on(instance);
+        if let Some(worker) = handle.and_then(|handle| self.workers.get_mut(&handle)) {
+            worker.evacuating = false;
+            let pool = worker.heartbeat.pool.clone();
+            self.dirty_pools.insert(pool);
+        }
+    }
+
     /// Removes the records of ended incarnations that are older than the retention time.
     pub(super) fn expire_ended_incarnations(&mut self) {
         let now_ms = self.now.steady_ms;
--- a/crates/jasminefall-jobs/src/leader/maintenance.rs
+++ b/crates/jasminefall-jobs/src/leader/maintenance.rs
@@ -46,6 +46,8 @@
 pub(crate) struct MaintenanceTracker {
     /// The phase of each instance in progress, by wave and instance.
     phases: BTreeMap<(u64, SmolStr), Phase>,
+    /// When the maintenance of each instance in `phases` was requested first, on the steady clock.
+    first_requested_at_ms: BTreeMap<(u64, SmolStr), u64>,
     /// The instances in `phases`.
     in_progress: BTreeSet<SmolStr>,
     /// The instances of all waves whose maintenance has not begun.
@@ -86,7 +88,9 @@
 
     /// Removes an instance that has returned, does not exist or cannot be maintained.
     pub(crate) fn remove(&mut self, wave: u64, instance: &SmolStr) {
-        self.phases.remove(&(wave, instance.clone()));
+        let key = (wave, instance.clone());
+        self.phases.remove(&key);
+        self.first_requested_at_ms.remove(&key);
         self.in_progress.remove(instance);
     }
 
@@ -140,6 +144,7 @@
         }
         for key in returned {
             self.maintenance.remove(key.0, &key.1);
+            self.stop_evacuation(&key.1);
         }
     }
 
@@ -263,6 +268,8 @@
         self.log_event(format!(
             "event=maintenance_requested instance={instance} wave={wave}"
         ));
+        let first_requested = self.maintenance.first_requested_at_ms.entry(key.clone());
+        first_requested.or_insert(at_ms);
         self.maintenance.set_phase(key, Phase::Requested { at_ms });
         self.effects.push(Effect::Maintain { instance, wave });
     }
@@ -349,7 +356,8 @@
         match response {
             InstanceResponse::Done => {
                 self.counts.maintained += 1;
-                self.on_instance_taken_down(instance, "maintenance", state);
+                let requested_at_ms = self.maintenance.first_requested_at_ms.get(&key).copied();
+                self.on_instance_taken_down(instance, "maintenance", requested_at_ms, state);
                 self.maintenance
                     .set_phase(key, Phase::Down { since_ms: now_ms });
                 self.propose(Command::RecordMaintained {
--- a/crates/jasminefall-jobs/src/leader/moves.rs
+++ b/crates/jasminefall-jobs/src/leader/moves.rs
@@ -225,6 +225,7 @@
                 if has_arrived || is_overdue {
                     self.moves.by_instance.remove(instance);
                     self.fleet.record_arrived(instance);
+                    self.stop_evacuation(instance);
                 }
             }
             Phase::Requested { .. } | Phase::InTransit { .. } => {}
@@ -273,12 +274,7 @@
         ));
         self.moves.by_instance.remove(instance);
         self.fleet.request_refresh();
-        let handle = self.worker_on(instance);
-        if let Some(worker) = handle.and_then(|handle| self.workers.get_mut(&handle)) {
-            worker.evacuating = false;
-            let pool = worker.heartbeat.pool.clone();
-            self.dirty_pools.insert(pool);
-        }
+        self.stop_evacuation(instance);
     }
 
     /// Handles the platform's response to a request to move an instance.
@@ -300,7 +296,11 @@
         match response {
             InstanceResponse::Done => {
                 self.counts.moved += 1;
-                self.on_instance_taken_down(instance, "moved", state);
+                let requested_at_ms = match planned.phase {
+                    Phase::Requested { at_ms } => Some(at_ms),
+                    Phase::Evacuating { .. } | Phase::InTransit { .. } => None,
+                };
+                self.on_instance_taken_down(instance, "moved", requested_at_ms, state);
                 if let Some(known) = self.fleet.instances.get_mut(instance) {
                     known.pool = pool.clone();
                 }
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -624,6 +624,41 @@
     );
 }
 
+/// A maintenance response is lost, and the repeated request is answered when the instance is back.
+#[test]
+fn worker_that_joined_since_the_maintenance_request_gets_tasks() {
+    let mut harness = Harness::new(1);
+    harness.list_instances();
+    harness.start_wave(&["m-0"]);
+    harness.advance(500);
+    let requested = harness.take_maintenance();
+    assert_eq!(requested, ["m-0"]);
+    harness.respond_to_maintenance(&requested[0], InstanceResponse::Unknown);
+    let next_incarnation = |heartbeat: &mut Heartbeat| {
+        heartbeat.incarnation.worker = "i-8".into();
+        heartbeat.incarnation.started_at_ms = 2;
+    };
+    assert!(harness.heartbeat_with(0, next_incarnation));
+    harness.respond_to_maintenance(&requested[0], InstanceResponse::Done);
+    assert_eq!(harness.worker_count(), 1);
+    assert!(
+        harness.heartbeat_with(0, next_incarnation),
+        "the incarnation has not ended"
+    );
+    harness.add_run_list("i-8", 2);
+    harness.submit(1, harness::job(&[1], 100));
+    assert!(
+        harness.take_starts().is_empty(),
+        "the request may have taken the instance down just now"
+    );
+    for _ in 0..5 {
+        harness.advance(500);
+        harness.heartbeat_with(0, next_incarnation);
+        harness.answer_polls();
+    }
+    assert_eq!(harness.take_starts().len(), 1);
+}
+
 /// The leader judges by the worker on an instance whether the instance may be taken down, so that
 /// an outdated incarnation there must not count.
 #[test]
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -55,13 +55,25 @@
 }
 
 /// Simulates the run list of a worker, as its interface defines it.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Clone)]
 struct SimulatedWorker {
+    started_at_ms: u64,
     running: BTreeMap<TaskId, RunProgress>,
     ended: Vec<RunEnd>,
     last_end_number: u64,
 }
 
+impl Default for SimulatedWorker {
+    fn default() -> Self {
+        Self {
+            started_at_ms: 1,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end_number: 0,
+        }
+    }
+}
+
 /// Holds a leader, its replicated state and simulated workers.
 pub(crate) struct Harness {
     pub(crate) state: JobsState,
@@ -500,7 +512,7 @@
                 .retain(|end| end.number > poll.acknowledged_upto);
             let run_list = RunList {
                 clock_ms,
-                started_at_ms: 1,
+                started_at_ms: worker.started_at_ms,
                 running: worker.running.values().cloned().collect(),
                 ended: worker
                     .ended
@@ -573,6 +585,16 @@
         self.answer_polls();
     }
 
+    /// Adds the run list of a worker that the leader knows by a heartbeat, and lets the leader read it.
+    pub(crate) fn add_run_list(&mut self, name: &str, started_at_ms: u64) {
+        let worker = SimulatedWorker {
+            started_at_ms,
+            ..SimulatedWorker::default()
+        };
+        self.workers.insert(name.into(), worker);
+        self.answer_polls();
+    }
+
     /// Returns the name of the worker that received a start.
     pub(crate) fn worker_name(&self, request: &StartRequest) -> SmolStr {
         self.worker_names[&request.worker].clone()
