fix(jobs): keep a worker on its instance when an earlier incarnation there ends

What callers could see: an instance is taken down for maintenance or a move while tasks run on it, so that their work is lost and long-running tasks are unavailable.

Cause: the index of workers by instance held one incarnation. If the replicated state has an ended incarnation on the instance of a working one, a new leader may add it last; once it is removed, the instance counted as one without a worker, which may be taken down at once.

Evidence: new_leader_takes_no_instance_down_under_a_run_after_an_earlier_incarnation_there_ended failed before.

Why this works: the index holds all incarnations of an instance, so that the working one is found again when another one ends.

--- a/crates/jasminefall-jobs/src/leader/directory.rs
+++ b/crates/jasminefall-jobs/src/leader/directory.rs
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Directory {
     incarnations: HashMap<IncarnationId, WorkerHandle>,
-    instances: HashMap<SmolStr, WorkerHandle>,
+    instances: HashMap<SmolStr, BTreeSet<WorkerHandle>>,
     names: HashMap<SmolStr, BTreeSet<WorkerHandle>>,
     addresses: HashMap<SmolStr, BTreeSet<WorkerHandle>>,
     pools: HashMap<SmolStr, BTreeSet<WorkerHandle>>,
@@ -30,7 +30,8 @@
             .insert(heartbeat.incarnation.clone(), handle);
         match &heartbeat.instance {
             Some(instance) => {
-                self.instances.insert(instance.clone(), handle);
+                let on_instance = self.instances.entry(instance.clone()).or_default();
+                on_instance.insert(handle);
             }
             None => {
                 self.without_instance.insert(handle);
@@ -48,10 +49,8 @@
     /// indexed.
     pub(crate) fn remove(&mut self, handle: WorkerHandle, heartbeat: &Heartbeat) {
         self.incarnations.remove(&heartbeat.incarnation);
-        if let Some(instance) = &heartbeat.instance
-            && self.instances.get(instance) == Some(&handle)
-        {
-            self.instances.remove(instance);
+        if let Some(instance) = &heartbeat.instance {
+            remove_handle(&mut self.instances, instance, handle);
         }
         self.without_instance.remove(&handle);
         remove_handle(&mut self.names, &heartbeat.incarnation.worker, handle);
@@ -71,7 +70,7 @@
 
     /// Returns the latest worker whose heartbeat names an instance as its own.
     pub(crate) fn on_instance(&self, instance: &str) -> Option<WorkerHandle> {
-        self.instances.get(instance).copied()
+        self.instances.get(instance)?.last().copied()
     }
 
     /// Returns the workers whose heartbeat names no instance.
@@ -94,7 +93,8 @@
         let by_address = self.addresses.get(&heartbeat.address);
         let by_address = by_address.into_iter().flatten().copied();
         let instance = heartbeat.instance.as_deref();
-        let by_instance = instance.and_then(|instance| self.on_instance(instance));
+        let by_instance = instance.and_then(|instance| self.instances.get(instance));
+        let by_instance = by_instance.into_iter().flatten().copied();
         let by_name = self.by_name(&heartbeat.incarnation.worker);
         by_name.chain(by_address).chain(by_instance).collect()
     }
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -659,6 +659,37 @@
     assert_eq!(harness.take_starts().len(), 1);
 }
 
+/// The replicated state may hold an ended incarnation on the instance of another one.
+#[test]
+fn new_leader_takes_no_instance_down_under_a_run_after_an_earlier_incarnation_there_ended() {
+    let mut harness = Harness::new(1);
+    harness.submit(1, harness::job(&[1], 100));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.apply(Command::Register(Box::new(Heartbeat {
+        incarnation: IncarnationId {
+            worker: "i-9".into(),
+            started_at_ms: 0,
+        },
+        instance: Some("m-0".into()),
+        pool: harness::POOL.into(),
+        address: "10.0.1.9:80".into(),
+        ..Heartbeat::default()
+    })));
+    harness.change_leader();
+    harness.send_heartbeats();
+    assert_eq!(harness.worker_count(), 1);
+    harness.answer_polls();
+    harness.list_instances();
+    harness.advance(4_000);
+    harness.start_wave(&["m-0"]);
+    harness.advance(500);
+    assert!(harness.take_maintenance().is_empty(), "the run is active");
+    harness.end_run(&starts[0], EndKind::Done);
+    harness.advance(200);
+    assert_eq!(harness.take_maintenance(), ["m-0"]);
+}
+
 /// The leader judges by the worker on an instance whether the instance may be taken down, so that
 /// an outdated incarnation there must not count.
 #[test]
