--- a/crates/jasminefall-jobs/src/leader/isolation.rs
+++ b/crates/jasminefall-jobs/src/leader/isolation.rs
@@ -129,7 +129,6 @@
 
     /// Returns the suspects that wait in a pool and may be started, in the order of their placement.
     fn waiting_suspects(&self, pool: &SmolStr) -> Vec<TaskId> {
-        let unreconciled = self.is_unreconciled(pool);
         let mut waiting = self.suspects.in_order();
         waiting.retain(|task| {
             self.steps.get(&task.step_id()).is_some_and(|step| {
@@ -137,7 +136,7 @@
                     && step.pool == *pool
                     && step.waiting.contains(&task.index)
                     && !step.step().gang
-                    && !(step.inherited && unreconciled)
+                    && !self.may_have_unknown_runs(step)
             })
         });
         waiting
--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -68,7 +68,6 @@
         }
         let mut eligible_workers = self.eligible_workers(pool, state);
         self.place_suspects(pool, &mut eligible_workers, state);
-        let unreconciled = self.is_unreconciled(pool);
         let mut unplaceable: Vec<Resources> = Vec::new();
         for id in ids {
             let Some(step) = self.steps.get(&id) else {
@@ -83,7 +82,7 @@
                 !long_running && unplaceable.iter().any(|needed| needs.can_fit(needed));
             // A task of an inherited step may still run on a worker whose run list is not known
             // yet.
-            if is_unplaceable || (step.inherited && unreconciled) {
+            if is_unplaceable || self.may_have_unknown_runs(step) {
                 continue;
             }
             if !long_running
@@ -121,6 +120,12 @@
         open.map(|(_, id)| *id).filter(has_waiting_tasks).collect()
     }
 
+    /// Returns whether an earlier leader may have started tasks of a step on a worker whose run list has
+    /// not been received yet.
+    pub(super) fn may_have_unknown_runs(&self, step: &StepState) -> bool {
+        step.inherited && step.possible_pools().any(|pool| self.is_unreconciled(pool))
+    }
+
     /// Returns the workers of a pool that can be given tasks.
     fn eligible_workers(&self, pool: &SmolStr, state: &JobsState) -> Vec<EligibleWorker> {
         let now_ms = self.now.steady_ms;
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -19,6 +19,8 @@
     memory_mb: 32_000,
     gpus: 0,
 };
+/// A pool that is in the configuration only after [`Harness::set_queue_pool`].
+pub(crate) const OTHER_POOL: &str = "encode";
 const HOST: &str = "queue.example";
 const PREFIX: &str = "/render/";
 
@@ -59,8 +61,9 @@
 }
 
 /// Simulates the run list of a worker, as its interface defines it.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Clone)]
 struct SimulatedWorker {
+    started_at_ms: u64,
     running: BTreeMap<TaskId, RunProgress>,
     ended: Vec<RunEnd>,
     last_end_number: u64,
@@ -68,6 +71,18 @@
     lease_until_ms: u64,
 }
 
+impl Default for SimulatedWorker {
+    fn default() -> Self {
+        Self {
+            started_at_ms: 1,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end_number: 0,
+            lease_until_ms: 0,
+        }
+    }
+}
+
 /// Holds a leader, its replicated state and simulated workers.
 pub(crate) struct Harness {
     pub(crate) state: JobsState,
@@ -86,12 +101,12 @@
     commits_enabled: bool,
     /// Workers that send no heartbeats.
     silent: Vec<SmolStr>,
-    /// When the workers that replaced crashed ones started, in milliseconds since 1970.
-    restarted_at_ms: BTreeMap<SmolStr, u64>,
     /// Workers that neither send nor receive anything.
     cut_off: Vec<SmolStr>,
     /// The capacity of workers that do not have [`CAPACITY`].
     capacities: BTreeMap<SmolStr, Resources>,
+    /// Workers in [`OTHER_POOL`].
+    in_other_pool: Vec<SmolStr>,
 }
 
 impl Harness {
@@ -124,9 +139,9 @@
             log: VecDeque::new(),
             commits_enabled: true,
             silent: Vec::new(),
-            restarted_at_ms: BTreeMap::new(),
             cut_off: Vec::new(),
             capacities: BTreeMap::new(),
+            in_other_pool: Vec::new(),
         };
         for number in 0..workers {
             let name = format_smolstr!("i-{number}");
@@ -148,7 +163,11 @@
                 started_at_ms: self.started_at_ms(name),
             },
             instance: Some(format_smolstr!("m-{number}")),
-            pool: POOL.into(),
+            pool: if self.in_other_pool.contains(name) {
+                OTHER_POOL.into()
+            } else {
+                POOL.into()
+            },
             address: format_smolstr!("10.0.0.{number}:80"),
             capacity: self.capacities.get(name).copied().unwrap_or(CAPACITY),
             clock_ms: self.now.steady_ms,
@@ -158,7 +177,8 @@
     }
 
     fn started_at_ms(&self, name: &str) -> u64 {
-        self.restarted_at_ms.get(name).copied().unwrap_or(1)
+        let worker = self.workers.get(name);
+        worker.map_or(1, |worker| worker.started_at_ms)
     }
 
     /// Crashes the worker that received a start.
@@ -171,9 +191,11 @@
     /// Starts a crashed worker again under another name, and lets the leader read its run list.
     pub(crate) fn restart_worker(&mut self, name: &SmolStr) {
         let restarted = format_smolstr!("{name}-restarted");
-        self.workers
-            .insert(restarted.clone(), SimulatedWorker::default());
-        self.restarted_at_ms.insert(restarted, self.now.wall_ms);
+        let worker = SimulatedWorker {
+            started_at_ms: self.now.wall_ms,
+            ..SimulatedWorker::default()
+        };
+        self.workers.insert(restarted, worker);
         self.send_heartbeats();
         self.answer_polls();
     }
@@ -246,6 +268,25 @@
         self.send_heartbeats();
     }
 
+    /// Adds a worker in [`OTHER_POOL`] and lets the leader read its run list.
+    pub(crate) fn start_ready_worker_in_other_pool(&mut self) {
+        let name = format_smolstr!("i-{}", self.workers.len());
+        self.in_other_pool.push(name);
+        self.start_ready_worker();
+    }
+
+    /// Puts a configuration in force that has [`OTHER_POOL`], and whose queue uses a pool.
+    pub(crate) fn set_queue_pool(&mut self, version: u64, pool: &str) {
+        let mut changed = configuration();
+        changed.version = version;
+        changed.queues[0].pool = pool.into();
+        changed.pools.push(Pool {
+            name: OTHER_POOL.into(),
+            ..changed.pools[0].clone()
+        });
+        self.apply(Command::Configure(Arc::new(changed)));
+    }
+
     /// Deregisters a worker, which sends no further heartbeats.
     pub(crate) fn depart(&mut self, name: &str) {
         self.silent.push(name.into());
@@ -562,7 +603,7 @@
         let poll = self.polls.pop_front()?;
         self.record_worker_name(poll.worker);
         let name = self.worker_names[&poll.worker].clone();
-        let (clock_ms, started_at_ms) = (self.now.steady_ms, self.started_at_ms(&name));
+        let clock_ms = self.now.steady_ms;
         let reachable = self.workers.get_mut(&name);
         let reachable = reachable.filter(|_| !self.cut_off.contains(&name));
         let list = reachable.map(|worker| {
@@ -573,9 +614,14 @@
                 .retain(|end| end.number > poll.acknowledged_upto);
             RunList {
                 clock_ms,
-                started_at_ms,
+                started_at_ms: worker.started_at_ms,
                 running: worker.running.values().cloned().collect(),
-                ended: worker.ended.clone(),
+                ended: worker
+                    .ended
+                    .iter()
+                    .take(RunList::MAX_ENDS)
+                    .cloned()
+                    .collect(),
             }
         });
         let ends = list.as_ref().map_or(1, |list| list.ended.len());
@@ -639,6 +685,16 @@
         self.answer_polls();
     }
 
+    /// Adds the run list of a worker that the leader knows by a heartbeat, and lets the leader read it.
+    pub(crate) fn add_run_list(&mut self, name: &str, started_at_ms: u64) {
+        let worker = SimulatedWorker {
+            started_at_ms,
+            ..SimulatedWorker::default()
+        };
+        self.workers.insert(name.into(), worker);
+        self.answer_polls();
+    }
+
     /// Stops the heartbeats of the worker that received a start.
     pub(crate) fn silence_worker(&mut self, request: &StartRequest) {
         let name = self.worker_name(request);
