test(jobs): play random schedules of a leader, its log and its workers

The tests of the leader drive one decision at a time, so that leases, late requests and leader changes never meet. The new test plays random schedules in virtual time against workers that follow their interface, and checks TWICE, BUDGET, FALSE-FAILED, LIMIT, ORDER and PROGRESS at each event.

--- /dev/null
+++ b/crates/jasminefall-jobs/tests/schedules.rs
@@ -0,0 +1,95 @@
+//! Random schedules of a leader and its workers in virtual time.
+//!
+//! `SCHEDULE_SEEDS=1..5000` sets the seeds of all tests.
+
+#[path = "schedules/plan.rs"]
+mod plan;
+#[path = "schedules/rules.rs"]
+mod rules;
+#[path = "schedules/worker.rs"]
+mod worker;
+#[path = "schedules/world.rs"]
+mod world;
+
+use std::ops::Range;
+
+use plan::Setup;
+use world::{Counts, World};
+
+/// Returns the seeds to play: those of the environment or else the default ones.
+fn seeds(default: Range<u64>) -> Range<u64> {
+    let Ok(text) = std::env::var("SCHEDULE_SEEDS") else {
+        return default;
+    };
+    let bounds = text
+        .split_once("..")
+        .map(|(first, end)| (first.parse(), end.parse()));
+    match bounds {
+        Some((Ok(first), Ok(end))) => first..end,
+        _ => panic!("SCHEDULE_SEEDS must be FIRST..END"),
+    }
+}
+
+/// Plays a schedule for each seed and panics with the broken rules; returns what happened in all.
+fn play(setup: Setup, seeds: Range<u64>) -> Counts {
+    let mut total = Counts::default();
+    let mut broken = Vec::new();
+    for seed in seeds.clone() {
+        let mut world = World::new(setup, seed);
+        match world.run() {
+            Ok(counts) => total.add(&counts),
+            Err(violation) => {
+                if broken.is_empty() {
+                    println!("seed={seed} {violation}");
+                    println!("{}", world.events_of(&violation).join("\n"));
+                }
+                broken.push(format!("{seed}:{}", violation.rule));
+            }
+        }
+    }
+    println!("{total:?}");
+    let (count, total_count) = (broken.len(), seeds.count());
+    assert!(
+        broken.is_empty(),
+        "{count} of {total_count} seeds break a rule: {}",
+        broken.join(" ")
+    );
+    total
+}
+
+#[test]
+fn plain_faults_break_no_rule() {
+    let counts = play(Setup::PLAIN, seeds(1..250));
+    assert!(
+        counts.lapses > 0 && counts.late_requests > 0 && counts.completed > 0,
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn leader_changes_and_late_requests_break_no_rule() {
+    let setup = Setup {
+        leader_changes: 8,
+        crashes: 1,
+        ..Setup::PLAIN
+    };
+    let counts = play(setup, seeds(1..250));
+    assert!(
+        counts.leaderships > 0 && counts.late_requests > 0,
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn same_seed_plays_the_same_schedule() {
+    let setup = Setup {
+        leader_changes: 3,
+        ..Setup::PLAIN
+    };
+    let play = || {
+        World::new(setup, 7)
+            .run()
+            .map_err(|violation| violation.at_ms)
+    };
+    assert_eq!(play(), play());
+}
--- /dev/null
+++ b/crates/jasminefall-jobs/tests/schedules/plan.rs
@@ -0,0 +1,288 @@
+//! What a seed decides in advance: the jobs, the behaviour of their tasks and the faults.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use jasminefall_jobs::prelude::*;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+pub(crate) const ATTEMPTS: u32 = 3;
+pub(crate) const POOL: &str = "render";
+/// Time of the first and the last fault, in milliseconds.
+const FAULTS_MS: std::ops::Range<u64> = 3_000..28_000;
+/// Time at which the long-running jobs are cancelled, after the last fault has ended.
+pub(crate) const CALM_FROM_MS: u64 = 36_000;
+/// End of a schedule.
+pub(crate) const END_MS: u64 = CALM_FROM_MS + 30_000;
+
+/// Defines a group of worlds by the number of their workers and faults.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Setup {
+    pub(crate) workers: usize,
+    pub(crate) jobs: u64,
+    pub(crate) refuses_overload: bool,
+    /// The share of tasks that crash their workers, in percent.
+    pub(crate) deadly_percent: u32,
+    /// Periods in which half the requests to a worker get no response.
+    pub(crate) lossy_periods: u32,
+    pub(crate) cuts: u32,
+    pub(crate) crashes: u32,
+    pub(crate) departures: u32,
+    pub(crate) leader_changes: u32,
+    pub(crate) capacity_changes: u32,
+}
+
+impl Setup {
+    pub(crate) const PLAIN: Self = Self {
+        workers: 6,
+        jobs: 60,
+        refuses_overload: true,
+        deadly_percent: 0,
+        lossy_periods: 6,
+        cuts: 3,
+        crashes: 2,
+        departures: 0,
+        leader_changes: 0,
+        capacity_changes: 0,
+    };
+}
+
+/// Defines a disturbance; each concerns the worker that is in a slot at its time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Fault {
+    /// Requests get no response, or are carried out late, for a while.
+    Lossy {
+        slot: usize,
+        lasts_ms: u64,
+    },
+    /// Nothing is exchanged with the worker for a while.
+    Cut {
+        slot: usize,
+        lasts_ms: u64,
+    },
+    Crash {
+        slot: usize,
+    },
+    Drain {
+        slot: usize,
+    },
+    /// The leader is lost; another one is elected after a while.
+    LeaderLost {
+        absent_ms: u64,
+    },
+    Capacity {
+        slot: usize,
+        percent: u64,
+    },
+}
+
+/// Defines how the runs of a task go.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Behaviour {
+    pub(crate) duration_ms: u64,
+    /// The share of its runs that fail.
+    pub(crate) fail_percent: u32,
+    /// Time after its start at which the task crashes its worker.
+    pub(crate) crash_after_ms: Option<u64>,
+}
+
+/// Holds a job that is submitted at some time.
+#[derive(Debug)]
+pub(crate) struct PlannedJob {
+    pub(crate) key: JobKey,
+    pub(crate) submit_at_ms: u64,
+    pub(crate) spec: Arc<JobSpec>,
+    pub(crate) long_running: bool,
+}
+
+/// Holds the decisions for one seed.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub(crate) jobs: Vec<PlannedJob>,
+    pub(crate) behaviours: BTreeMap<TaskId, Behaviour>,
+    pub(crate) faults: Vec<(u64, Fault)>,
+    /// The share of requests that are harmed in a lossy period.
+    pub(crate) harmed_percent: u32,
+    longest_task_ms: u64,
+}
+
+impl Plan {
+    pub(crate) fn new(setup: &Setup, random: &mut StdRng) -> Self {
+        let mut plan = Self {
+            jobs: Vec::new(),
+            behaviours: BTreeMap::new(),
+            faults: Vec::new(),
+            harmed_percent: random.random_range(40..80),
+            longest_task_ms: [400, 800, 1_500, 2_500][random.random_range(0..4)],
+        };
+        for number in 1..=setup.jobs {
+            plan.add_job(JobKey(number), setup.deadly_percent, random);
+        }
+        plan.add_faults(setup, random);
+        plan
+    }
+
+    fn add_job(&mut self, key: JobKey, deadly_percent: u32, random: &mut StdRng) {
+        let long_running = random.random_ratio(1, 16);
+        let step_count = if long_running {
+            1
+        } else {
+            random.random_range(1..=2)
+        };
+        let longest_ms = if long_running {
+            u64::MAX
+        } else {
+            self.longest_task_ms
+        };
+        let mut steps = Vec::new();
+        for step in 0..step_count {
+            let tasks = random.random_range(1..=if long_running { 3 } else { 8 });
+            for index in 0..tasks {
+                let task = TaskId {
+                    job: key,
+                    occurrence: 0,
+                    step,
+                    index,
+                };
+                let behaviour = behaviour(longest_ms, deadly_percent, random);
+                self.behaviours.insert(task, behaviour);
+            }
+            steps.push(StepSpec {
+                tasks,
+                needs: Resources {
+                    cpu_millis: random.random_range(1..=4) * 500,
+                    memory_mb: 100,
+                    gpus: 0,
+                },
+                estimated_ms: 1_000,
+                after: (0..step).collect(),
+                long_running,
+                ..StepSpec::default()
+            });
+        }
+        let spec = JobSpec {
+            payload: "text".to_owned(),
+            steps,
+            schedule: None,
+        };
+        self.jobs.push(PlannedJob {
+            key,
+            submit_at_ms: random.random_range(500..FAULTS_MS.end),
+            spec: Arc::new(spec),
+            long_running,
+        });
+    }
+
+    fn add_faults(&mut self, setup: &Setup, random: &mut StdRng) {
+        let slots = setup.workers;
+        for _ in 0..setup.lossy_periods {
+            let (slot, lasts_ms) = (
+                random.random_range(0..slots),
+                random.random_range(1_000..6_000),
+            );
+            self.add_fault(Fault::Lossy { slot, lasts_ms }, random);
+        }
+        for _ in 0..setup.cuts {
+            let (slot, lasts_ms) = (
+                random.random_range(0..slots),
+                random.random_range(300..8_000),
+            );
+            self.add_fault(Fault::Cut { slot, lasts_ms }, random);
+        }
+        for _ in 0..setup.crashes {
+            self.add_fault(
+                Fault::Crash {
+                    slot: random.random_range(0..slots),
+                },
+                random,
+            );
+        }
+        for _ in 0..setup.departures {
+            self.add_fault(
+                Fault::Drain {
+                    slot: random.random_range(0..slots),
+                },
+                random,
+            );
+        }
+        for _ in 0..setup.capacity_changes {
+            let slot = random.random_range(0..slots);
+            let percent = [25, 50, 75, 100, 100][random.random_range(0..5)];
+            self.add_fault(Fault::Capacity { slot, percent }, random);
+        }
+        for _ in 0..setup.leader_changes {
+            self.add_leader_change(slots, random);
+        }
+    }
+
+    fn add_fault(&mut self, fault: Fault, random: &mut StdRng) {
+        self.faults.push((random.random_range(FAULTS_MS), fault));
+    }
+
+    /// Adds the loss of a leader; in most cases some workers are lossy at about the time at which the
+    /// next one is elected.
+    fn add_leader_change(&mut self, slots: usize, random: &mut StdRng) {
+        let at_ms = random.random_range(FAULTS_MS);
+        let absent_ms = random.random_range(300..2_500);
+        self.faults.push((at_ms, Fault::LeaderLost { absent_ms }));
+        if random.random_ratio(1, 4) {
+            return;
+        }
+        for slot in 0..slots {
+            if random.random_ratio(1, 2) {
+                let begins_ms = at_ms + random.random_range(absent_ms - 300..absent_ms + 700);
+                let lasts_ms = random.random_range(1_000..4_000);
+                self.faults
+                    .push((begins_ms, Fault::Lossy { slot, lasts_ms }));
+            }
+        }
+    }
+
+    pub(crate) fn is_deadly(&self, job: JobKey) -> bool {
+        let of_job = self.behaviours.iter().filter(|(task, _)| task.job == job);
+        of_job
+            .into_iter()
+            .any(|(_, behaviour)| behaviour.crash_after_ms.is_some())
+    }
+}
+
+fn behaviour(longest_ms: u64, deadly_percent: u32, random: &mut StdRng) -> Behaviour {
+    let is_deadly = random.random_ratio(deadly_percent, 100);
+    Behaviour {
+        duration_ms: random.random_range(50..longest_ms),
+        fail_percent: if random.random_ratio(1, 8) { 30 } else { 0 },
+        crash_after_ms: is_deadly.then(|| random.random_range(5..400)),
+    }
+}
+
+/// Returns a configuration with one queue and one pool.
+pub(crate) fn configuration(refuses_overload: bool) -> Configuration {
+    Configuration {
+        version: 1,
+        document: b"{}".to_vec(),
+        queues: vec![Queue {
+            name: "render".into(),
+            key: queue_key(),
+            pool: POOL.into(),
+            call_timeout_ms: 3_000,
+            latency_target_ms: 600,
+            attempts: ATTEMPTS,
+            stretch_millis: 1_600,
+            ..Queue::default()
+        }],
+        pools: vec![Pool {
+            name: POOL.into(),
+            refuses_overload,
+            standby: false,
+        }],
+        ..Configuration::default()
+    }
+}
+
+pub(crate) fn queue_key() -> QueueKey {
+    QueueKey {
+        host: "queue.example".into(),
+        path_prefix: "/render/".into(),
+    }
+}
