--- a/crates/jasminefall-jobs/tests/schedules.rs
+++ b/crates/jasminefall-jobs/tests/schedules.rs
@@ -80,6 +80,41 @@
     );
 }
 
+#[test]
+fn crashes_and_deadly_tasks_break_no_rule() {
+    let setup = Setup {
+        crashes: 5,
+        deadly_percent: 2,
+        leader_changes: 2,
+        ..Setup::PLAIN
+    };
+    let counts = play(setup, seeds(1..250));
+    assert!(counts.crashes > 0 && counts.completed > 0, "{counts:?}");
+}
+
+#[test]
+fn departures_break_no_rule() {
+    let setup = Setup {
+        departures: 6,
+        leader_changes: 1,
+        ..Setup::PLAIN
+    };
+    let counts = play(setup, seeds(1..250));
+    assert!(counts.departures > 0, "{counts:?}");
+}
+
+#[test]
+fn capacity_changes_break_no_rule() {
+    let setup = Setup {
+        refuses_overload: false,
+        capacity_changes: 20,
+        leader_changes: 2,
+        ..Setup::PLAIN
+    };
+    let counts = play(setup, seeds(1..250));
+    assert!(counts.capacity_changes > 0, "{counts:?}");
+}
+
 #[test]
 fn same_seed_plays_the_same_schedule() {
     let setup = Setup {
--- a/crates/jasminefall-jobs/tests/schedules/world.rs
+++ b/crates/jasminefall-jobs/tests/schedules/world.rs
@@ -278,7 +278,7 @@
         match event {
             Event::Tick => {
                 self.schedule(self.now_ms + TICK_MS, Event::Tick);
-                self.drive_leader(|leader, state| leader.tick(state));
+                self.drive_leader(Leader::tick);
             }
             Event::Commit { fencing_token } if fencing_token == self.fencing_token => self.commit(),
             Event::Commit { .. } => {}
@@ -442,7 +442,7 @@
         for command in std::mem::take(&mut self.client_commands) {
             self.propose(command);
         }
-        self.drive_leader(|leader, state| leader.tick(state));
+        self.drive_leader(Leader::tick);
     }
 
     fn submit(&mut self, number: usize) {
