--- /dev/null
+++ b/crates/jasminefall-jobs/tests/schedules/fleet.rs
@@ -0,0 +1,179 @@
+//! Workers that join, end, drain and leave.
+
+use jasminefall_jobs::prelude::*;
+use rand::Rng;
+use smol_str::format_smolstr;
+
+use super::{Event, FULL_CAPACITY, WALL_CLOCK_MS, World};
+use crate::plan::{Fault, POOL};
+use crate::worker::Worker;
+
+impl World {
+    pub(super) fn join(&mut self, slot: usize) {
+        let life = self.workers.len();
+        let incarnation = IncarnationId {
+            worker: format_smolstr!("i-{slot}-{life}"),
+            started_at_ms: WALL_CLOCK_MS + self.now_ms,
+        };
+        let clock = (
+            self.random.random_range(1_000..5_000_000),
+            self.random.random_range(0..=20),
+        );
+        let capacity = self.slots[slot].capacity;
+        self.note(format!("joins worker={incarnation}"));
+        let worker = Worker::new((slot, incarnation), capacity, self.now_ms, clock);
+        self.workers.push(worker);
+        self.slots[slot].life = life;
+        self.facts.on_capacity(life, self.now_ms, capacity);
+        self.send_heartbeat(life);
+    }
+
+    pub(super) fn send_heartbeat(&mut self, life: usize) {
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[life];
+        if !worker.is_up || !worker.sends_heartbeats {
+            return;
+        }
+        let heartbeat = worker.heartbeat(POOL, now_ms);
+        let slot = worker.slot;
+        let interval_ms = self.settings.heartbeat_ms;
+        self.after(
+            interval_ms * 9 / 10..interval_ms * 11 / 10,
+            Event::SendHeartbeat { life },
+        );
+        let is_cut = now_ms < self.slots[slot].cut_until_ms;
+        let is_lossy = now_ms < self.slots[slot].lossy_until_ms;
+        let one_in = if is_lossy { 3 } else { 20 };
+        let is_lost = self.slots[slot].heartbeats_lost < 2 && self.random.random_ratio(1, one_in);
+        if is_cut || is_lost {
+            self.slots[slot].heartbeats_lost += 1;
+            return;
+        }
+        self.slots[slot].heartbeats_lost = 0;
+        self.after(1..20, Event::HeartbeatArrives(Box::new(heartbeat)));
+    }
+
+    pub(super) fn expire_lease(&mut self, life: usize) {
+        let worker = &self.workers[life];
+        if !worker.is_up || worker.clock_ms(self.now_ms) <= worker.lease_until_ms {
+            return;
+        }
+        self.facts.on_lapse(life);
+        let runs: Vec<_> = worker.running.keys().copied().collect();
+        if !runs.is_empty() {
+            self.counts.lapses += 1;
+            self.note(format!(
+                "lease expired worker={}",
+                self.workers[life].incarnation
+            ));
+        }
+        for (task, run) in runs {
+            self.end_run(life, task, run, EndKind::Lapsed);
+        }
+    }
+
+    pub(super) fn end_run(&mut self, life: usize, task: TaskId, run: u64, kind: EndKind) {
+        let Some(number) = self.workers[life].end(task, run, kind) else {
+            return;
+        };
+        let incarnation = &self.workers[life].incarnation;
+        self.note(format!(
+            "end {number} task={task} run={run} worker={incarnation} kind={}",
+            kind.as_str()
+        ));
+        self.facts.on_end(life, task, run, (kind, number));
+        self.answer_held_polls(life, None);
+    }
+
+    pub(super) fn shut_down(&mut self, life: usize, is_crash: bool) {
+        if !self.workers[life].is_up {
+            return;
+        }
+        let runs = self.workers[life].shut_down();
+        let incarnation = self.workers[life].incarnation.clone();
+        self.note(format!("down worker={incarnation} crash={is_crash}"));
+        for (task, run) in &runs {
+            self.note(format!("lost task={task} run={run} worker={incarnation}"));
+        }
+        self.facts.on_shutdown(life, &runs, is_crash);
+        self.counts.lost_runs += runs.len() as u64;
+        self.counts.crashes += u64::from(is_crash);
+        let slot = self.workers[life].slot;
+        self.after(2_000..4_000, Event::WorkerJoins { slot });
+    }
+
+    pub(super) fn on_fault(&mut self, fault: Fault) {
+        let now_ms = self.now_ms;
+        match fault {
+            Fault::Lossy { slot, lasts_ms } => {
+                let slot = &mut self.slots[slot];
+                slot.lossy_until_ms = slot.lossy_until_ms.max(now_ms + lasts_ms);
+            }
+            Fault::Cut { slot, lasts_ms } => {
+                let slot = &mut self.slots[slot];
+                slot.cut_until_ms = slot.cut_until_ms.max(now_ms + lasts_ms);
+                let incarnation = self.workers[slot.life].incarnation.clone();
+                self.note(format!("cut worker={incarnation} lasts_ms={lasts_ms}"));
+            }
+            Fault::Crash { slot } => self.shut_down(self.slots[slot].life, true),
+            Fault::Drain { slot } => self.drain(self.slots[slot].life),
+            Fault::LeaderLost { absent_ms } => self.lose_leader(absent_ms),
+            Fault::Capacity { slot, percent } => self.change_capacity(slot, percent),
+        }
+    }
+
+    pub(super) fn change_capacity(&mut self, slot: usize, percent: u64) {
+        let capacity = Resources {
+            cpu_millis: FULL_CAPACITY.cpu_millis * percent / 100,
+            ..FULL_CAPACITY
+        };
+        self.slots[slot].capacity = capacity;
+        self.counts.capacity_changes += 1;
+        let life = self.slots[slot].life;
+        self.workers[life].capacity = capacity;
+        let incarnation = self.workers[life].incarnation.clone();
+        self.note(format!(
+            "capacity worker={incarnation} cpu_millis={}",
+            capacity.cpu_millis
+        ));
+        self.facts.on_capacity(life, self.now_ms, capacity);
+    }
+
+    /// Announces the departure of a worker by a heartbeat.
+    pub(super) fn drain(&mut self, life: usize) {
+        let worker = &mut self.workers[life];
+        if !worker.is_up || std::mem::replace(&mut worker.draining, true) {
+            return;
+        }
+        let incarnation = worker.incarnation.clone();
+        self.note(format!("drains worker={incarnation}"));
+        self.send_heartbeat(life);
+        self.after(1_000..6_000, Event::Deregister { life });
+    }
+
+    /// Sends the deregistration; without an acknowledgement the worker leaves some seconds later.
+    pub(super) fn deregister(&mut self, life: usize) {
+        if !self.workers[life].is_up {
+            return;
+        }
+        self.counts.departures += 1;
+        self.workers[life].sends_heartbeats = false;
+        self.after(1_000..5_000, Event::WorkerLeaves { life });
+        if self.now_ms >= self.slots[self.workers[life].slot].cut_until_ms {
+            self.after(1..20, Event::DepartureArrives { life });
+        }
+    }
+
+    pub(super) fn on_departure(&mut self, life: usize) {
+        let incarnation = self.workers[life].incarnation.clone();
+        self.note(format!(
+            "deregisters worker={incarnation} up={}",
+            self.workers[life].is_up
+        ));
+        let has_leader = self.leadership.is_some();
+        self.drive_leader(|leader, state| leader.on_departure(&incarnation.worker, state));
+        if has_leader && self.random.random_ratio(2, 3) {
+            self.after(1..30, Event::WorkerLeaves { life });
+        }
+    }
+}
