--- a/crates/jasminefall-jobs/tests/schedules/fleet.rs
+++ b/crates/jasminefall-jobs/tests/schedules/fleet.rs
@@ -11,8 +11,16 @@
 impl World {
     pub(super) fn join(&mut self, slot: usize) {
         let life = self.workers.len();
+        // The first workers have no predecessor in their slot.
+        let previous = self.workers.get(self.slots[slot].life);
+        let previous = previous.filter(|previous| previous.slot == slot);
+        let keeps_name = self.random.random_ratio(1, 4);
+        let name = match previous {
+            Some(previous) if keeps_name => previous.incarnation.worker.clone(),
+            _ => format_smolstr!("i-{slot}-{life}"),
+        };
         let incarnation = IncarnationId {
-            worker: format_smolstr!("i-{slot}-{life}"),
+            worker: name,
             started_at_ms: WALL_CLOCK_MS + self.now_ms,
         };
         let clock = (
@@ -47,6 +55,10 @@
         let is_lost = self.slots[slot].heartbeats_lost < 2 && self.random.random_ratio(1, one_in);
         if is_cut || is_lost {
             self.slots[slot].heartbeats_lost += 1;
+            if self.random.random_ratio(1, 2) {
+                let late = Event::HeartbeatArrives(Box::new(heartbeat));
+                self.after(2_000..12_000, late);
+            }
             return;
         }
         self.slots[slot].heartbeats_lost = 0;
