--- a/crates/jasminefall-jobs/tests/schedules/plan.rs
+++ b/crates/jasminefall-jobs/tests/schedules/plan.rs
@@ -12,7 +12,7 @@
 /// Time of the first and the last fault, in milliseconds.
 const FAULTS_MS: std::ops::Range<u64> = 3_000..28_000;
 /// Time at which the long-running jobs are cancelled, after the last fault has ended.
-pub(crate) const CALM_FROM_MS: u64 = 36_000;
+pub(crate) const CALM_FROM_MS: u64 = 41_000;
 /// End of a schedule.
 pub(crate) const END_MS: u64 = CALM_FROM_MS + 30_000;
 
@@ -40,7 +40,7 @@
         refuses_overload: true,
         max_deadly_millis: 0,
         lossy_periods: 6,
-        cuts: 3,
+        cuts: 6,
         crashes: 2,
         departures: 0,
         leader_changes: 0,
@@ -182,7 +182,7 @@
             self.add_fault(|slot| Fault::Lossy { slot, lasts_ms }, slots, random);
         }
         for _ in 0..setup.cuts {
-            let lasts_ms = random.random_range(300..8_000);
+            let lasts_ms = random.random_range(300..12_000);
             self.add_fault(|slot| Fault::Cut { slot, lasts_ms }, slots, random);
         }
         for _ in 0..setup.crashes {
