--- a/crates/jasminefall-jobs/tests/schedules/world.rs
+++ b/crates/jasminefall-jobs/tests/schedules/world.rs
@@ -18,7 +18,7 @@
 
 const TICK_MS: u64 = 10;
 /// The most events that are listed for a broken rule.
-const LISTED_EVENTS: usize = 60;
+const LISTED_EVENTS: usize = 40;
 /// Time after which a request without an answer has failed, beyond the wait that it asks for.
 const REQUEST_TIMEOUT_MS: u64 = 400;
 const WALL_CLOCK_MS: u64 = 1_700_000_000_000;
