--- a/crates/jasminefall-jobs/tests/schedules/log.rs
+++ b/crates/jasminefall-jobs/tests/schedules/log.rs
@@ -86,15 +86,16 @@
                     end.run,
                     end.kind.as_str()
                 ));
-                self.check_job(end.task.job);
             }
         }
+        self.check_failed_jobs();
     }
 
-    pub(super) fn check_job(&mut self, key: JobKey) {
-        let failed = Some(JobStatus::Failed);
-        if self.state.jobs.get(&key).map(Job::status) == failed {
-            self.facts.on_job_failed(key, ATTEMPTS, self.now_ms);
+    pub(super) fn check_failed_jobs(&mut self) {
+        for (key, job) in &self.state.jobs {
+            if job.status() == JobStatus::Failed {
+                self.facts.on_job_failed(*key, ATTEMPTS, self.now_ms);
+            }
         }
     }
 
