fix(control): register no draining worker whose heartbeat was ignored

Cause: a heartbeat with the draining state was recorded before its response even if the leader had ignored it, as one of an incarnation that has ended, so that a stale record entered the replicated state. Found by reading; no test brings it about.

--- a/crates/jasminefall-dispatch/src/control/api.rs
+++ b/crates/jasminefall-dispatch/src/control/api.rs
@@ -183,7 +183,7 @@
     let to_register = heartbeat.clone();
     let recorded = node.with_leader(|leader, state| leader.on_heartbeat(heartbeat, state));
     match recorded {
-        Some(_) if is_draining => {
+        Some(true) if is_draining => {
             let is_durable = node.read_local(|state| {
                 state
                     .incarnations
