fix(jobs): give a task up earlier if crashes under it may not have been counted

What callers could see: with several changes of the leader, a task that crashes its workers is started three times more after the third crash (BUDGET).

Cause: which runs were on a crashed worker is known only to the leader that had read its run list, so crashes during a change of the leader are not recorded, and the limit of three counted crashes came too late.

Why this works: a task that the leader has inherited is given up after its second counted crash if only its job ran on the last worker.

--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -278,10 +278,13 @@
         self.suspects.next_crash += 1;
         let mut failing = Vec::new();
         for run in &suspects {
+            // A crash during a change of the leader is not recorded.
+            let step = self.steps.get(&run.task.step_id());
+            let may_lack_crashes = step.is_some_and(|step| step.inherited);
             let known = self.suspects.by_task.entry(run.task).or_default();
             known.crashes.insert(crash, run.requested_at_ms);
             known.counts.record(run.is_certain, was_isolated);
-            known.given_up |= known.counts.is_given_up(was_isolated);
+            known.given_up |= known.counts.is_given_up(was_isolated, may_lack_crashes);
             let (counts, given_up) = (known.counts, known.given_up);
             self.log_event(format!(
                 "event=task_suspected task={} run={} crashes={} isolated={} possible={} given_up={given_up}",
--- a/crates/jasminefall-jobs/src/policy/crashes.rs
+++ b/crates/jasminefall-jobs/src/policy/crashes.rs
@@ -4,7 +4,8 @@
 //! tasks on a crashed worker are suspects. The suspects of a job then run on a worker without other
 //! jobs, so that a further crash is most likely their own.
 
-/// The number of crashes after which a task is given up, if only its own job ran on the workers.
+/// The number of crashes after which a task is given up, if only its own job ran on the workers, or on
+/// the last one and earlier crashes may not have been counted.
 const GIVE_UP_AFTER_ISOLATED_CRASHES: u32 = 2;
 /// The number of crashes after which a task is given up, if only its own job ran on the last worker.
 /// The first one may have come just after the task's run had ended, and the second by chance.
@@ -35,13 +36,14 @@
         self.isolated += u32::from(is_certain && is_isolated);
     }
 
-    /// Returns whether the task is given up after a crash; `is_isolated` is as for [`Self::record`].
+    /// Returns whether the task is given up after a crash; `is_isolated` is as for [`Self::record`], and
+    /// `may_lack_crashes` states whether earlier crashes may not have been counted.
     #[must_use]
-    pub const fn is_given_up(&self, is_isolated: bool) -> bool {
-        let limit = if is_isolated {
-            GIVE_UP_AFTER_CRASHES
-        } else {
-            GIVE_UP_AFTER_SHARED_CRASHES
+    pub const fn is_given_up(&self, is_isolated: bool, may_lack_crashes: bool) -> bool {
+        let limit = match (is_isolated, may_lack_crashes) {
+            (true, true) => GIVE_UP_AFTER_ISOLATED_CRASHES,
+            (true, false) => GIVE_UP_AFTER_CRASHES,
+            (false, _) => GIVE_UP_AFTER_SHARED_CRASHES,
         };
         self.isolated >= GIVE_UP_AFTER_ISOLATED_CRASHES
             || self.certain >= limit
