--- a/crates/jasminefall-jobs/tests/support/state_samples.rs
+++ b/crates/jasminefall-jobs/tests/support/state_samples.rs
@@ -182,5 +182,6 @@
         waves: BTreeMap::from([(6, wave())]),
         surges: BTreeMap::from([("editor".into(), surge())]),
         owners: BTreeMap::from([(job_key(), owner)]),
+        crashes: BTreeMap::new(),
     }
 }
