--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -227,8 +227,8 @@
     /// The workspaces of the jobs that belong to one. A snapshot holds them after the surges.
     #[serde(skip)]
     pub owners: BTreeMap<JobKey, JobOwner>,
-    /// The crashes under the tasks that are not done. A snapshot holds them after the workspaces,
-    /// unless there are none. They decide nothing in [`Self::apply`], since a replica that restored
+    /// The crashes under the tasks that are not done. A snapshot holds them after the workspaces. They
+    /// decide nothing in [`Self::apply`], since a replica that restored
     /// a snapshot of an earlier version lacks them.
     #[serde(skip)]
     pub crashes: BTreeMap<TaskId, TaskCrashes>,
@@ -247,9 +247,6 @@
             owners: self.owners.clone(),
         };
         let bytes = postcard::to_extend(&workspaces, bytes)?;
-        if self.crashes.is_empty() {
-            return Ok(bytes);
-        }
         postcard::to_extend(&self.crashes, bytes)
     }
 
@@ -273,7 +270,8 @@
         Arc::make_mut(&mut state.configuration).access = workspaces.access;
         state.owners = workspaces.owners;
         if !rest.is_empty() {
-            state.crashes = postcard::from_bytes(rest)?;
+            // Sections of later versions may follow.
+            (state.crashes, _) = postcard::take_from_bytes(rest)?;
         }
         Ok(state)
     }
--- a/crates/jasminefall-jobs/tests/state.rs
+++ b/crates/jasminefall-jobs/tests/state.rs
@@ -45,6 +45,7 @@
     let earlier_lengths = [
         length(postcard::to_stdvec(&state)),
         length(postcard::to_stdvec(&(&state, &state.surges))),
+        bytes.len() - length(postcard::to_stdvec(&state.crashes)),
     ];
     for cut in 0..bytes.len() {
         let is_decoded = JobsState::from_bytes(&bytes[..cut]).is_ok();
