refactor(jobs): process heartbeats in a module of their own

leader/workers.rs had grown to 568 lines and on_heartbeat to 91. Heartbeats that are ignored are logged in one place, with their pool; decisions are unchanged.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -10,7 +10,8 @@
 //!
 //! - `clients`: submissions, status queries and cancellations
 //! - `directory`: index of the workers by name, address, instance and pool
-//! - `workers`: heartbeats, leases and polls
+//! - `heartbeats`: heartbeats of workers
+//! - `workers`: workers, their leases and polls
 //! - `lease`: the time until which a worker may hold a lease
 //! - `incarnations`: which incarnations have ended, and which replaces which
 //! - `responses`: responses of workers to requests, and their run lists
@@ -32,6 +33,7 @@
 mod clients;
 mod directory;
 mod fleet;
+mod heartbeats;
 mod incarnations;
 mod isolation;
 mod lease;
--- /dev/null
+++ b/crates/jasminefall-jobs/src/leader/heartbeats.rs
@@ -0,0 +1,127 @@
+//! Heartbeats of workers.
+
+use super::workers::is_silent;
+use super::{Leader, WorkerHandle};
+use crate::state::{Command, JobsState};
+use crate::worker::Heartbeat;
+
+impl Leader {
+    /// Processes a heartbeat; returns false for an incarnation that has ended or been replaced, or
+    /// whose pool is not in the configuration.
+    pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, state: &JobsState) -> bool {
+        let known = self.directory.by_incarnation(&heartbeat.incarnation);
+        let configuration = &state.configuration;
+        // Checked before the heartbeat can replace another incarnation, since its sender is no worker.
+        if known.is_none()
+            && !configuration.pools.is_empty()
+            && configuration.pool(&heartbeat.pool).is_none()
+        {
+            self.log_ignored(&heartbeat, "unknown-pool");
+            return false;
+        }
+        self.end_earlier_incarnations(&heartbeat, state);
+        match known {
+            Some(handle) => self.update_worker(handle, heartbeat, state),
+            None => self.join_worker(heartbeat),
+        }
+    }
+
+    fn log_ignored(&mut self, heartbeat: &Heartbeat, cause: &str) {
+        self.log_event(format!(
+            "event=heartbeat_ignored worker={} cause={cause} pool={} sequence={}",
+            heartbeat.incarnation, heartbeat.pool, heartbeat.sequence
+        ));
+    }
+
+    /// Adds the sender of a heartbeat, unless its incarnation has ended or been replaced.
+    fn join_worker(&mut self, heartbeat: Heartbeat) -> bool {
+        if self.ended_incarnations.contains_key(&heartbeat.incarnation)
+            || self.has_later_incarnation(&heartbeat)
+        {
+            self.log_ignored(&heartbeat, "incarnation-ended");
+            return false;
+        }
+        self.log_event(format!(
+            "event=worker_joined worker={} pool={} address={} sequence={}",
+            heartbeat.incarnation, heartbeat.pool, heartbeat.address, heartbeat.sequence
+        ));
+        self.propose(Command::Register(Box::new(heartbeat.clone())));
+        let pool = heartbeat.pool.clone();
+        if let Some(instance) = &heartbeat.instance {
+            self.fleet
+                .record_up(instance, &pool, &heartbeat.incarnation.worker);
+        }
+        self.add_worker(heartbeat, false);
+        self.dirty_pools.insert(pool);
+        true
+    }
+
+    /// Updates a known worker; returns false if it has been removed since.
+    fn update_worker(
+        &mut self,
+        handle: WorkerHandle,
+        heartbeat: Heartbeat,
+        state: &JobsState,
+    ) -> bool {
+        let now_ms = self.now.steady_ms;
+        let Some(worker) = self.workers.get_mut(&handle) else {
+            return false;
+        };
+        let was_silent = is_silent(worker, now_ms, self.settings.heartbeat_ms);
+        worker.last_heartbeat_at_ms = now_ms;
+        worker.observe_clock(heartbeat.clock_ms, now_ms);
+        if heartbeat.sequence < worker.heartbeat.sequence {
+            return true;
+        }
+        let starts_draining = heartbeat.draining && !worker.heartbeat.draining;
+        let previous = &worker.heartbeat;
+        let may_accept_more = was_silent
+            || previous.capacity != heartbeat.capacity
+            || previous.labels != heartbeat.labels
+            || previous.draining != heartbeat.draining;
+        let (previous_address, address) = (&previous.address, &heartbeat.address);
+        if previous_address != address {
+            self.directory
+                .update_address(handle, previous_address, address);
+        }
+        // The pool and the instance of an incarnation never change.
+        worker.heartbeat = Heartbeat {
+            instance: previous.instance.clone(),
+            pool: previous.pool.clone(),
+            ..heartbeat
+        };
+        let heartbeat = worker.heartbeat.clone();
+        if may_accept_more {
+            self.dirty_pools.insert(heartbeat.pool.clone());
+        }
+        if starts_draining {
+            self.log_event(format!(
+                "event=worker_drains worker={} pool={}",
+                heartbeat.incarnation, heartbeat.pool
+            ));
+        }
+        if self.has_unrecorded_capacity(&heartbeat, state) || starts_draining {
+            self.propose(Command::Register(Box::new(heartbeat)));
+        }
+        true
+    }
+
+    /// Returns whether the capacity of a worker differs from the recorded one, which the next leader would
+    /// rely on.
+    fn has_unrecorded_capacity(&mut self, heartbeat: &Heartbeat, state: &JobsState) -> bool {
+        let recorded = state.incarnations.get(&heartbeat.incarnation);
+        if recorded.is_none_or(|recorded| recorded.heartbeat.capacity == heartbeat.capacity) {
+            return false;
+        }
+        let capacity = &heartbeat.capacity;
+        self.log_event(format!(
+            "event=capacity_changed worker={} pool={} cpu_millis={} memory_mb={} gpus={}",
+            heartbeat.incarnation,
+            heartbeat.pool,
+            capacity.cpu_millis,
+            capacity.memory_mb,
+            capacity.gpus
+        ));
+        true
+    }
+}
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -1,4 +1,4 @@
-//! Worker heartbeats, leases and polls.
+//! Workers, their leases and polls.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,7 +9,7 @@
 use crate::ids::{IncarnationId, TaskId};
 use crate::job::Resources;
 use crate::policy::health::WorkerHealth;
-use crate::state::{Command, JobsState};
+use crate::state::JobsState;
 use crate::worker::Heartbeat;
 
 /// How far a worker's clock may fall behind the leader's, in thousandths of the elapsed time; the
@@ -223,101 +223,6 @@
         handle
     }
 
-    /// Processes a heartbeat; returns false for an incarnation that has ended or been replaced, or
-    /// whose pool is not in the configuration.
-    pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, state: &JobsState) -> bool {
-        let known = self.directory.by_incarnation(&heartbeat.incarnation);
-        let configuration = &state.configuration;
-        // Checked before the heartbeat can replace another incarnation, since its sender is no worker.
-        if known.is_none()
-            && !configuration.pools.is_empty()
-            && configuration.pool(&heartbeat.pool).is_none()
-        {
-            self.log_event(format!(
-                "event=heartbeat_ignored worker={} cause=unknown-pool pool={} sequence={}",
-                heartbeat.incarnation, heartbeat.pool, heartbeat.sequence
-            ));
-            return false;
-        }
-        self.end_earlier_incarnations(&heartbeat, state);
-        let Some(handle) = known else {
-            if self.ended_incarnations.contains_key(&heartbeat.incarnation)
-                || self.has_later_incarnation(&heartbeat)
-            {
-                self.log_event(format!(
-                    "event=heartbeat_ignored worker={} cause=incarnation-ended sequence={}",
-                    heartbeat.incarnation, heartbeat.sequence
-                ));
-                return false;
-            }
-            self.log_event(format!(
-                "event=worker_joined worker={} pool={} address={} sequence={}",
-                heartbeat.incarnation, heartbeat.pool, heartbeat.address, heartbeat.sequence
-            ));
-            self.propose(Command::Register(Box::new(heartbeat.clone())));
-            let pool = heartbeat.pool.clone();
-            if let Some(instance) = &heartbeat.instance {
-                self.fleet
-                    .record_up(instance, &pool, &heartbeat.incarnation.worker);
-            }
-            self.add_worker(heartbeat, false);
-            self.dirty_pools.insert(pool);
-            return true;
-        };
-        let now_ms = self.now.steady_ms;
-        let Some(worker) = self.workers.get_mut(&handle) else {
-            return false;
-        };
-        let was_silent = is_silent(worker, now_ms, self.settings.heartbeat_ms);
-        worker.last_heartbeat_at_ms = now_ms;
-        worker.observe_clock(heartbeat.clock_ms, now_ms);
-        if heartbeat.sequence < worker.heartbeat.sequence {
-            return true;
-        }
-        let starts_draining = heartbeat.draining && !worker.heartbeat.draining;
-        let previous = &worker.heartbeat;
-        let may_accept_more = was_silent
-            || previous.capacity != heartbeat.capacity
-            || previous.labels != heartbeat.labels
-            || previous.draining != heartbeat.draining;
-        let (incarnation, pool) = (heartbeat.incarnation.clone(), heartbeat.pool.clone());
-        let (previous_address, address) = (&worker.heartbeat.address, &heartbeat.address);
-        if previous_address != address {
-            self.directory
-                .update_address(handle, previous_address, address);
-        }
-        // The pool and the instance of an incarnation never change.
-        worker.heartbeat = Heartbeat {
-            instance: worker.heartbeat.instance.clone(),
-            pool: worker.heartbeat.pool.clone(),
-            ..heartbeat
-        };
-        let heartbeat = worker.heartbeat.clone();
-        if starts_draining {
-            self.log_event(format!(
-                "event=worker_drains worker={incarnation} pool={pool}"
-            ));
-        }
-        let recorded = state.incarnations.get(&incarnation);
-        let has_other_capacity =
-            recorded.is_some_and(|recorded| recorded.heartbeat.capacity != heartbeat.capacity);
-        if has_other_capacity {
-            let capacity = &heartbeat.capacity;
-            self.log_event(format!(
-                "event=capacity_changed worker={incarnation} pool={pool} cpu_millis={} \
-                 memory_mb={} gpus={}",
-                capacity.cpu_millis, capacity.memory_mb, capacity.gpus
-            ));
-        }
-        if starts_draining || has_other_capacity {
-            self.propose(Command::Register(Box::new(heartbeat)));
-        }
-        if may_accept_more {
-            self.dirty_pools.insert(pool);
-        }
-        true
-    }
-
     /// Returns the longest time, on the leader's clock, that a lease lasts without renewal.
     const fn max_lease_on_local_clock_ms(&self) -> u64 {
         let lease_ms = self.settings.max_lease_ms;
@@ -561,7 +466,7 @@
     elapsed_ms - elapsed_ms * CLOCK_DRIFT_MILLIS / 1_000
 }
 
-const fn is_silent(worker: &Worker, now_ms: u64, heartbeat_ms: u64) -> bool {
+pub(super) const fn is_silent(worker: &Worker, now_ms: u64, heartbeat_ms: u64) -> bool {
     now_ms.saturating_sub(worker.last_heartbeat_at_ms)
         > heartbeat_ms * SILENT_AFTER_MISSED_HEARTBEATS
 }
