fix(control): send no queued start after the leadership or the incarnation has ended

What callers could see: two runs of one task, if a start that had waited behind a request without a response reached the next incarnation of a worker under the same name, whose clock begins anew, so that its deadline doesn't bound it.

Cause: requests wait in a queue for each connection, and were sent without asking whether this instance still leads and still knows the incarnation.

A start whose worker is replaced while it is on the network is not covered.

--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use jasminefall_jobs::leader::{Leader, Now};
+use jasminefall_jobs::leader::{Leader, Now, WorkerHandle};
 use jasminefall_jobs::policy::receivers::{HeartbeatReceiver, assign_receiver};
 use jasminefall_jobs::prelude::*;
 use jasminefall_platform::settings::PlatformSettings;
@@ -340,6 +340,16 @@
         inner.execute_effects_and_schedule(self);
     }
 
+    /// Returns whether a task may be started on a worker: this instance still leads with the fencing token
+    /// and has not ended the worker's incarnation since the request was queued.
+    pub(super) fn may_start_on(&self, worker: WorkerHandle, fencing_token: u64) -> bool {
+        let inner = self.inner.borrow();
+        let leader = inner.leader.as_ref();
+        inner.fencing_token == fencing_token
+            && inner.holds_lease()
+            && leader.is_some_and(|leader| leader.worker(worker).is_some())
+    }
+
     /// Proposes a command and waits until it is applied on this instance.
     pub(super) async fn propose(&self, command: Command) -> Result<Outcome, ProposeError> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/jasminefall-dispatch/src/control/worker_channels.rs
+++ b/crates/jasminefall-dispatch/src/control/worker_channels.rs
@@ -142,7 +142,12 @@
                 (encode_poll(poll, token), wait + REQUEST_TIMEOUT)
             }
         };
-        let result = send(&mut connection, &target, &encoded, limit).await;
+        let is_start = matches!(request, WorkerRequest::Start(_));
+        let result = if is_start && !node.may_start_on(target.handle, token) {
+            Err(RequestError::NotSent)
+        } else {
+            send(&mut connection, &target, &encoded, limit).await
+        };
         pending.set(pending.get().saturating_sub(1));
         deliver_response(&node, &target, &request, &result);
     }
