fix(jobs): suspect no task of a job that has ended

A run that is stopped after the end of its job was kept as a suspect for the rest of the leadership when its worker crashed, since a job is only removed from the suspects when it ends. Found in the read-through; it costs memory and no decision, so no test shows it.

--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -252,8 +252,12 @@
         }
     }
 
+    /// Records a crash under the tasks whose runs it ended, and gives up those that reach a limit.
     fn record_crash(&mut self, incarnation: &IncarnationId, runs: &[LostRun], state: &JobsState) {
-        let suspects = runs.iter().filter(|run| !run.has_started_up);
+        // A run of a job that has ended is stopped and never started again.
+        let suspects = runs
+            .iter()
+            .filter(|run| !run.has_started_up && self.steps.contains_key(&run.task.step_id()));
         let suspects: Vec<_> = suspects.copied().collect();
         self.counts.crashes += 1;
         self.counts.crashed_runs += runs.len() as u64;
