--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -8,6 +8,7 @@
 
 use crate::Verdict;
 use crate::executor::Executor;
+use crate::proxy::Proxy;
 use crate::record::{Record, wall_ms};
 use crate::site::{Options, POOL, Site};
 
@@ -18,6 +19,7 @@
         "schedule" => schedule,
         "rebirth" => rebirth,
         "gang" => gang,
+        "cancel" => cancel,
         _ => return Verdict::CouldNotRun(format!("no case `{case}`")),
     };
     run(record, with_trouble)
@@ -176,8 +178,8 @@
 
 /// A submission with a long schedule is handed in while another one runs.
 fn schedule(record: &Arc<Record>, with_trouble: bool) -> Verdict {
-    /// Every 15 s for a year.
-    const REPEATS: u64 = 2_102_400;
+    /// Each minute for a year.
+    const REPEATS: u64 = 525_600;
     let (mut site, _executors) = match site_with(record, &Options::default(), 4, 16_000, false) {
         Ok(found) => found,
         Err(verdict) => return verdict,
@@ -187,10 +189,13 @@
         return Verdict::CouldNotRun("the first submission was not accepted".into());
     }
     let long = "00000000000000b1";
-    let mut body = job(1, 500, 300);
+    let step = json!({ "count": 8, "cpu": 500, "mem_mb": 256, "estimated_ms": 300 });
+    let mut body = json!({ "spec": "ms=300", "steps": [step, step, step] });
+    body["steps"][1]["after"] = json!([0]);
+    body["steps"][2]["after"] = json!([1]);
     body["repeat_count"] = json!(if with_trouble { REPEATS } else { 3 });
-    body["start_at_ms"] = json!(wall_ms() + 15_000);
-    body["interval_ms"] = json!(15_000);
+    body["start_at_ms"] = json!(wall_ms() + 5_000);
+    body["interval_ms"] = json!(60_000);
     site.submit(long, &body, 500, 4);
     let (mut ended, mut accepted_after) = (Vec::new(), 0);
     let until_ms = record.now_ms() + 70_000;
@@ -352,3 +357,71 @@
         Verdict::Broken("LOST: the submission was not completed".into())
     }
 }
+
+/// A front is cut off from the core while it forwards a submission; the requester gives up and cancels.
+fn cancel(record: &Arc<Record>, with_trouble: bool) -> Verdict {
+    const CANCEL_MS: u64 = 3_000;
+    let options = Options {
+        first_entry_by_proxy: true,
+        ..Options::default()
+    };
+    let (site, _executors) = match site_with(record, &options, 3, 16_000, false) {
+        Ok(found) => found,
+        Err(verdict) => return verdict,
+    };
+    let Some(leader) = site.leader() else {
+        return Verdict::CouldNotRun("no leader is known".into());
+    };
+    let leader_address = (site.control_addresses[leader].ip(), site.peer_port).into();
+    let proxy = match Proxy::start(site.proxy_address, leader_address) {
+        Ok(proxy) => proxy,
+        Err(error) => return Verdict::CouldNotRun(error.to_string()),
+    };
+    record.line(format!(
+        "{} leads; front-1 reaches it through {}",
+        site.controls[leader].name, site.proxy_address
+    ));
+    sleep(seconds(2.0));
+    let before = "00000000000000d1";
+    if !site.submit(before, &job(1, 1_000, 300), 1_000, 1) {
+        return Verdict::CouldNotRun("front-1 does not serve".into());
+    }
+    let key = "00000000000000d2";
+    let body = job(2, 1_000, 3_000).to_string();
+    if with_trouble {
+        record.line("front-1 is cut off from the core");
+        proxy.set_held(true);
+    }
+    let submitted = site.client_call(0, "POST", key, &body, seconds(3.0));
+    let mut cancelled = None;
+    for _ in 0..5 {
+        cancelled = site.client_call(1, "DELETE", key, "", seconds(3.0));
+        if matches!(cancelled, Some(200..300 | 410)) {
+            break;
+        }
+    }
+    let acknowledged_ms = record.now_ms();
+    if !matches!(cancelled, Some(200..300 | 410)) {
+        return Verdict::CouldNotRun("the cancel was not acknowledged".into());
+    }
+    if with_trouble {
+        sleep(seconds(5.4 - 2.0));
+        record.line("the cut heals");
+        proxy.set_held(false);
+    }
+    sleep(seconds(12.0));
+    let state = site.state_of(key);
+    site.note_logs(&[key], 20);
+    let starts = site.ledger.of_job("starts", key);
+    let late = starts
+        .iter()
+        .find(|event| event.at_ms > acknowledged_ms + CANCEL_MS);
+    match late {
+        Some(event) => Verdict::Broken(format!(
+            "UNASKED: {} starts {} ms after the cancelling was acknowledged with {cancelled:?}; the submission was answered {submitted:?}; state {state:?}",
+            event.task,
+            event.at_ms - acknowledged_ms
+        )),
+        None => Verdict::Held,
+    }
+}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod executor;
 mod http;
+mod proxy;
 mod record;
 mod site;
 
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -101,8 +101,8 @@
 pub struct Options {
     pub maintenance_s: f64,
     pub entries: usize,
-    /// Seeds of the entries in place of the control addresses.
-    pub entry_seeds: BTreeMap<usize, String>,
+    /// Whether the first entry reaches the control instances through the proxy address only.
+    pub first_entry_by_proxy: bool,
 }
 
 impl Default for Options {
@@ -110,7 +110,7 @@
         Self {
             maintenance_s: 2.0,
             entries: 2,
-            entry_seeds: BTreeMap::new(),
+            first_entry_by_proxy: false,
         }
     }
 }
@@ -122,6 +122,9 @@
     pub controls: Vec<Process>,
     pub entries: Vec<Process>,
     pub control_addresses: Vec<SocketAddr>,
+    /// The address of a proxy between the first entry and the first control instance.
+    pub proxy_address: SocketAddr,
+    pub peer_port: u16,
     pub entry_addresses: Vec<SocketAddr>,
     pub cloud: Arc<Cloud>,
     pub advice: Arc<Advice>,
@@ -158,7 +161,7 @@
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let (peer_port, metrics_port, control_port) = (18_060, 18_075, 18_623);
-        let count = 3 + options.entries;
+        let count = 4 + options.entries;
         let addresses = free_addresses(
             count,
             &[peer_port, metrics_port, control_port, 18_624, 18_622],
@@ -169,6 +172,8 @@
             .collect();
         let seeds: Vec<_> = control_addresses.iter().map(ToString::to_string).collect();
         let seeds = seeds.join(",");
+        let proxy_seed = format!("{}:{control_port}", addresses[3]);
+        let proxy_address = format!("{}:{peer_port}", addresses[3]).parse().unwrap();
         let cloud = Cloud::start(record, options.maintenance_s);
         let advice = Advice::start(record);
         let settings = |name: &str, ip: &str, seeds: &str, own: &str| {
@@ -209,12 +214,16 @@
             controls.push(process(name, "jasminefall-dispatch-control", text)?);
         }
         let (mut entries, mut entry_addresses) = (Vec::new(), Vec::new());
-        for (number, ip) in addresses[3..].iter().enumerate() {
+        for (number, ip) in addresses[4..].iter().enumerate() {
             let name = format!("front-{}", number + 1);
             let own = format!(
                 "class=front\nserves=front\nlisten.front={ip}:18624\nlisten.ready={ip}:18622\nbootstrap=true\n"
             );
-            let seeds = options.entry_seeds.get(&number).unwrap_or(&seeds);
+            let seeds = if number == 0 && options.first_entry_by_proxy {
+                &proxy_seed
+            } else {
+                &seeds
+            };
             let text = settings(&name, ip, seeds, &own);
             entries.push(process(name, "jasminefall-dispatch-entry", text)?);
             entry_addresses.push(format!("{ip}:18624").parse().unwrap());
@@ -225,6 +234,8 @@
             controls,
             entries,
             control_addresses,
+            proxy_address,
+            peer_port,
             entry_addresses,
             cloud,
             advice,
