test(review): show a cancelled submission that runs after a cut

An entry is cut off from control while it forwards a submission, and answers 504. The client cancels through another entry and gets 410. When the cut heals, the leader accepts the submission that was held up in the closed connection and starts its tasks.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -20,6 +20,7 @@
         "rebirth" => rebirth,
         "gang" => gang,
         "cancel" => cancel,
+        "list" => list,
         _ => return Verdict::CouldNotRun(format!("no case `{case}`")),
     };
     run(record, with_trouble)
@@ -387,7 +388,10 @@
         return Verdict::CouldNotRun("front-1 does not serve".into());
     }
     let key = "00000000000000d2";
-    let body = job(2, 1_000, 3_000).to_string();
+    let mut body = job(2, 1_000, 600_000);
+    body["steps"][0]["long_running"] = json!(true);
+    let body = body.to_string();
+    let cut_at = Instant::now();
     if with_trouble {
         record.line("front-1 is cut off from the core");
         proxy.set_held(true);
@@ -405,7 +409,10 @@
         return Verdict::CouldNotRun("the cancel was not acknowledged".into());
     }
     if with_trouble {
-        sleep(seconds(5.4 - 2.0));
+        if matches!(submitted, Some(200..300)) {
+            return Verdict::CouldNotRun("the submission was accepted before the cut".into());
+        }
+        sleep(seconds(5.4).saturating_sub(cut_at.elapsed()));
         record.line("the cut heals");
         proxy.set_held(false);
     }
@@ -425,3 +432,54 @@
         None => Verdict::Held,
     }
 }
+
+/// The platform answers slowly; a machine is added and is part of a wave while a list is on its way.
+fn list(record: &Arc<Record>, with_trouble: bool) -> Verdict {
+    let (site, _executors) = match site_with(record, &Options::default(), 3, 16_000, false) {
+        Ok(found) => found,
+        Err(verdict) => return verdict,
+    };
+    if with_trouble {
+        *site.cloud.list_delay.lock().unwrap() = seconds(1.5);
+    }
+    sleep(seconds(2.0));
+    let before = *site.cloud.lists_begun.lock().unwrap();
+    for _ in 0..1_500 {
+        sleep(seconds(0.01));
+        if *site.cloud.lists_begun.lock().unwrap() > before {
+            break;
+        }
+    }
+    let added = add_executor(&site, 3, 16_000);
+    record.line(format!("{} is added", added.machine));
+    sleep(seconds(0.5));
+    let wave =
+        json!({ "wave": 1, "machines": [added.machine, "m-e000"], "duration_s": 60, "cap": 1 });
+    let put = site.operator_call("POST", "/wave-start", &wave.to_string(), seconds(5.0));
+    record.line(format!("operator starts wave 1: {put:?}"));
+    for _ in 0..40 {
+        sleep(seconds(0.5));
+        let state = site.operator_call("GET", "/wave-get/1", "", seconds(2.0));
+        record.line(format!("wave 1: {state:?}"));
+        let completed = state.is_some_and(|(_, body)| body["state"] == "completed");
+        if completed {
+            let upkeeps = site.cloud.upkeeps.lock().unwrap().clone();
+            site.note_logs(
+                &[
+                    "event=maintenance_",
+                    "event=instance_missing",
+                    "event=instances_read",
+                ],
+                40,
+            );
+            if upkeeps.iter().any(|upkeep| upkeep.machine == added.machine) {
+                return Verdict::Held;
+            }
+            return Verdict::Broken(format!(
+                "MIXED: wave 1 is completed, and the upkeep of {} has not begun",
+                added.machine
+            ));
+        }
+    }
+    Verdict::CouldNotRun("the wave was not completed".into())
+}
