test(review): show a job that fails after one crash under its task

A worker crashes under a task. On the next worker the task is done behind a cut, and that worker crashes a second later. The leader counts a second crash under the task and ends the job as failed.

Promise at stake: LOST.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -21,6 +21,9 @@
         "gang" => gang,
         "cancel" => cancel,
         "list" => list,
+        "failed" => failed,
+        "lasting" => lasting,
+        "seed" => seed,
         _ => return Verdict::CouldNotRun(format!("no case `{case}`")),
     };
     run(record, with_trouble)
@@ -483,3 +486,166 @@
     }
     Verdict::CouldNotRun("the wave was not completed".into())
 }
+
+/// Two executors are cut off, and crash and start again meanwhile: the first one while it runs a work
+/// item, the second one when that work item is done there.
+fn failed(record: &Arc<Record>, with_trouble: bool) -> Verdict {
+    let (site, executors) = match site_with(record, &Options::default(), 7, 16_000, false) {
+        Ok(found) => found,
+        Err(verdict) => return verdict,
+    };
+    let key = "00000000000000e1";
+    if !site.submit(key, &job(1, 1_000, 2_500), 1_000, 5) {
+        return Verdict::CouldNotRun("the submission was not accepted".into());
+    }
+    let cut_and_crash = |executor: &Executor, before_crash_s: f64| {
+        let (id, pool) = (executor.id(), executor.pool());
+        executor.set_cut(true);
+        sleep(seconds(before_crash_s));
+        executor.go_down("crash");
+        sleep(seconds(0.5));
+        executor.come_up(&format!("{id}-2"), &pool);
+        sleep(seconds(0.5));
+        executor.set_cut(false);
+    };
+    let host = |count: usize| {
+        for _ in 0..100 {
+            let starts = site.ledger.of_job("starts", key);
+            if starts.len() >= count {
+                return executors
+                    .iter()
+                    .find(|known| known.id() == starts[count - 1].executor);
+            }
+            sleep(seconds(0.1));
+        }
+        None
+    };
+    let Some(first) = host(1) else {
+        return Verdict::CouldNotRun("the work item has not started".into());
+    };
+    sleep(seconds(1.0));
+    if with_trouble {
+        cut_and_crash(first, 0.5);
+        let Some(second) = host(2) else {
+            return Verdict::CouldNotRun("the work item has not started again".into());
+        };
+        sleep(seconds(1.5));
+        cut_and_crash(second, 2.0);
+    }
+    let mut state = None;
+    for _ in 0..60 {
+        sleep(seconds(0.5));
+        state = site.state_of(key);
+        if matches!(state.as_deref(), Some("completed" | "failed" | "cancelled")) {
+            break;
+        }
+    }
+    site.note_logs(&[key, "event=worker_crashed", "event=worker_removed"], 60);
+    let (lost, done) = (
+        site.ledger.of_job("lost", key).len(),
+        site.ledger.of_job("done", key).len(),
+    );
+    match state.as_deref() {
+        Some("completed") => Verdict::Held,
+        Some("failed") => Verdict::Broken(format!(
+            "LOST: the submission is shown as failed; {lost} executor crashed under its work item, {done} of its runs ended done, none failed"
+        )),
+        other => Verdict::CouldNotRun(format!("the submission is {other:?}")),
+    }
+}
+
+/// An executor crashes while work items of several submissions that last start up on it.
+fn lasting(record: &Arc<Record>, with_trouble: bool) -> Verdict {
+    const JOBS: u64 = 5;
+    let (site, executors) = match site_with(record, &Options::default(), 4, 16_000, false) {
+        Ok(found) => found,
+        Err(verdict) => return verdict,
+    };
+    let lasts = |count: u64, cpu: u64, startup_ms: u64, max: u64| {
+        let mut body = job(count, cpu, 1_000);
+        body["spec"] = json!(format!("last={startup_ms}"));
+        body["steps"][0]["long_running"] = json!(true);
+        body["steps"][0]["max_per_server"] = json!(max);
+        body
+    };
+    let base = "00000000000000f0";
+    if !site.submit(base, &lasts(3, 1_000, 500, 1), 1_000, 5) {
+        return Verdict::CouldNotRun("the first submission was not accepted".into());
+    }
+    sleep(seconds(3.0));
+    let keys: Vec<_> = (1..=JOBS)
+        .map(|number| format!("00000000000000f{number}"))
+        .collect();
+    for key in &keys {
+        if !site.submit(key, &lasts(1, 1_000, 1_000, 1), 1_000, 1) {
+            return Verdict::CouldNotRun("a submission was not accepted".into());
+        }
+    }
+    sleep(seconds(0.3));
+    let hosts: Vec<_> = keys
+        .iter()
+        .filter_map(|key| {
+            site.ledger
+                .of_job("starts", key)
+                .first()
+                .map(|event| event.executor.clone())
+        })
+        .collect();
+    record.line(format!("the submissions start up on {hosts:?}"));
+    let Some(victim) = hosts
+        .first()
+        .and_then(|id| executors.iter().find(|known| known.id() == *id))
+    else {
+        return Verdict::CouldNotRun("nothing has started".into());
+    };
+    let crashed_ms = record.now_ms();
+    if with_trouble {
+        let (id, pool) = (victim.id(), victim.pool());
+        victim.go_down("crash");
+        sleep(seconds(1.0));
+        victim.come_up(&format!("{id}-2"), &pool);
+    }
+    sleep(seconds(45.0));
+    site.note_logs(&["event=task_suspected", "event=worker_crashed"], 40);
+    let mut gaps = Vec::new();
+    for key in keys.iter().map(String::as_str).chain([base]) {
+        for lost in site.ledger.of_job("lost", key) {
+            let starts = site.ledger.of_job("starts", key);
+            let next = starts
+                .iter()
+                .filter(|event| event.task == lost.task && event.at_ms > lost.at_ms)
+                .map(|event| event.at_ms)
+                .min();
+            gaps.push((
+                next.unwrap_or(record.now_ms()) - lost.at_ms,
+                lost.task.clone(),
+            ));
+        }
+    }
+    gaps.sort();
+    record.line(format!(
+        "time without a run after the crash at {crashed_ms}: {gaps:?}"
+    ));
+    match gaps.last() {
+        Some((gap, task)) if *gap > 9_000 => Verdict::Broken(format!(
+            "LOST: {task} has no run for {gap} ms, with three quarters of the capacity free"
+        )),
+        _ => Verdict::Held,
+    }
+}
+
+/// One of the three control instances does not come up at the first start.
+fn seed(record: &Arc<Record>, with_trouble: bool) -> Verdict {
+    let mut site = match Site::new(record, &Options::default()) {
+        Ok(site) => site,
+        Err(error) => return Verdict::CouldNotRun(error.to_string()),
+    };
+    if with_trouble {
+        record.line("core-1 has no power");
+        site.leave_out(0);
+    }
+    if site.start_within(false, seconds(60.0)) {
+        return Verdict::Held;
+    }
+    Verdict::Broken("Acks: the first config has no ack after 60 s, with two of three control instances running and connected".into())
+}
--- a/review/standin/src/executor.rs
+++ b/review/standin/src/executor.rs
@@ -25,6 +25,8 @@
     number: u64,
     ends_at_ms: u64,
     stops_at_ms: Option<u64>,
+    /// When a work item that lasts is at work.
+    works_from_ms: u64,
     cpu: u64,
     /// The checkpoint that the start carried.
     resumed_from: String,
@@ -473,6 +475,9 @@
                 }
                 let saved = body["saved"].as_str().unwrap_or_default().to_owned();
                 let spec = body["spec"].as_str().unwrap_or_default();
+                // A payload `last=MS` names a work item that lasts, and is at work after MS.
+                let startup_ms: Option<u64> =
+                    spec.strip_prefix("last=").and_then(|ms| ms.parse().ok());
                 let takes_ms = spec
                     .strip_prefix("ms=")
                     .and_then(|ms| ms.parse().ok())
@@ -480,7 +485,8 @@
                 state.highest.insert(task.clone(), number);
                 let run = Run {
                     number,
-                    ends_at_ms: now_ms + takes_ms,
+                    ends_at_ms: startup_ms.map_or(now_ms + takes_ms, |_| u64::MAX),
+                    works_from_ms: now_ms + startup_ms.unwrap_or(0),
                     stops_at_ms: None,
                     cpu,
                     resumed_from: saved.clone(),
@@ -533,7 +539,13 @@
                         let gang = self.ledger.gang_progress(task, run);
                         let checkpoint = gang
                             .map_or_else(String::new, |(worked_ms, _)| checkpoint_at(worked_ms));
-                        json!([task, run.number, checkpoint, 50])
+                        let is_at_work = run.ends_at_ms == u64::MAX && now_ms >= run.works_from_ms;
+                        json!([
+                            task,
+                            run.number,
+                            checkpoint,
+                            if is_at_work { 100 } else { 50 }
+                        ])
                     })
                     .collect();
                 let ended: Vec<_> = state
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -27,6 +27,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    is_left_out: bool,
 }
 
 impl Process {
@@ -199,6 +200,7 @@
                 settings: path,
                 log,
                 child: None,
+                is_left_out: false,
             })
         };
         let mut controls = Vec::new();
@@ -245,8 +247,20 @@
 
     /// Starts all processes and puts the first configuration in force.
     pub fn start(&mut self, needs_advice: bool) -> bool {
+        self.start_within(needs_advice, Duration::from_secs(15))
+    }
+
+    /// Leaves out a control instance at the first start.
+    pub fn leave_out(&mut self, control: usize) {
+        self.controls[control].is_left_out = true;
+    }
+
+    /// Starts all processes and waits for the acknowledgement of the first configuration.
+    pub fn start_within(&mut self, needs_advice: bool, limit: Duration) -> bool {
         for process in self.controls.iter_mut().chain(&mut self.entries) {
-            process.start();
+            if !process.is_left_out {
+                process.start();
+            }
         }
         let mut route = json!({
             "name": "queue", "host": HOST, "path_prefix": PREFIX, "type": "unsafe", "timeout_ms": 3_000,
@@ -264,12 +278,7 @@
             }],
             "limits": { "max_header_bytes": 16_384, "max_body_bytes": 262_144, "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
         });
-        let put = self.operator_call(
-            "POST",
-            "/Config.Put",
-            &document.to_string(),
-            Duration::from_secs(15),
-        );
+        let put = self.operator_call("POST", "/Config.Put", &document.to_string(), limit);
         self.record
             .line(format!("operator puts the config: {put:?}"));
         put.is_some_and(|(status, _)| status == 200)
