--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,8 @@
 cd "$folder/../.." || exit 2
 standin=target/review/release/review-standin
 [ -x "$standin" ] || exit 2
-exec "$standin" rebirth "$folder"
+"$standin" rebirth "$folder" &
+pid=$!
+# Ends the processes of the case as well if the script is stopped.
+trap 'pkill -KILL -P "$pid"; kill -KILL "$pid"; exit 2' TERM INT
+wait "$pid"
