test(review): a worker that is back from maintenance is shut out

Promise at stake: an accepted job whose tasks can run does run. The leader is killed as the platform has carried out its maintenance request; the next one repeats the request, takes the response for an operation that is already done as proof that the present worker was taken down, and ignores the worker from then on.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -6,7 +6,9 @@
 
 use serde_json::{Value, json};
 
+use crate::cloud::Cloud;
 use crate::executor::{Fleet, Seen};
+use crate::http::Server;
 use crate::record::Record;
 use crate::site::{FINISH_S, STABILITY_WINDOW_S, Site, config, route};
 
@@ -25,6 +27,7 @@
         "gang-lost" => gang_lost(record, trouble),
         "route-moved" => route_moved(record, trouble),
         "gang-saved" => gang_saved(record, trouble),
+        "upkeep-repeated" => upkeep_repeated(record, trouble),
         "late-start" => late_start(record, trouble),
         _ => Err("no such case".to_owned()),
     }
@@ -49,6 +52,8 @@
 struct Running {
     site: Site,
     fleet: Fleet,
+    cloud: Cloud,
+    _cloud_server: Server,
 }
 
 impl Drop for Running {
@@ -57,24 +62,40 @@
     }
 }
 
-/// Starts the processes and executors of these services, and puts the first config in force.
+/// The services of a deployment, each with the kinds of its executors.
+type Services<'a> = [(&'a str, Vec<&'a str>)];
+
+/// Returns executors of one kind.
+fn plain(count: usize) -> Vec<&'static str> {
+    vec!["a"; count]
+}
+
+/// Starts the processes, the platform and the executors, and puts the first config in force.
 fn start(
     record: &Arc<Record>,
-    services: &[(&str, usize)],
+    services: &Services,
     routes: &[Value],
+    withhold_upkeep: bool,
 ) -> Result<Running, String> {
     let mut site = Site::new(record.clone())?;
+    let fleet = Fleet::new(record.clone(), site.controls());
+    let cloud = Cloud::new(record.clone(), fleet.clone(), withhold_upkeep);
+    let cloud_server = cloud.serve(site.cloud())?;
     site.start()?;
     let names: Vec<_> = services.iter().map(|(name, _)| *name).collect();
     site.put_config(&config(1, routes, &names))?;
-    let fleet = Fleet::new(record.clone(), site.controls());
-    for (name, count) in services {
-        for _ in 0..*count {
+    for (name, kinds) in services {
+        for kind in kinds {
             let number = fleet.count();
-            fleet.add(name, site.executor_address(number))?;
+            fleet.add(name, kind, site.executor_address(number))?;
         }
     }
-    let running = Running { site, fleet };
+    let running = Running {
+        site,
+        fleet,
+        cloud,
+        _cloud_server: cloud_server,
+    };
     wait_for("heartbeats are acknowledged", || {
         running.fleet.all_acknowledged()
     })?;
@@ -131,7 +152,7 @@
         route("r-work", WORK_PREFIX, PRESS, ATTEMPTS),
         route("r-soak", SOAK_PREFIX, PRESS, ATTEMPTS),
     ];
-    let Running { site, fleet } = &start(record, &[(PRESS, EXECUTORS)], &routes)?;
+    let Running { site, fleet, .. } = &start(record, &[(PRESS, plain(EXECUTORS))], &routes, false)?;
     let (soak, gang) = ("5c0e7a21d94b36f8", "0a7e5c21d94b36f1");
     let step = json!({ "count": EXECUTORS, "cpu": 1300, "mem_mb": 3400, "estimated_ms": 700, "max_per_server": 1,
         "long_running": true, "image": "soak" });
@@ -199,9 +220,9 @@
 fn route_moved(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
     const ITEMS: usize = 12;
     const KILLS: usize = 2;
-    let services = [(PRESS, ITEMS), (CLIMATE, 2)];
+    let services = [(PRESS, plain(ITEMS)), (CLIMATE, plain(2))];
     let routes = [route("r-work", WORK_PREFIX, PRESS, ATTEMPTS)];
-    let mut running = start(record, &services, &routes)?;
+    let mut running = start(record, &services, &routes, false)?;
     running.fleet.set_answer_delay((1, 30));
     let step = json!({ "count": ITEMS, "cpu": 1900, "mem_mb": 2000, "estimated_ms": 25000, "max_per_server": 1 });
     let path = format!("{WORK_PREFIX}5c0e7a21d94b36f8");
@@ -239,7 +260,7 @@
 fn gang_saved(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
     const GANG: usize = 4;
     let routes = [route("r-work", WORK_PREFIX, PRESS, ATTEMPTS)];
-    let Running { site, fleet } = &start(record, &[(PRESS, 9)], &routes)?;
+    let Running { site, fleet, .. } = &start(record, &[(PRESS, plain(9))], &routes, false)?;
     let gang = "0a7e5c21d94b36f1";
     let step = json!({ "count": GANG, "cpu": 1900, "mem_mb": 2000, "estimated_ms": 9000, "gang": true,
         "checkpointing": true, "max_per_server": 1 });
@@ -290,7 +311,7 @@
 /// TWICE: an executor carries out a start late, after it has crashed and come back under its id.
 fn late_start(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
     let routes = [route("r-work", WORK_PREFIX, PRESS, ATTEMPTS)];
-    let Running { site, fleet } = &start(record, &[(PRESS, 9)], &routes)?;
+    let Running { site, fleet, .. } = &start(record, &[(PRESS, plain(9))], &routes, false)?;
     let id = "5c0e7a21d94b36f8";
     sleep(seconds(12.0));
     if trouble {
@@ -311,3 +332,55 @@
     record.line(format_args!("state={}", site.state(&path)?));
     Ok(ran_twice(record, &fleet.seen()))
 }
+
+/// LOST: the leader is killed as it has ordered an upkeep; the next one orders it again and then takes the
+/// executor that is back for ended.
+fn upkeep_repeated(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
+    let routes = [route("r-soak", SOAK_PREFIX, PRESS, ATTEMPTS)];
+    let mut kinds = plain(8);
+    kinds.push("b");
+    let mut running = start(record, &[(PRESS, kinds)], &routes, trouble)?;
+    let id = "5c0e7a21d94b36f8";
+    let step = json!({ "count": 1, "cpu": 1300, "mem_mb": 3400, "estimated_ms": 700, "required_label": "b",
+        "long_running": true, "image": "soak" });
+    let path = format!("{SOAK_PREFIX}{id}");
+    running
+        .site
+        .submit(&path, &job("cpu=1300;mem=3400", step))?;
+    wait_for("the work item runs", || running.fleet.running_of(id) == 1)?;
+    sleep(seconds(3.0));
+    let leader = running
+        .fleet
+        .heartbeat_receiver()
+        .ok_or("no leader is known")?;
+    let machine = running.fleet.machines().pop().ok_or("no machine")?.name;
+    let wave = json!({ "wave": 1, "machines": [machine], "duration_s": 20, "cap": 1 });
+    running.site.start_wave(&wave)?;
+    wait_for("the upkeep begins", || running.cloud.has_begun())?;
+    if trouble {
+        running.site.kill_control(leader, seconds(0.5))?;
+    }
+    // The executor is back after 2 s, the wave goes on 3.5 s after a change of the leader.
+    sleep(seconds(14.0));
+    let judged_to_s = record.elapsed_s() + 15.0;
+    let mut idle_since_s = None;
+    let mut longest_s: f64 = 0.0;
+    while record.elapsed_s() < judged_to_s {
+        let now_s = record.elapsed_s();
+        if running.fleet.running_of(id) == 0 {
+            let since_s = *idle_since_s.get_or_insert(now_s);
+            longest_s = longest_s.max(now_s - since_s);
+        } else {
+            idle_since_s = None;
+        }
+        sleep(Duration::from_millis(20));
+    }
+    let state = running.site.state(&path)?;
+    let machine = running.fleet.machines().pop().ok_or("no machine")?;
+    let (used, all) = running.fleet.room();
+    record.line(format_args!(
+        "state={state}; the only executor of kind b, {}, is up: {}; processor room in use: {used} of {all}; the work item didn't run for {longest_s:.1} s",
+        machine.executor, machine.up
+    ));
+    Ok(longest_s >= 3.0)
+}
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -107,11 +107,22 @@
     }
 }
 
+/// What the platform lists of a machine.
+pub struct Machine {
+    pub name: String,
+    pub pool: String,
+    pub up: bool,
+    pub executor: String,
+    pub labels: Vec<String>,
+    pub capacity: Value,
+}
+
 /// One executor; a crash ends its life, and the next life holds and knows nothing of before.
 struct Executor {
     id: String,
     machine: String,
     pool: String,
+    labels: Vec<String>,
     address: SocketAddr,
     up: bool,
     born_ms: u64,
@@ -226,7 +237,7 @@
     }
 
     /// Adds an executor of a service and starts it.
-    pub fn add(&self, pool: &str, address: SocketAddr) -> Result<usize, String> {
+    pub fn add(&self, pool: &str, kind: &str, address: SocketAddr) -> Result<usize, String> {
         let position = {
             let mut state = self.lock();
             let number = state.executors.len();
@@ -234,6 +245,7 @@
                 id: format!("i-{number:08x}"),
                 machine: format!("m-{number:05x}"),
                 pool: pool.to_owned(),
+                labels: vec![kind.to_owned(), format!("r1-{}", number / 4)],
                 address,
                 up: false,
                 born_ms: 0,
@@ -309,7 +321,7 @@
             let executor = &mut state.executors[position];
             executor.up = false;
             self.record
-                .line(format_args!("executor {} crashes", executor.id));
+                .line(format_args!("executor {} ends at once", executor.id));
             let tasks: Vec<String> = executor.running.keys().cloned().collect();
             let server = executor.server.take();
             for task in tasks {
@@ -380,6 +392,33 @@
         })
     }
 
+    /// Starts another executor on the machine of one that has ended.
+    pub fn begin_new_executor(&self, position: usize) -> Result<(), String> {
+        self.lock().executors[position].id.push('n');
+        self.begin_life(position)
+    }
+
+    /// Returns the machines as the platform sees them.
+    pub fn machines(&self) -> Vec<Machine> {
+        let state = self.lock();
+        let machines = state.executors.iter().map(|executor| Machine {
+            name: executor.machine.clone(),
+            pool: executor.pool.clone(),
+            up: executor.up,
+            executor: executor.id.clone(),
+            labels: executor.labels.clone(),
+            capacity: json!({ "cpu": CPU, "mem_mb": MEM_MB, "gpu": 0 }),
+        });
+        machines.collect()
+    }
+
+    /// Returns the position of the executor on a machine.
+    pub fn position_of(&self, machine: &str) -> Option<usize> {
+        let state = self.lock();
+        let mut executors = state.executors.iter();
+        executors.position(|executor| executor.machine == machine)
+    }
+
     /// Returns the number of executors.
     pub fn count(&self) -> usize {
         self.lock().executors.len()
@@ -412,7 +451,7 @@
                 executor.up.then(|| {
                     let body = json!({ "backend": executor.pool, "address": executor.address.to_string(),
                         "zone": "port-louis", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-                        "capacity": { "cpu": CPU, "mem_mb": MEM_MB, "gpu": 0 }, "labels": ["a", format!("r1-{}", position / 4)],
+                        "capacity": { "cpu": CPU, "mem_mb": MEM_MB, "gpu": 0 }, "labels": executor.labels,
                         "clock_ms": executor.clock_ms(Instant::now()), "sequence": executor.sequence,
                         "born": executor.born_ms, "machine": executor.machine });
                     (format!("/Instances.Heartbeat/{}", executor.id), body, executor.heartbeat_to, executor.born_ms)
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 //! couldn't run. Without the disruption if `TROUBLE=0`.
 
 mod cases;
+mod cloud;
 mod executor;
 mod http;
 mod record;
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -119,6 +119,10 @@
         (address(101 + number as u8), self.base_port + 30).into()
     }
 
+    pub fn cloud(&self) -> SocketAddr {
+        (address(10), self.base_port + 21).into()
+    }
+
     /// Writes the settings of all processes and starts them.
     pub fn start(&mut self) -> Result<(), String> {
         for number in 0..CONTROLS {
@@ -190,9 +194,11 @@
              bounds.gang_timeout_ms={GANG_TIMEOUT_MS}\nbounds.cancel_ms=3000\nbounds.visible_ms=3000\nbounds.early_ms=250\nbounds.finish_s=14\n\
              bounds.status_s=120\nbounds.far_x=2\nbounds.checkpoint_interval_s=0.5\nbounds.restore_ms={RESTORE_MS}\nbounds.notice_ms=4500\n\
              bounds.migrate_s=1.5\nbounds.maintenance_s=2\nbounds.require_fencing=false\nbounds.lease_ms=3000\nbounds.thaw_slack_ms=300\n\
-             bounds.pace_ms=100\nbounds.harm_ms=4000\nconfig_mode=highest\norders=invocation\n",
+             bounds.pace_ms=100\nbounds.harm_ms=4000\nconfig_mode=highest\norders=invocation\n\
+             cloud.address={}\ncloud.rate_per_s=64.0\ncloud.duties=\ncloud.duty_per_s=64.0\n",
             base,
-            base + 15
+            base + 15,
+            self.cloud()
         );
         let settings = self.folder.join(format!("{name}.conf"));
         fs::write(&settings, text).map_err(|error| error.to_string())?;
@@ -266,6 +272,23 @@
         Err("the config was not acknowledged".to_owned())
     }
 
+    /// Orders a wave of upkeep, as the operator does, until it is acknowledged.
+    pub fn start_wave(&self, wave: &Value) -> Result<(), String> {
+        let until = Instant::now() + SETUP_LIMIT;
+        while Instant::now() < until {
+            for control in self.controls() {
+                let host = control.to_string();
+                let answer = call(control, "POST", "/wave-start", &host, wave, OPERATOR_LIMIT);
+                if let Some((200, _)) = answer {
+                    self.record.line(format_args!("wave {wave} acknowledged"));
+                    return Ok(());
+                }
+            }
+            sleep(Duration::from_millis(200));
+        }
+        Err("the wave was not acknowledged".to_owned())
+    }
+
     /// Sends a request of a client; tries the entries in turn until one gives a clear response.
     pub fn client(&self, method: &str, path: &str, body: &Value) -> Result<(u16, Value), String> {
         let until = Instant::now() + SETUP_LIMIT;
