test(review): a heartbeat of another writer replaces what is known of a worker

Promise at stake: a check-in with a service that isn't there names no executor to use, and the others hold. For a known incarnation it replaces labels and sequence, so that the worker's own heartbeats are ignored, and an accepted job never runs.

`suspect-holds` and `same-key` are further forms.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -26,8 +26,10 @@
     match case {
         "gang-lost" => gang_lost(record, trouble),
         "route-moved" => route_moved(record, trouble),
-        "gang-saved" => gang_saved(record, trouble),
+        "suspect-holds" => suspect_holds(record, trouble),
         "upkeep-repeated" => upkeep_repeated(record, trouble),
+        "same-key" => same_key(record, trouble),
+        "odd-check-in" => odd_check_in(record, trouble),
         "late-start" => late_start(record, trouble),
         _ => Err("no such case".to_owned()),
     }
@@ -256,53 +258,6 @@
     Ok(ran_twice(record, &seen))
 }
 
-/// GANG: after the crash of one executor the members of a gang are started with different values of `saved`.
-fn gang_saved(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
-    const GANG: usize = 4;
-    let routes = [route("r-work", WORK_PREFIX, PRESS, ATTEMPTS)];
-    let Running { site, fleet, .. } = &start(record, &[(PRESS, plain(9))], &routes, false)?;
-    let gang = "0a7e5c21d94b36f1";
-    let step = json!({ "count": GANG, "cpu": 1900, "mem_mb": 2000, "estimated_ms": 9000, "gang": true,
-        "checkpointing": true, "max_per_server": 1 });
-    let path = format!("{WORK_PREFIX}{gang}");
-    site.submit(
-        &path,
-        &job("work=9000;cpu=1900;mem=2000;gang=4;save=500", step),
-    )?;
-    wait_for("the gang runs", || fleet.running_of(gang) == GANG)?;
-    sleep(seconds(2.7));
-    if trouble {
-        let position = fleet.running_on(&format!("{gang}.0.0.0"));
-        let position = position.ok_or("the gang has ended already")?;
-        fleet.crash(position);
-        sleep(CRASH_DOWN);
-        fleet.begin_life(position)?;
-    }
-    let calm_from_s = record.elapsed_s() + STABILITY_WINDOW_S;
-    let judged_to_s = calm_from_s + 30.0;
-    while record.elapsed_s() < judged_to_s && site.state(&path)? != "completed" {
-        sleep(Duration::from_millis(100));
-    }
-    let state = site.state(&path)?;
-    let seen = fleet.seen();
-    let alone = seen
-        .iter()
-        .filter(|seen| seen.how == "alone" && seen.began_s > calm_from_s);
-    let alone: Vec<_> = alone.collect();
-    record.line(format_args!(
-        "state={state}; {} runs ended alone that began over {STABILITY_WINDOW_S} s after the executor was back",
-        alone.len()
-    ));
-    for seen in alone.iter().take(8) {
-        record.line(format_args!(
-            "GANG: {} saved={:?}",
-            describe(seen),
-            seen.saved
-        ));
-    }
-    Ok(!alone.is_empty())
-}
-
 /// How long a crashed executor is silent; the pages name 7 s.
 const DARK: Duration = Duration::from_millis(7_000);
 /// How long after it was sent a late order is carried out; the pages name 2 to 12 s.
@@ -384,3 +339,115 @@
     ));
     Ok(longest_s >= 3.0)
 }
+
+/// LOST: after the crash of an executor a work item that ran there holds it alone when it is back, and the work
+/// item that lasts and has its place only there waits for as long.
+fn suspect_holds(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
+    let routes = [
+        route("r-work", WORK_PREFIX, PRESS, ATTEMPTS),
+        route("r-soak", SOAK_PREFIX, PRESS, ATTEMPTS),
+    ];
+    let mut kinds = plain(8);
+    kinds.push("b");
+    let Running { site, fleet, .. } = &start(record, &[(PRESS, kinds)], &routes, false)?;
+    let (soak, batch) = ("5c0e7a21d94b36f8", "0a7e5c21d94b36f1");
+    let step = json!({ "count": 1, "cpu": 1300, "mem_mb": 3400, "estimated_ms": 700, "required_label": "b",
+        "long_running": true, "image": "soak" });
+    let soak_path = format!("{SOAK_PREFIX}{soak}");
+    site.submit(&soak_path, &job("cpu=1300;mem=3400", step))?;
+    wait_for("the lasting work item runs", || fleet.running_of(soak) == 1)?;
+    sleep(seconds(2.0));
+    let step = json!({ "count": 1, "cpu": 1900, "mem_mb": 2000, "estimated_ms": 45000, "required_label": "b" });
+    let body = job("work=45000;cpu=1900;mem=2000", step);
+    site.submit(&format!("{WORK_PREFIX}{batch}"), &body)?;
+    wait_for("the batch work item runs", || fleet.running_of(batch) == 1)?;
+    sleep(seconds(2.0));
+    if trouble {
+        let position = fleet.running_on(&format!("{batch}.0.0.0"));
+        let position = position.ok_or("the batch has ended already")?;
+        fleet.crash(position);
+        sleep(CRASH_DOWN);
+        fleet.begin_life(position)?;
+    }
+    // 6 s after the last run, and calm for the 4 s before the 3 s.
+    let judged_from_s = record.elapsed_s() + STABILITY_WINDOW_S + 4.0;
+    let judged_to_s = judged_from_s + 45.0;
+    let mut missing_since_s = None;
+    let mut longest_s: f64 = 0.0;
+    while record.elapsed_s() < judged_to_s {
+        let now_s = record.elapsed_s();
+        let (used, all) = fleet.room();
+        if now_s >= judged_from_s && fleet.running_of(soak) == 0 && used * 2 < all {
+            let since_s = *missing_since_s.get_or_insert(now_s);
+            longest_s = longest_s.max(now_s - since_s);
+        } else {
+            missing_since_s = None;
+        }
+        sleep(Duration::from_millis(20));
+    }
+    let (used, all) = fleet.room();
+    record.line(format_args!(
+        "state={}; lasting work items at work: {}; processor room in use: {used} of {all}; it was missing for {longest_s:.1} s{}",
+        site.state(&soak_path)?,
+        fleet.running_of(soak),
+        if longest_s >= 3.0 { " (LOST)" } else { "" }
+    ));
+    Ok(longest_s >= 3.0)
+}
+
+/// LOST: two clients choose the same key in two queues; both submissions are accepted, one is not known.
+fn same_key(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
+    let routes = [
+        route("r-work", WORK_PREFIX, PRESS, ATTEMPTS),
+        route("r-soak", SOAK_PREFIX, PRESS, ATTEMPTS),
+    ];
+    let Running { site, .. } = &start(record, &[(PRESS, plain(9))], &routes, false)?;
+    let second = if trouble {
+        "0000000000000001"
+    } else {
+        "0000000000000002"
+    };
+    let paths = [
+        format!("{WORK_PREFIX}0000000000000001"),
+        format!("{SOAK_PREFIX}{second}"),
+    ];
+    for path in &paths {
+        let step = json!({ "count": 1, "cpu": 1900, "mem_mb": 2000, "estimated_ms": 1000 });
+        site.submit(path, &job("work=1000;cpu=1900;mem=2000", step))?;
+    }
+    sleep(seconds(6.0));
+    let mut broken = false;
+    for path in &paths {
+        let (status, body) = site.client("GET", path, &Value::Null)?;
+        record.line(format_args!("{path}: {status} {body}"));
+        broken |= status == 410;
+    }
+    Ok(broken)
+}
+
+/// LOST: a check-in of another writer names a service that isn't there; it changes what is known of the executor.
+fn odd_check_in(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
+    let routes = [route("r-work", WORK_PREFIX, PRESS, ATTEMPTS)];
+    let mut kinds = plain(8);
+    kinds.push("b");
+    let Running { site, fleet, .. } = &start(record, &[(PRESS, kinds)], &routes, false)?;
+    sleep(seconds(3.0));
+    if trouble {
+        let (id, born_ms) = fleet.last_life().ok_or("no executor")?;
+        let number = fleet.count() - 1;
+        let body = json!({ "backend": "no-such-service", "address": site.executor_address(number).to_string(),
+            "zone": "port-louis", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+            "capacity": { "cpu": 16_000, "mem_mb": 32_768, "gpu": 0 }, "clock_ms": 1_000, "sequence": 100_000,
+            "born": born_ms });
+        site.send_check_in(&id, &body)?;
+        sleep(seconds(3.0));
+    }
+    let path = format!("{WORK_PREFIX}5c0e7a21d94b36f8");
+    let step = json!({ "count": 1, "cpu": 1900, "mem_mb": 2000, "estimated_ms": 1000, "required_label": "b" });
+    site.submit(&path, &job("work=1000;cpu=1900;mem=2000", step))?;
+    sleep(seconds(FINISH_S + 6.0));
+    let state = site.state(&path)?;
+    let runs = fleet.seen().len();
+    record.line(format_args!("state={state}; {runs} runs of its work item"));
+    Ok(runs == 0)
+}
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -167,7 +167,6 @@
     pub task: String,
     pub run: u64,
     pub executor: String,
-    pub saved: String,
     pub began_s: f64,
     pub ended_s: Option<f64>,
     pub how: &'static str,
@@ -412,6 +411,13 @@
         machines.collect()
     }
 
+    /// Returns the id and the start of the executor that was added last.
+    pub fn last_life(&self) -> Option<(String, u64)> {
+        let state = self.lock();
+        let executor = state.executors.last()?;
+        Some((executor.id.clone(), executor.born_ms))
+    }
+
     /// Returns the position of the executor on a machine.
     pub fn position_of(&self, machine: &str) -> Option<usize> {
         let state = self.lock();
@@ -644,7 +650,6 @@
             task,
             run: number,
             executor: id,
-            saved,
             began_s: self.record.elapsed_s(),
             ended_s: None,
             how: "",
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -272,6 +272,21 @@
         Err("the config was not acknowledged".to_owned())
     }
 
+    /// Sends a check-in of another writer to one node after the other until it gets a response.
+    pub fn send_check_in(&self, id: &str, body: &Value) -> Result<(), String> {
+        let path = format!("/Instances.Heartbeat/{id}");
+        for control in self.controls() {
+            let host = control.to_string();
+            let answer = call(control, "POST", &path, &host, body, OPERATOR_LIMIT);
+            if let Some((status, _)) = answer {
+                self.record
+                    .line(format_args!("check-in {body} for {id} -> {status}"));
+                return Ok(());
+            }
+        }
+        Err("the check-in got no response".to_owned())
+    }
+
     /// Orders a wave of upkeep, as the operator does, until it is acknowledged.
     pub fn start_wave(&self, wave: &Value) -> Result<(), String> {
         let until = Instant::now() + SETUP_LIMIT;
