--- a/review/standin-2/run.sh
+++ b/review/standin-2/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs a case from the repository's root: run.sh CASE FOLDER. Ends all processes of the case also when it is stopped.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review/release/standin-2
+program=target/review/release/${PROGRAM:-standin-2}
 test -x "$program" || exit 2
 "$program" "$1" "$2" &
 id=$!
