--- a/crates/jasminefall-dispatch/src/control.rs
+++ b/crates/jasminefall-dispatch/src/control.rs
@@ -14,14 +14,18 @@
 use std::time::Duration;
 
 use jasminefall_platform::settings::PlatformSettings;
+use jasminefall_runtime::clock::monotonic_ms;
 use jasminefall_runtime::supervisor::{Child, Supervisor};
+use jasminefall_wire::extended::Extended;
 use jasminefall_wire::server::{ControlService, serve_control};
 
 use self::node::Node;
 use crate::http::budget::ConnectionBudget;
 use crate::http::server::{Limits, listen, serve as serve_http};
 use crate::lifecycle::{RequestTracker, wait_for_stop_signal, watch_settings};
+use crate::message::Request;
 use crate::settings::{peer_address, site_key};
+use crate::time_limit::TimeLimit;
 
 /// The largest request body of a worker or an operator; the limit documented by the platform.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -105,8 +109,10 @@
         forward: Box::new(move |body| {
             let node = forward_node.clone();
             Box::pin(async move {
-                let request = jasminefall_wire::codec::decode(&body).map_err(|_| undecodable())?;
-                let response = api::handle_as_leader(&node, request).await;
+                let received: Extended<Request, TimeLimit> =
+                    jasminefall_wire::codec::decode(&body).map_err(|_| undecodable())?;
+                let response = api::handle_forwarded(&node, received).await;
+                let response = Extended::new(response).with_extension(monotonic_ms());
                 Ok(jasminefall_wire::codec::encode(&response))
             })
         }),
--- a/crates/jasminefall-dispatch/src/control/api.rs
+++ b/crates/jasminefall-dispatch/src/control/api.rs
@@ -3,18 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jasminefall_jobs::leader::{QueryResponse, SubmitDecision};
+use jasminefall_jobs::leader::{CancelDecision, QueryResponse, SubmitDecision};
 use jasminefall_jobs::prelude::*;
 use jasminefall_platform::control_requests::{
     ControlRequest, decode_control_request, encode_heartbeat_response, encode_wave_state,
 };
-use jasminefall_runtime::clock::wall_ms;
+use jasminefall_runtime::clock::{monotonic_ms, wall_ms};
+use jasminefall_wire::extended::Extended;
 use smol_str::SmolStr;
 
 use super::node::{Node, ProposeError};
 use crate::forwarding::{ForwardError, NO_LEADER_RETRY_S, call_leader};
 use crate::http::server::{HttpRequest, HttpResponse};
 use crate::message::{ClientOperation, Request, Response};
+use crate::time_limit::TimeLimit;
 
 /// The longest time for forwarding a request from a follower to the leader; workers and operators try
 /// another instance after a second.
@@ -106,6 +108,26 @@
     }
 }
 
+/// Handles a request that another instance has forwarded, unless its time limit has passed.
+pub(super) async fn handle_forwarded(
+    node: &Node,
+    received: Extended<Request, TimeLimit>,
+) -> Response {
+    let Some(limit) = received.extension else {
+        let response = handle_as_leader(node, received.message).await;
+        return response.for_earlier_release();
+    };
+    if limit.has_passed(monotonic_ms()) {
+        log::warn!(
+            "event=request_expired request={} path={} limit={limit:?}",
+            received.message.name(),
+            received.message.client_path()
+        );
+        return Response::Expired;
+    }
+    handle_as_leader(node, received.message).await
+}
+
 /// Handles a request on the leader; on a follower, returns a response with the leader's address.
 pub(super) async fn handle_as_leader(node: &Node, request: Request) -> Response {
     if !node.is_active_leader() {
@@ -338,6 +360,7 @@
     match decision {
         None => node.not_leader(),
         Some(SubmitDecision::AlreadyAccepted) => Response::Accepted,
+        Some(SubmitDecision::CancelledEarlier) => Response::CancelledEarlier,
         Some(SubmitDecision::RetryAfter { after_ms }) => Response::RetryAfter { after_ms },
         Some(SubmitDecision::OverCap { step }) => Response::Invalid(
             format!(
@@ -351,12 +374,14 @@
                 job: key,
                 queue: queue.key.clone(),
                 spec: Arc::new(spec),
-                at_ms: wall_ms(),
+                // Zero marks early cancellations.
+                at_ms: wall_ms().max(1),
                 api_key: target.api_key,
             };
             match node.propose(command).await {
                 Ok(Outcome::NoQueue) => Response::NoQueue,
                 Ok(Outcome::Unauthorized) => Response::Unauthorized,
+                Ok(Outcome::CancelledEarlier) => Response::CancelledEarlier,
                 Ok(_) => Response::Accepted,
                 Err(error) => proposal_error(node, error),
             }
@@ -365,19 +390,26 @@
 }
 
 async fn cancel(node: &Node, key: JobKey, queue: &Queue) -> Response {
-    let is_known = node.read_linearizable(|state| {
-        state
-            .jobs
-            .get(&key)
-            .is_some_and(|job| job.queue == queue.key)
-    });
-    match is_known {
+    let decide =
+        || node.with_leader(|leader, state| leader.decide_cancellation(key, &queue.key, state));
+    let mut decision = decide();
+    if let Some(CancelDecision::CancelEarly(command)) = decision {
+        if let Err(error) = node.propose(command).await {
+            return proposal_error(node, error);
+        }
+        // A submission that was committed first is known by now.
+        decision = decide();
+    }
+    match decision {
         None => node.not_leader(),
-        Some(false) => Response::NotFound,
-        Some(true) => match node.propose(Command::Cancel(key)).await {
+        Some(CancelDecision::NoJob) => Response::NotFound,
+        Some(CancelDecision::RetryAfter { after_ms }) => Response::RetryAfter { after_ms },
+        Some(CancelDecision::Cancel) => match node.propose(Command::Cancel(key)).await {
             Ok(Outcome::Unknown) => Response::NotFound,
             Ok(_) => Response::Accepted,
             Err(error) => proposal_error(node, error),
         },
+        // The job was removed meanwhile, so nothing is left to cancel.
+        Some(CancelDecision::CancelEarly(_)) => Response::Unknown,
     }
 }
--- a/crates/jasminefall-dispatch/src/entry.rs
+++ b/crates/jasminefall-dispatch/src/entry.rs
@@ -229,7 +229,7 @@
             )
         }
         Response::RetryAfter { after_ms } => {
-            let message = "the queue is overloaded; the job was not accepted";
+            let message = "overloaded; the request was not accepted";
             let seconds = after_ms.div_ceil(1_000).max(1);
             (
                 HttpResponse::new(429)
@@ -256,9 +256,19 @@
             let response = HttpResponse::new(401).with_error(message);
             (response.with_bearer_challenge(), "unauthorized")
         }
+        // Without Retry-After, since a later submission under this key is refused as well.
+        Response::CancelledEarlier => {
+            let message = "the job was cancelled before it was submitted, so it was not accepted \
+                           and never runs; use a new key to submit it";
+            (
+                HttpResponse::new(503).with_error(message),
+                "cancelled-earlier",
+            )
+        }
         Response::NotFound => (HttpResponse::new(410).with_error("no such job"), "no-job"),
         Response::Invalid(message) => (HttpResponse::new(400).with_error(message), "invalid"),
         Response::Unknown
+        | Response::Expired
         | Response::NotLeader { .. }
         | Response::HeartbeatNoted { .. }
         | Response::Document(_)
--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -6,12 +6,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use jasminefall_runtime::clock::monotonic_ms;
 use jasminefall_wire::client::ControlLink;
+use jasminefall_wire::extended::Extended;
 use jasminefall_wire::handshake::SiteKey;
 use jasminefall_wire::link::LinkError;
 use tokio::sync::watch;
 
 use crate::message::{Request, Response};
+use crate::time_limit::{ClockReadings, TimeLimit};
 use crate::unresponsive::UnresponsiveInstances;
 
 /// The `Retry-After` value of responses without a known leader, in seconds; an election takes one
@@ -88,6 +91,7 @@
     members: BTreeSet<SocketAddr>,
     leader: Option<SocketAddr>,
     unresponsive: UnresponsiveInstances,
+    clocks: ClockReadings,
     links: BTreeMap<SocketAddr, Rc<ControlLink>>,
 }
 
@@ -149,9 +153,8 @@
             if remaining.is_zero() {
                 break;
             }
-            let link = self.link(address);
             let response = tokio::select! {
-                response = link.forward(remaining.min(INSTANCE_TIMEOUT), request) => response,
+                response = self.send(address, remaining, request) => response,
                 leader = self.other_leader_answered(address) => {
                     log::info!("event=forward_moved from={address} to={leader}");
                     may_be_executed = true;
@@ -169,6 +172,7 @@
                     }
                 }
                 Ok(Response::Unknown) => may_be_executed = true,
+                Ok(Response::Expired) => {}
                 Ok(response) => {
                     self.record_leader(address);
                     return Ok(response);
@@ -183,6 +187,34 @@
         })
     }
 
+    /// Sends a request to one instance, with the time that remains for its execution.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        remaining: Duration,
+        request: &Request,
+    ) -> Result<Response, LinkError> {
+        let link = self.link(address);
+        let sent_at_ms = monotonic_ms();
+        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        let limit = {
+            let topology = self.topology.borrow();
+            let clock_ms = topology.clocks.max_clock_ms(address, sent_at_ms);
+            TimeLimit::new(remaining_ms, clock_ms)
+        };
+        let request = Extended::new(request).with_extension(limit);
+        let timeout = remaining.min(INSTANCE_TIMEOUT);
+        let response: Extended<Response, u64> = link.forward(timeout, &request).await?;
+        if let Some(clock_ms) = response.extension {
+            let mut topology = self.topology.borrow_mut();
+            let now_ms = monotonic_ms();
+            topology
+                .clocks
+                .record(address, clock_ms, sent_at_ms, now_ms);
+        }
+        Ok(response.message)
+    }
+
     /// Records that an instance has responded as the leader.
     fn record_leader(&self, address: SocketAddr) {
         let mut topology = self.topology.borrow_mut();
--- a/crates/jasminefall-dispatch/src/lib.rs
+++ b/crates/jasminefall-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`settings`]: settings of both programs
 //! - [`message`]: requests that are forwarded to the leader, and their responses
+//! - [`time_limit`]: time limits of forwarded requests
 //! - [`forwarding`]: locating the leader and forwarding requests to it
 //! - [`http`]: HTTP server, HTTP client and connection limits
 //! - [`entry`]: the entry program
@@ -24,6 +25,7 @@
 pub mod message;
 pub mod metrics;
 pub mod settings;
+pub mod time_limit;
 pub mod unresponsive;
 
 /// Returns the path given with `--settings`; empty if the option is missing.
--- a/crates/jasminefall-dispatch/src/message.rs
+++ b/crates/jasminefall-dispatch/src/message.rs
@@ -8,6 +8,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+/// The time after which an entry of an earlier release lets a client submit a job again that it has
+/// cancelled, in milliseconds; it is refused again, so the time is long.
+const CANCELLED_EARLIER_RETRY_MS: u64 = 60_000;
+
 /// Holds a request that only the leader can handle.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Request {
@@ -47,6 +51,39 @@
     PutConfigurationWithAccess(Box<Configuration>, Box<Access>),
 }
 
+impl Request {
+    /// Returns the name in log lines.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Client { call, .. }
+            | Self::ClientWithKey {
+                operation: call, ..
+            } => match call {
+                ClientOperation::Submit(_) | ClientOperation::SubmitInvalid(_) => "submission",
+                ClientOperation::Read => "read",
+                ClientOperation::Cancel => "cancellation",
+            },
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Departure(_) => "departure",
+            Self::PutConfiguration(_) | Self::PutConfigurationWithAccess(..) => "configuration",
+            Self::ReadConfiguration => "configuration-read",
+            Self::StartWave(..) => "wave",
+            Self::WaveState(_) => "wave-read",
+        }
+    }
+
+    /// Returns the path of the client's HTTP request, which names the job, for log lines; empty for
+    /// requests of workers and operators.
+    #[must_use]
+    pub fn client_path(&self) -> &str {
+        match self {
+            Self::Client { path, .. } | Self::ClientWithKey { path, .. } => path,
+            _ => "",
+        }
+    }
+}
+
 /// Holds a client's operation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClientOperation {
@@ -107,4 +144,23 @@
     },
     /// The queue requires an API key, and the request has none that is in force.
     Unauthorized,
+    /// The job was cancelled before it was submitted; it was not accepted and never runs.
+    CancelledEarlier,
+    /// The request was not executed and will not be, since its time limit had passed when it arrived.
+    Expired,
+}
+
+impl Response {
+    /// Returns the response for a sender of an earlier release, which knows no time limits.
+    #[must_use]
+    pub fn for_earlier_release(self) -> Self {
+        match self {
+            // Its clients are told that the job was not accepted.
+            Self::CancelledEarlier => Self::RetryAfter {
+                after_ms: CANCELLED_EARLIER_RETRY_MS,
+            },
+            Self::Expired => Self::Unknown,
+            response => response,
+        }
+    }
 }
--- a/crates/jasminefall-dispatch/tests/encodings.rs
+++ b/crates/jasminefall-dispatch/tests/encodings.rs
@@ -104,6 +104,8 @@
         Response::Document(b"{\"version\":7}".to_vec()),
         Response::Wave { complete: true },
         Response::Unauthorized,
+        Response::CancelledEarlier,
+        Response::Expired,
     ];
     let named = responses.into_iter();
     named
@@ -132,6 +134,8 @@
         Response::Document(_) => "document",
         Response::Wave { .. } => "wave",
         Response::Unauthorized => "unauthorized",
+        Response::CancelledEarlier => "cancelled_earlier",
+        Response::Expired => "expired",
     }
 }
 
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -63,7 +63,7 @@
 pub use self::advice::{Advice, AdviceFailure, AdviceRequest, AdviceRequestId};
 use self::best_effort::PaceTracker;
 use self::clients::CachedLoad;
-pub use self::clients::{QueryResponse, SubmitDecision};
+pub use self::clients::{CancelDecision, QueryResponse, SubmitDecision};
 use self::directory::Directory;
 use self::failures::FailedTasks;
 use self::fleet::Fleet;
@@ -404,6 +404,7 @@
                 leader.open_job(*key, job, true, state);
             }
         }
+        leader.end_early_cancellations(state);
         leader
     }
 
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -12,7 +12,7 @@
 use crate::policy::durations::StepKind;
 use crate::policy::priority;
 use crate::policy::shares::PoolShares;
-use crate::state::{JobStatus, JobsState};
+use crate::state::{Command, JobStatus, JobsState};
 use crate::workspace::{Weight, Workspace, WorkspaceName};
 
 /// How long a computed pool load is reused, in milliseconds. It is reused, since its computation
@@ -20,6 +20,10 @@
 /// take hundreds of milliseconds.
 const LOAD_CACHE_TTL_MS: u64 = 30;
 
+/// When a client may repeat a cancellation that was refused, in milliseconds; ended jobs are removed at
+/// longer intervals.
+const EARLY_CANCELLATION_RETRY_MS: u64 = 5_000;
+
 /// The weight and the accepted work that is not done of each workspace with work in a pool.
 type WorkspaceBacklogs = HashMap<WorkspaceName, (Weight, Work)>;
 
@@ -55,6 +59,8 @@
 pub enum SubmitDecision {
     /// The job was accepted before; the client gets the same response as then.
     AlreadyAccepted,
+    /// The job was cancelled before it was submitted; it is refused and never runs.
+    CancelledEarlier,
     /// The job is accepted; the caller proposes it to the replicated log.
     Propose,
     /// The job is refused and never runs; the client may submit it again later.
@@ -70,6 +76,23 @@
     },
 }
 
+/// Holds the decision on the cancellation of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CancelDecision {
+    /// The queue has the job; the caller proposes its cancellation.
+    Cancel,
+    /// The job isn't known, but its submission may still arrive; the caller proposes this command before
+    /// it tells the client that there is no such job, and then decides again.
+    CancelEarly(Command),
+    /// The queue has no such job, and will not have it.
+    NoJob,
+    /// Too many jobs that aren't known have been cancelled; the client may try again later.
+    RetryAfter {
+        /// The time until the client may try again, in milliseconds.
+        after_ms: u64,
+    },
+}
+
 /// Holds the response to a client's query about a job or a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QueryResponse {
@@ -95,6 +118,13 @@
         spec: &JobSpec,
         state: &JobsState,
     ) -> SubmitDecision {
+        if state.is_cancelled_early(key) {
+            self.log_event(format!(
+                "event=job_cancelled_earlier job={key} queue={}",
+                queue.name
+            ));
+            return SubmitDecision::CancelledEarlier;
+        }
         if state.jobs.contains_key(&key) {
             return SubmitDecision::AlreadyAccepted;
         }
@@ -333,10 +363,44 @@
         worker.heartbeat.capacity.minus(&used)
     }
 
+    /// Decides how a job is cancelled.
+    pub fn decide_cancellation(
+        &mut self,
+        key: JobKey,
+        queue: &QueueKey,
+        state: &JobsState,
+    ) -> CancelDecision {
+        match state.jobs.get(&key) {
+            Some(job) if job.is_early_cancellation() => CancelDecision::NoJob,
+            Some(job) if job.queue == *queue => CancelDecision::Cancel,
+            // The key belongs to another queue, so no job can be added under it in this one.
+            Some(_) => CancelDecision::NoJob,
+            None if state.has_room_for_early_cancellation() => {
+                self.log_event(format!("event=job_cancelled_early job={key}"));
+                CancelDecision::CancelEarly(Command::cancel_early(key, queue.clone()))
+            }
+            None => {
+                self.log_event(format!("event=early_cancellation_refused job={key}"));
+                CancelDecision::RetryAfter {
+                    after_ms: EARLY_CANCELLATION_RETRY_MS,
+                }
+            }
+        }
+    }
+
+    /// Ends the jobs that record early cancellations of earlier leaders, so that they are removed with the
+    /// other ended jobs.
+    pub(super) fn end_early_cancellations(&mut self, state: &JobsState) {
+        for key in state.open_early_cancellations() {
+            self.propose(Command::Cancel(key));
+        }
+    }
+
     /// Returns the status of a job.
     #[must_use]
     pub fn status(&self, queue: &QueueKey, key: JobKey, state: &JobsState) -> QueryResponse {
-        let Some(job) = state.jobs.get(&key).filter(|job| job.queue == *queue) else {
+        let job = state.jobs.get(&key).filter(|job| job.queue == *queue);
+        let Some(job) = job.filter(|job| !job.is_early_cancellation()) else {
             return QueryResponse::NoJob;
         };
         let status = match job.status() {
@@ -350,6 +414,7 @@
     #[must_use]
     pub fn waiting_jobs(&self, queue: &QueueKey, state: &JobsState) -> QueryResponse {
         let jobs = state.jobs.iter().filter(|(_, job)| job.queue == *queue);
+        let jobs = jobs.filter(|(_, job)| !job.is_early_cancellation());
         let waiting = jobs
             .filter(|(key, job)| job.ended.is_none() && !job.has_run && !self.has_started(**key));
         QueryResponse::Waiting(waiting.count())
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -492,6 +492,12 @@
     pub fn on_applied(&mut self, command: &Command, state: &JobsState) {
         match command {
             Command::Submit { job, .. } | Command::SubmitWithKey { job, .. } => {
+                if state.is_cancelled_early(*job) {
+                    if matches!(state.jobs.get(job), Some(job) if job.ended.is_none()) {
+                        self.propose(Command::Cancel(*job));
+                    }
+                    return;
+                }
                 let is_known = self.schedules.contains(*job) || !self.step_ids(*job).is_empty();
                 if let Some(found) = state.jobs.get(job).filter(|found| found.ended.is_none())
                     && !is_known
--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -4,6 +4,7 @@
 //! only. Commands carry all times.
 
 mod crashes;
+mod early_cancellations;
 mod job;
 mod occurrences;
 
@@ -14,6 +15,7 @@
 use smol_str::SmolStr;
 
 pub use self::crashes::{MAX_CRASHED_RUNS, MAX_ENDS_TO_FAIL, TaskCrashes};
+pub use self::early_cancellations::MAX_EARLY_CANCELLATIONS;
 pub use self::job::{Job, JobStatus, StepProgress, TaskProgress};
 use self::occurrences::LongJob;
 pub use self::occurrences::{Occurrence, Occurrences};
@@ -135,6 +137,8 @@
     NoQueue,
     /// The queue requires an API key, and the call has none that is in force.
     Unauthorized,
+    /// The job was cancelled before it was submitted, so it isn't added.
+    CancelledEarlier,
 }
 
 /// Holds the workspace that a job belongs to.
@@ -237,6 +241,9 @@
     /// a snapshot of an earlier version lacks them.
     #[serde(skip)]
     pub crashes: BTreeMap<TaskId, TaskCrashes>,
+    /// The jobs that were cancelled before they were submitted; derived from the jobs.
+    #[serde(skip)]
+    pub early_cancellations: BTreeSet<JobKey>,
 }
 
 /// Encodes the jobs that earlier versions can hold.
@@ -274,6 +281,12 @@
     ///
     /// Returns the error of the decoder, for example if an incompatible version wrote the snapshot.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let mut state = Self::decode_sections(bytes)?;
+        state.index_early_cancellations();
+        Ok(state)
+    }
+
+    fn decode_sections(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         // Snapshots of earlier versions end before the surges, the workspaces, the crashes or the jobs with a
         // long schedule.
@@ -331,12 +344,7 @@
                 queue,
                 spec,
                 at_ms,
-            } => {
-                self.jobs
-                    .entry(job)
-                    .or_insert_with(|| Job::new(queue, spec, at_ms));
-                Outcome::Done
-            }
+            } => self.submit(job, queue, spec, at_ms),
             Command::Cancel(job) => self.cancel(job),
             Command::Register(heartbeat) => {
                 let record = self
@@ -366,6 +374,7 @@
                 for job in jobs {
                     self.jobs.remove(&job);
                     self.owners.remove(&job);
+                    self.early_cancellations.remove(&job);
                     self.remove_settled_crashes(job);
                 }
                 Outcome::Done
@@ -396,6 +405,22 @@
         Outcome::Done
     }
 
+    fn submit(&mut self, key: JobKey, queue: QueueKey, spec: Arc<JobSpec>, at_ms: u64) -> Outcome {
+        if let Some(known) = self.jobs.get(&key) {
+            return if known.is_early_cancellation() {
+                Outcome::CancelledEarlier
+            } else {
+                Outcome::Done
+            };
+        }
+        let job = Job::new(queue, spec, at_ms);
+        if job.is_early_cancellation() {
+            self.early_cancellations.insert(key);
+        }
+        self.jobs.insert(key, job);
+        Outcome::Done
+    }
+
     fn submit_with_key(
         &mut self,
         job: JobKey,
@@ -411,12 +436,10 @@
             Caller::Workspace(workspace) => Some(workspace.name.clone()),
             Caller::Public => None,
         };
-        if self.jobs.contains_key(&job) {
-            return Outcome::Done;
-        }
+        let is_new = !self.jobs.contains_key(&job);
         let largest_task = spec.largest_task();
-        self.jobs.insert(job, Job::new(queue, spec, at_ms));
-        if let Some(workspace) = owner {
+        let outcome = self.submit(job, queue, spec, at_ms);
+        if is_new && let Some(workspace) = owner {
             let owner = JobOwner {
                 workspace,
                 unfinished: Resources::default(),
@@ -424,7 +447,7 @@
             };
             self.owners.insert(job, owner);
         }
-        Outcome::Done
+        outcome
     }
 
     fn cancel(&mut self, key: JobKey) -> Outcome {
--- a/crates/jasminefall-jobs/tests/crashes.rs
+++ b/crates/jasminefall-jobs/tests/crashes.rs
@@ -710,6 +710,7 @@
             surges,
             owners: workspaces.owners,
             crashes: BTreeMap::new(),
+            ..JobsState::default()
         }
     }
 
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -10,6 +10,8 @@
 mod caps;
 #[path = "leader/crashes.rs"]
 mod crashes;
+#[path = "leader/early_cancellations.rs"]
+mod early_cancellations;
 #[path = "leader/ends.rs"]
 mod ends;
 #[path = "leader/failures.rs"]
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use jasminefall_jobs::leader::{
-    Advice, AdviceFailure, AdviceRequest, Effect, InstanceResponse, Leader, LeaderSettings,
-    ListedInstance, Now, PollRequest, StartRequest, SubmitDecision, WorkerHandle, WorkspaceUse,
+    Advice, AdviceFailure, AdviceRequest, CancelDecision, Effect, InstanceResponse, Leader,
+    LeaderSettings, ListedInstance, Now, PollRequest, QueryResponse, StartRequest, SubmitDecision,
+    WorkerHandle, WorkspaceUse,
 };
 use jasminefall_jobs::prelude::*;
 use smol_str::{SmolStr, format_smolstr};
@@ -503,9 +504,15 @@
 
     /// Commits a command that the leader has not proposed.
     pub(crate) fn apply(&mut self, command: Command) {
-        self.state.apply(command.clone());
+        self.commit(command);
+    }
+
+    /// Applies a command; returns its outcome.
+    pub(crate) fn commit(&mut self, command: Command) -> Outcome {
+        let outcome = self.state.apply(command.clone());
         self.leader.on_applied(&command, &self.state);
         self.process_effects();
+        outcome
     }
 
     pub(crate) fn submit(&mut self, key: u64, spec: JobSpec) {
@@ -518,6 +525,62 @@
         });
     }
 
+    /// Submits a job without a key as the control program does; returns the leader's decision.
+    pub(crate) fn submit_decided(&mut self, key: u64, spec: JobSpec) -> SubmitDecision {
+        let queue = self.state.configuration.queues[0].clone();
+        let decision =
+            self.leader
+                .decide_submission(JobKey(key), (&queue, None), &spec, &self.state);
+        if decision == SubmitDecision::Propose {
+            self.commit_submission(key, spec);
+        }
+        decision
+    }
+
+    /// Commits a submission without a key, whatever the leader would decide; returns its outcome.
+    pub(crate) fn commit_submission(&mut self, key: u64, spec: JobSpec) -> Outcome {
+        self.commit(Command::SubmitWithKey {
+            job: JobKey(key),
+            queue: self.queue(),
+            spec: Arc::new(spec),
+            at_ms: self.now.wall_ms,
+            api_key: None,
+        })
+    }
+
+    /// Cancels a job as the control program does; returns the leader's last decision.
+    pub(crate) fn cancel(&mut self, key: u64) -> CancelDecision {
+        let mut decision = self.decide_cancellation(key);
+        if let CancelDecision::CancelEarly(command) = decision {
+            self.apply(command);
+            decision = self.decide_cancellation(key);
+        }
+        if decision == CancelDecision::Cancel {
+            self.apply(Command::Cancel(JobKey(key)));
+        }
+        decision
+    }
+
+    pub(crate) fn decide_cancellation(&mut self, key: u64) -> CancelDecision {
+        let queue = self.queue();
+        self.leader
+            .decide_cancellation(JobKey(key), &queue, &self.state)
+    }
+
+    /// Returns the leader's response to a query of a job.
+    pub(crate) fn query(&self, key: u64) -> QueryResponse {
+        self.leader.status(&self.queue(), JobKey(key), &self.state)
+    }
+
+    /// Returns the leader's response to a query of the queue.
+    pub(crate) fn waiting_jobs(&self) -> QueryResponse {
+        self.leader.waiting_jobs(&self.queue(), &self.state)
+    }
+
+    pub(crate) fn queue(&self) -> QueueKey {
+        self.state.configuration.queues[0].key.clone()
+    }
+
     /// Puts a configuration in force whose queue requires a key.
     pub(crate) fn configure_workspaces(&mut self, version: u64, workspaces: Vec<Workspace>) {
         let configuration = Configuration {
--- a/crates/jasminefall-jobs/tests/support/state_samples.rs
+++ b/crates/jasminefall-jobs/tests/support/state_samples.rs
@@ -1,6 +1,6 @@
 //! Samples of commands and states.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use jasminefall_jobs::prelude::*;
@@ -183,5 +183,6 @@
         surges: BTreeMap::from([("editor".into(), surge())]),
         owners: BTreeMap::from([(job_key(), owner)]),
         crashes: BTreeMap::new(),
+        early_cancellations: BTreeSet::new(),
     }
 }
--- a/crates/jasminefall-wire/src/lib.rs
+++ b/crates/jasminefall-wire/src/lib.rs
@@ -15,6 +15,7 @@
 //!
 //! - [`message`]: request and response types
 //! - [`codec`]: encoding of requests and responses
+//! - [`extended`]: messages with an optional extension
 //! - [`handshake`]: mutual authentication with the site key
 //! - [`link`]: connection to another process that reconnects after a failure
 //! - [`client`]: typed clients of control replicas and entries
@@ -23,6 +24,7 @@
 
 pub mod client;
 pub mod codec;
+pub mod extended;
 pub mod handshake;
 pub mod link;
 pub mod message;
