--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -30,8 +30,7 @@
 pub(crate) struct StepState {
     pub(crate) queue: QueueKey,
     pub(crate) pool: SmolStr,
-    /// The pools of the queue before it changed during this leadership; earlier leaders may have
-    /// started tasks there.
+    /// The earlier pools of the queue, in which earlier leaders may have started tasks.
     pub(crate) previous_pools: BTreeSet<SmolStr>,
     /// The workspace that the job belongs to.
     pub(crate) workspace: Option<WorkspaceName>,
@@ -142,7 +141,7 @@
         StepState {
             queue: job.queue.clone(),
             pool: queue.map_or_else(SmolStr::default, |queue| queue.pool.clone()),
-            previous_pools: BTreeSet::new(),
+            previous_pools: state.former_pools_of(&job.queue),
             workspace: state.workspace_of(key).cloned(),
             beyond_rate: self.usage.beyond_rate.contains(&key),
             position,
--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -5,6 +5,7 @@
 
 mod crashes;
 mod early_cancellations;
+mod former_pools;
 mod job;
 mod occurrences;
 
@@ -16,6 +17,7 @@
 
 pub use self::crashes::{MAX_CRASHED_RUNS, MAX_ENDS_TO_FAIL, TaskCrashes};
 pub use self::early_cancellations::MAX_EARLY_CANCELLATIONS;
+pub use self::former_pools::FormerPools;
 pub use self::job::{Job, JobStatus, StepProgress, TaskProgress};
 use self::occurrences::LongJob;
 pub use self::occurrences::{Occurrence, Occurrences};
@@ -241,6 +243,10 @@
     /// a snapshot of an earlier version lacks them.
     #[serde(skip)]
     pub crashes: BTreeMap<TaskId, TaskCrashes>,
+    /// The pools in which runs may be active although their queue has another pool. A snapshot holds them
+    /// after the jobs with a long schedule. As the crashes, they decide nothing in [`Self::apply`].
+    #[serde(skip)]
+    pub former_pools: FormerPools,
     /// The jobs that were cancelled before they were submitted; derived from the jobs.
     #[serde(skip)]
     pub early_cancellations: BTreeSet<JobKey>,
@@ -272,7 +278,8 @@
         let bytes = postcard::to_extend(&self.crashes, bytes)?;
         let jobs = self.jobs.iter();
         let long_jobs = jobs.filter_map(|(key, job)| Some((*key, LongJob::of(job)?)));
-        postcard::to_extend(&long_jobs.collect::<BTreeMap<_, _>>(), bytes)
+        let bytes = postcard::to_extend(&long_jobs.collect::<BTreeMap<_, _>>(), bytes)?;
+        postcard::to_extend(&self.former_pools, bytes)
     }
 
     /// Decodes the state from a snapshot.
@@ -281,40 +288,47 @@
     ///
     /// Returns the error of the decoder, for example if an incompatible version wrote the snapshot.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let mut state = Self::decode_sections(bytes)?;
+        let (mut state, rest) = Self::decode_earlier_sections(bytes)?;
+        if rest.is_empty() {
+            state.assume_former_pools();
+        } else {
+            // Sections of later versions may follow.
+            (state.former_pools, _) = postcard::take_from_bytes(rest)?;
+        }
         state.index_early_cancellations();
         Ok(state)
     }
 
-    fn decode_sections(bytes: &[u8]) -> Result<Self, postcard::Error> {
+    /// Decodes the sections up to the jobs with a long schedule, and returns the bytes after them.
+    fn decode_earlier_sections(bytes: &[u8]) -> Result<(Self, &[u8]), postcard::Error> {
         let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
         // Snapshots of earlier versions end before the surges, the workspaces, the crashes or the jobs with a
         // long schedule.
         if rest.is_empty() {
-            return Ok(state);
+            return Ok((state, rest));
         }
         let (surges, rest) = postcard::take_from_bytes(rest)?;
         state.surges = surges;
         if rest.is_empty() {
-            return Ok(state);
+            return Ok((state, rest));
         }
         let (workspaces, rest) = postcard::take_from_bytes::<WorkspaceState>(rest)?;
         Arc::make_mut(&mut state.configuration).access = workspaces.access;
         state.owners = workspaces.owners;
         if rest.is_empty() {
-            return Ok(state);
+            return Ok((state, rest));
         }
         let (crashes, rest) = postcard::take_from_bytes(rest)?;
         state.crashes = crashes;
-        if !rest.is_empty() {
-            // Sections of later versions may follow.
-            let (long_jobs, _) = postcard::take_from_bytes::<BTreeMap<JobKey, LongJob>>(rest)?;
-            let long_jobs = long_jobs.into_iter();
-            state
-                .jobs
-                .extend(long_jobs.map(|(key, job)| (key, job.into())));
+        if rest.is_empty() {
+            return Ok((state, rest));
         }
-        Ok(state)
+        let (long_jobs, rest) = postcard::take_from_bytes::<BTreeMap<JobKey, LongJob>>(rest)?;
+        let long_jobs = long_jobs.into_iter();
+        state
+            .jobs
+            .extend(long_jobs.map(|(key, job)| (key, job.into())));
+        Ok((state, rest))
     }
 
     /// Applies a command and returns its result.
@@ -401,6 +415,7 @@
             let differs = is_same_version && configuration.document != current.document;
             return Outcome::NotNewer { differs };
         }
+        self.record_former_pools(&configuration);
         self.configuration = configuration;
         Outcome::Done
     }
--- a/crates/jasminefall-jobs/tests/crashes.rs
+++ b/crates/jasminefall-jobs/tests/crashes.rs
@@ -420,13 +420,35 @@
     assert_eq!(give_up(&mut state, 1, task(1, PLAIN, 0)), 0);
 }
 
-/// Returns a snapshot without the section of the jobs with long schedules, which must be empty.
-fn snapshot_without_long_schedules(state: &JobsState) -> Vec<u8> {
+/// Returns a snapshot without the section of the former pools, which must be empty.
+fn snapshot_without_former_pools(state: &JobsState) -> Vec<u8> {
     let mut bytes = state.to_bytes().unwrap();
     assert_eq!(bytes.pop(), Some(0));
     bytes
 }
 
+/// Returns a snapshot that also lacks the section of the jobs with long schedules, which must be empty.
+fn snapshot_without_long_schedules(state: &JobsState) -> Vec<u8> {
+    let mut bytes = snapshot_without_former_pools(state);
+    assert_eq!(bytes.pop(), Some(0));
+    bytes
+}
+
+/// Returns the state that is read from a snapshot without the former pools: each queue with active jobs may
+/// have had the pool of each incarnation.
+fn with_assumed_former_pools(mut state: JobsState) -> JobsState {
+    let active = state.jobs.values().filter(|job| job.ended.is_none());
+    let records = state.incarnations.values();
+    let pools: BTreeSet<_> = records
+        .map(|record| record.heartbeat.pool.clone())
+        .collect();
+    state.former_pools = active
+        .map(|job| (job.queue.clone(), pools.clone()))
+        .collect();
+    assert!(!state.former_pools.is_empty());
+    state
+}
+
 /// Returns a snapshot as versions before the crashes write it.
 fn earlier_snapshot(state: &JobsState) -> Vec<u8> {
     let mut bytes = snapshot_without_long_schedules(state);
@@ -440,7 +462,10 @@
 fn snapshot_round_trip_preserves_crashes() {
     let mut state = started_state();
     let without_crashes = earlier_snapshot(&state);
-    assert_eq!(JobsState::from_bytes(&without_crashes).unwrap(), state);
+    assert_eq!(
+        JobsState::from_bytes(&without_crashes).unwrap(),
+        with_assumed_former_pools(state.clone())
+    );
     crash(&mut state, task(1, PLAIN, 0), &[4, 7]);
     crash(&mut state, task(2, GANG, 1), &[65_537]);
     let bytes = state.to_bytes().unwrap();
@@ -461,7 +486,10 @@
     let bytes = state.to_bytes().unwrap();
     let earlier_lengths = [
         &earlier_lengths[..],
-        &[snapshot_without_long_schedules(&state).len()],
+        &[
+            snapshot_without_long_schedules(&state).len(),
+            snapshot_without_former_pools(&state).len(),
+        ],
     ]
     .concat();
     for cut in 0..bytes.len() {
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -379,6 +379,16 @@
         self.apply(Command::Configure(Arc::new(changed)));
     }
 
+    /// Puts a configuration in force without the queue.
+    pub(crate) fn remove_queue(&mut self, version: u64) {
+        let changed = Configuration {
+            version,
+            queues: Vec::new(),
+            ..configuration()
+        };
+        self.apply(Command::Configure(Arc::new(changed)));
+    }
+
     /// Deregisters a worker, which sends no further heartbeats.
     pub(crate) fn depart(&mut self, name: &str) {
         self.silent.push(name.into());
--- a/crates/jasminefall-jobs/tests/leader/leases.rs
+++ b/crates/jasminefall-jobs/tests/leader/leases.rs
@@ -165,3 +165,94 @@
     assert!(harness.take_starts().is_empty());
     assert_eq!(harness.worker_count(), 2);
 }
+
+/// Returns a harness with a run in the first pool, a ready worker in the other pool, and the run's start.
+fn harness_with_run_and_other_pool(job: JobSpec) -> (Harness, StartRequest) {
+    let mut harness = Harness::new(1);
+    harness.set_queue_pool(2, harness::POOL);
+    harness.start_ready_worker_in_other_pool();
+    harness.submit(1, job);
+    let start = harness.take_starts().remove(0);
+    harness.accept_start(&start);
+    (harness, start)
+}
+
+/// Lets a new leader read the run list of the worker in the other pool first, then that of the first one;
+/// asserts that the run goes on and isn't started a second time.
+fn assert_run_goes_on_under_a_new_leader(harness: &mut Harness, start: &StartRequest) {
+    harness.cut_off("i-0");
+    harness.change_leader();
+    harness.send_heartbeats();
+    for _ in 0..20 {
+        harness.answer_polls();
+        harness.advance(100);
+    }
+    assert_eq!(harness.take_starts(), []);
+    harness.reconnect("i-0");
+    for _ in 0..20 {
+        harness.answer_polls();
+        harness.advance(100);
+    }
+    assert_eq!(harness.take_starts(), []);
+    assert!(!harness.is_idle("i-0"));
+    harness.end_on_worker("i-0", start, EndKind::Done);
+    harness.answer_polls();
+    assert_eq!(harness.status(1), Some(JobStatus::Completed));
+}
+
+/// Guards against TWICE, as in review/7: the pool had changed under an earlier leader, and the new one
+/// started the task in the new pool while it ran in the former one.
+#[test]
+fn new_leader_restarts_no_run_in_a_pool_that_the_queue_got_under_an_earlier_leader() {
+    let (mut harness, start) = harness_with_run_and_other_pool(harness::job(&[1], 100));
+    harness.set_queue_pool(3, harness::OTHER_POOL);
+    assert_run_goes_on_under_a_new_leader(&mut harness, &start);
+}
+
+/// Guards against TWICE after several changes of the pool and of the leader, a queue that was removed in
+/// between, and a snapshot.
+#[test]
+fn former_pools_outlive_further_changes_leaders_and_snapshots() {
+    let (mut harness, start) = harness_with_run_and_other_pool(harness::job(&[1], 100));
+    harness.remove_queue(3);
+    harness.change_leader();
+    harness.set_queue_pool(4, harness::POOL);
+    harness.change_leader();
+    harness.set_queue_pool(5, harness::OTHER_POOL);
+    let bytes = harness.state.to_bytes().expect("the state can be encoded");
+    harness.state = JobsState::from_bytes(&bytes).expect("the snapshot is valid");
+    assert_run_goes_on_under_a_new_leader(&mut harness, &start);
+}
+
+/// Guards against LOST: a worker out of reach must not hold up steps that cannot run there, nor others for
+/// longer than its lease.
+#[test]
+fn worker_out_of_reach_in_another_pool_holds_up_only_queues_that_had_this_pool() {
+    for had_other_pool in [false, true] {
+        let mut harness = Harness::new(1);
+        harness.set_queue_pool(2, harness::OTHER_POOL);
+        harness.start_ready_worker_in_other_pool();
+        harness.cut_off("i-1");
+        if !had_other_pool {
+            harness.set_queue_pool(3, harness::POOL);
+        }
+        // Fits on no worker yet.
+        harness.submit(1, harness::job(&[1], 17_000));
+        harness.set_queue_pool(4, harness::POOL);
+        harness.set_capacity("i-0", harness::CAPACITY.times(2));
+        harness.change_leader();
+        harness.send_heartbeats();
+        for _ in 0..10 {
+            harness.answer_polls();
+            harness.advance(100);
+        }
+        let starts = harness.take_starts();
+        assert_eq!(starts.is_empty(), had_other_pool);
+        harness.accept_starts(&starts);
+        for _ in 0..60 {
+            harness.answer_polls();
+            harness.advance(100);
+        }
+        assert_eq!(harness.take_starts().is_empty(), !had_other_pool);
+    }
+}
--- a/crates/jasminefall-jobs/tests/support/state_samples.rs
+++ b/crates/jasminefall-jobs/tests/support/state_samples.rs
@@ -183,6 +183,8 @@
         surges: BTreeMap::from([("editor".into(), surge())]),
         owners: BTreeMap::from([(job_key(), owner)]),
         crashes: BTreeMap::new(),
+        // What is assumed for a snapshot without this section.
+        former_pools: BTreeMap::from([(queue_key(), BTreeSet::from([heartbeat().pool]))]),
         early_cancellations: BTreeSet::new(),
     }
 }
--- a/crates/jasminefall-jobs/tests/workspaces.rs
+++ b/crates/jasminefall-jobs/tests/workspaces.rs
@@ -233,13 +233,13 @@
     assert_eq!(JobsState::from_bytes(&bytes).unwrap(), state);
     let read = JobsState::from_bytes(&bytes).unwrap();
     assert_eq!(read.configuration.access, state.configuration.access);
-    // The last two bytes are the sections of the crashes and of the jobs with long schedules, without which
-    // earlier versions wrote snapshots.
-    for cut in [1, 2] {
+    // The last three bytes are the sections of the crashes, of the jobs with long schedules and of the former
+    // pools, without which earlier versions wrote snapshots.
+    for cut in [1, 2, 3] {
         let earlier = &bytes[..bytes.len() - cut];
         assert_eq!(JobsState::from_bytes(earlier).as_ref(), Ok(&state));
     }
-    assert!(JobsState::from_bytes(&bytes[..bytes.len() - 3]).is_err());
+    assert!(JobsState::from_bytes(&bytes[..bytes.len() - 4]).is_err());
 }
 
 /// Earlier versions knew no workspaces, so their snapshots end with the surges.
