fix(jobs): keep a worker that may have begun after a maintenance (LOST)

What callers saw: a long-running task had no run although the only worker that can run it was up, empty and sent heartbeats.

Cause: a response that a maintenance is done says neither when it was done nor by whose request. The leader ended the incarnation that it knew, though this one had begun after the maintenance that an earlier leader had requested, and ignored it from then on.

Change: an incarnation is ended by such a response only if no request can have been sent before it joined. Otherwise it gets no tasks until a run list that is polled after the response, on its next heartbeat, proves that it began later. A move that is done ends the incarnation on the instance unless it is in the destination pool, and is passed over if another move is planned by now.

Why it works: only a live incarnation answers a poll, and one that answers after the response has outlived what the response reports. One that has been taken down doesn't answer, whatever heartbeat of it arrives late. The wait is one heartbeat and a poll; the maintenance keeps its place in the wave until then.

Three tests in leader/maintained_workers.rs fail without it, among them worker_back_from_maintenance_gets_tasks_after_a_change_of_the_leader.

worker_that_joined_since_the_maintenance_request_gets_tasks counted the starts at the end, none of which it accepted. The worker now gets its task at the first heartbeat, so the test accepts starts as they come, and still expects exactly one.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -371,7 +371,7 @@
             isolation_blocked_since_ms: BTreeMap::new(),
             durations: DurationEstimator::default(),
             fleet: Fleet::default(),
-            maintenance: MaintenanceTracker::default(),
+            maintenance: MaintenanceTracker::resumed(state),
             pool_planner: if settings.mechanisms.recorded_surges {
                 PoolPlanner::resumed(now, state)
             } else {
--- a/crates/jasminefall-jobs/src/leader/heartbeats.rs
+++ b/crates/jasminefall-jobs/src/leader/heartbeats.rs
@@ -75,6 +75,10 @@
         if heartbeat.sequence < worker.heartbeat.sequence {
             return true;
         }
+        if worker.doubted_since_ms.is_some() {
+            // Only a response proves that the incarnation goes on, since the heartbeat may have been delayed.
+            worker.probe_at_ms.get_or_insert(now_ms);
+        }
         let starts_draining = heartbeat.draining && !worker.heartbeat.draining;
         let previous = &worker.heartbeat;
         let may_accept_more = was_silent
--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -1,7 +1,7 @@
 //! Replacement and end of worker incarnations.
 
 use super::handovers::Successor;
-use super::{Leader, WorkerHandle};
+use super::{Leader, Worker, WorkerHandle};
 use crate::ids::IncarnationId;
 use crate::state::{Command, JobsState};
 use crate::worker::Heartbeat;
@@ -105,28 +105,27 @@
         self.end_incarnation(handle, cause, successor, state);
     }
 
-    /// Ends the incarnation on an instance that the platform has taken down.
+    /// Ends the incarnation on an instance that has been taken down, unless `outlives` states that it may
+    /// have begun afterwards; returns this incarnation.
     ///
-    /// The response may arrive when the instance is up again, so an incarnation that has joined since
-    /// the request is kept, without new tasks until the change is over. `requested_at_ms` is `None` if
-    /// it is over already.
-    pub(super) fn on_instance_taken_down(
+    /// The platform's response doesn't tell when it took the instance down, nor by whose request.
+    pub(super) fn end_incarnation_on(
         &mut self,
         instance: &str,
         cause: &str,
-        requested_at_ms: Option<u64>,
+        outlives: impl Fn(&Worker) -> bool,
         state: &JobsState,
-    ) {
+    ) -> Option<WorkerHandle> {
         if let Some(handle) = self.worker_on(instance) {
-            let joined_at_ms = self.workers.get(&handle).map(|worker| worker.joined_at_ms);
-            if requested_at_ms.is_none() || joined_at_ms > requested_at_ms {
-                return;
+            if self.workers.get(&handle).is_some_and(outlives) {
+                return Some(handle);
             }
             self.end_incarnation_permanently(handle, cause, Successor::SameWorker, state);
         }
         if let Some(known) = self.fleet.instances.get_mut(instance) {
             known.worker = None;
         }
+        None
     }
 
     /// Lets the worker on an instance be given tasks again.
--- a/crates/jasminefall-jobs/src/leader/maintenance.rs
+++ b/crates/jasminefall-jobs/src/leader/maintenance.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use super::fleet::InstanceResponse;
-use super::{Effect, Leader, RunState, WorkerHandle};
+use super::{Effect, Leader, RunState, Worker, WorkerHandle};
 use crate::ids::{StepId, TaskId};
 use crate::policy::waves::{RemainingWave, may_defer};
 use crate::state::{Command, JobsState, Wave};
@@ -60,10 +60,22 @@
     in_progress: BTreeSet<SmolStr>,
     /// The instances of all waves whose maintenance has not begun.
     due: HashSet<SmolStr>,
+    /// The waves that an earlier leader may have requested maintenance for.
+    inherited_waves: BTreeSet<u64>,
     advanced_at_ms: u64,
 }
 
 impl MaintenanceTracker {
+    /// Creates the tracker of a new leader.
+    pub(crate) fn resumed(state: &JobsState) -> Self {
+        let waves = state.waves.iter();
+        let incomplete = waves.filter(|(_, wave)| !wave.is_complete());
+        Self {
+            inherited_waves: incomplete.map(|(number, _)| *number).collect(),
+            ..Self::default()
+        }
+    }
+
     /// Returns whether an instance is being evacuated or is down for its maintenance.
     pub(crate) fn is_in_progress(&self, instance: &str) -> bool {
         self.in_progress.contains(instance)
@@ -154,7 +166,9 @@
             if let Phase::Down { since_ms } = phase {
                 let is_up = self.worker_on(&key.1).is_some_and(|handle| {
                     self.workers.get(&handle).is_some_and(|worker| {
-                        worker.registered && now_ms >= since_ms + self.settings.maintenance_ms
+                        worker.registered
+                            && worker.doubted_since_ms.is_none()
+                            && now_ms >= since_ms + self.settings.maintenance_ms
                     })
                 });
                 if is_up || now_ms >= since_ms + down_ms {
@@ -392,6 +406,52 @@
         u32::try_from(tasks.filter(|index| !is_available(index)).count()).unwrap_or(u32::MAX)
     }
 
+    /// Ends the incarnation on an instance whose maintenance has been carried out, if it is known to have begun
+    /// before. One that may have begun afterwards is kept, without tasks until it proves that it goes on.
+    fn end_maintained_incarnation(&mut self, key: &(u64, SmolStr), state: &JobsState) {
+        let (wave, instance) = key;
+        let is_inherited = self.maintenance.inherited_waves.contains(wave);
+        let requested_at_ms = self.maintenance.first_requested_at_ms.get(key).copied();
+        let may_outlive = |worker: &Worker| {
+            is_inherited || requested_at_ms.is_none_or(|at_ms| worker.joined_at_ms > at_ms)
+        };
+        let kept = self.end_incarnation_on(instance, "maintenance", may_outlive, state);
+        if let Some(worker) = kept.and_then(|handle| self.workers.get_mut(&handle)) {
+            worker.doubted_since_ms = Some(self.now.steady_ms);
+            let line = format!(
+                "event=worker_doubted worker={} wave={wave} inherited={is_inherited}",
+                worker.incarnation()
+            );
+            self.log_event(line);
+        }
+    }
+
+    /// Processes the response to a poll that was sent at `polled_at_ms`: if the platform had confirmed the
+    /// maintenance of the worker's instance before, the worker began after it, and the maintenance is over.
+    pub(super) fn confirm_worker(&mut self, handle: WorkerHandle, polled_at_ms: u64) {
+        let Some(worker) = self.workers.get_mut(&handle) else {
+            return;
+        };
+        let confirmed = worker
+            .doubted_since_ms
+            .take_if(|since_ms| polled_at_ms > *since_ms);
+        if confirmed.is_none() {
+            return;
+        }
+        let line = format!("event=worker_confirmed worker={}", worker.incarnation());
+        self.log_event(line);
+        let phases = self.maintenance.phases.iter();
+        let down = phases.filter(|(_, phase)| matches!(phase, Phase::Down { .. }));
+        let over = down.map(|(key, _)| key.clone());
+        let over: Vec<_> = over
+            .filter(|(_, instance)| self.worker_on(instance) == Some(handle))
+            .collect();
+        for (wave, instance) in over {
+            self.maintenance.remove(wave, &instance);
+            self.stop_evacuation(&instance);
+        }
+    }
+
     /// Handles the platform's response to a maintenance request.
     pub fn on_maintenance_response(
         &mut self,
@@ -408,8 +468,7 @@
         match response {
             InstanceResponse::Done => {
                 self.counts.maintained += 1;
-                let requested_at_ms = self.maintenance.first_requested_at_ms.get(&key).copied();
-                self.on_instance_taken_down(instance, "maintenance", requested_at_ms, state);
+                self.end_maintained_incarnation(&key, state);
                 self.maintenance
                     .set_phase(key, Phase::Down { since_ms: now_ms });
                 self.propose(Command::RecordMaintained {
--- a/crates/jasminefall-jobs/src/leader/moves.rs
+++ b/crates/jasminefall-jobs/src/leader/moves.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use super::fleet::InstanceResponse;
-use super::{Effect, Leader, WorkerHandle};
+use super::{Effect, Leader, Worker, WorkerHandle};
 use crate::state::JobsState;
 
 /// Delay before a new leader's first request about an instance for which an earlier leader may have
@@ -314,18 +314,19 @@
         self.log_event(format!(
             "event=move_response instance={instance} pool={pool} response={response:?}"
         ));
-        let Some(planned) = self.moves.by_instance.get(instance).cloned() else {
+        let planned = self.moves.by_instance.get(instance).cloned();
+        // The response to an earlier move doesn't concern the one that is planned now.
+        let Some(planned) = planned.filter(|planned| planned.to == *pool) else {
             self.fleet.request_refresh();
             return;
         };
         match response {
             InstanceResponse::Done => {
                 self.counts.moved += 1;
-                let requested_at_ms = match planned.phase {
-                    Phase::Requested { at_ms } => Some(at_ms),
-                    Phase::Evacuating { .. } | Phase::InTransit { .. } => None,
-                };
-                self.on_instance_taken_down(instance, "moved", requested_at_ms, state);
+                // A worker stays in one pool for its whole incarnation, so one in the destination pool began
+                // after the move.
+                let has_arrived = |worker: &Worker| worker.heartbeat.pool == *pool;
+                self.end_incarnation_on(instance, "moved", has_arrived, state);
                 if let Some(known) = self.fleet.instances.get_mut(instance) {
                     known.pool = pool.clone();
                 }
--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -171,6 +171,7 @@
             && !worker.heartbeat.draining
             && !worker.unresponsive
             && !worker.evacuating
+            && worker.doubted_since_ms.is_none()
             && self.now.steady_ms >= worker.backoff_until_ms
             && !self.is_silent(worker)
             && (refuses_overload || self.has_reliable_room(worker))
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -196,11 +196,16 @@
         worker.observe_clock(list.clock_ms, now_ms);
         let poll = std::mem::replace(&mut worker.polls[channel as usize], PollState::Idle);
         if let PollState::InFlight {
-            acknowledged_upto, ..
+            acknowledged_upto,
+            sent_at_ms,
         } = poll
         {
             worker.ends_acknowledged = worker.ends_acknowledged.max(acknowledged_upto);
+            self.confirm_worker(handle, sent_at_ms);
         }
+        let Some(worker) = self.workers.get_mut(&handle) else {
+            return;
+        };
         if worker.reconciled && list.clock_ms < worker.list_clock_ms {
             // A later list arrived first; the run ends in this one are still valid.
             self.on_run_ends((handle, channel), &incarnation, &list.ended, state);
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -108,6 +108,10 @@
     pub(crate) departing: bool,
     /// Whether the worker is being evacuated for maintenance or a move.
     pub(crate) evacuating: bool,
+    /// When the platform confirmed a maintenance that may have ended this incarnation, or may have been over
+    /// before it began, on the leader's steady clock. A run list that is polled later shows that it goes on;
+    /// until then it gets no tasks.
+    pub(crate) doubted_since_ms: Option<u64>,
 }
 
 impl Worker {
@@ -250,6 +254,7 @@
             health: WorkerHealth::default(),
             departing: false,
             evacuating,
+            doubted_since_ms: None,
         };
         self.workers.insert(handle, worker);
         handle
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -24,6 +24,8 @@
 mod hot_workspace;
 #[path = "leader/leases.rs"]
 mod leases;
+#[path = "leader/maintained_workers.rs"]
+mod maintained_workers;
 #[path = "leader/occurrences.rs"]
 mod occurrences;
 #[path = "leader/odd_entries.rs"]
@@ -729,12 +731,16 @@
         harness.take_starts().is_empty(),
         "the request may have taken the instance down just now"
     );
+    let mut starts = 0;
     for _ in 0..5 {
         harness.advance(500);
         harness.heartbeat_with(0, next_incarnation);
         harness.answer_polls();
+        let requested = harness.take_starts();
+        harness.accept_starts(&requested);
+        starts += requested.len();
     }
-    assert_eq!(harness.take_starts().len(), 1);
+    assert_eq!(starts, 1);
 }
 
 /// The replicated state may hold an ended incarnation on the instance of another one.
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -114,6 +114,8 @@
     in_other_pool: Vec<SmolStr>,
     /// Instances that the platform does not move for now.
     busy_instances: Vec<SmolStr>,
+    /// Whether the platform reports each move as done.
+    moves_are_done: bool,
     /// Requests to the advice service without a response yet.
     advice_requests: VecDeque<AdviceRequest>,
 }
@@ -153,6 +155,7 @@
             capacities: BTreeMap::new(),
             in_other_pool: Vec::new(),
             busy_instances: Vec::new(),
+            moves_are_done: false,
             advice_requests: VecDeque::new(),
         };
         for number in 0..workers {
@@ -254,6 +257,11 @@
         self.busy_instances.push(instance.into());
     }
 
+    /// Lets the platform report moves as done, without an effect on the workers.
+    pub(crate) const fn report_moves_as_done(&mut self) {
+        self.moves_are_done = true;
+    }
+
     /// Stops the heartbeats of a worker.
     pub(crate) fn stop_heartbeats(&mut self, name: &str) {
         self.silent.push(name.into());
@@ -469,9 +477,11 @@
                 self.polls.push_back(request);
             }
             Effect::Maintain { instance, .. } => self.maintenance.push(instance),
-            // Rejects all moves, so that the instances of a test stay in their pool.
+            // Rejects all moves by default, so that the instances of a test stay in their pool.
             Effect::Move { instance, pool } => {
-                let response = if self.busy_instances.contains(&instance) {
+                let response = if self.moves_are_done {
+                    InstanceResponse::Done
+                } else if self.busy_instances.contains(&instance) {
                     InstanceResponse::Busy
                 } else {
                     InstanceResponse::Impossible
