fix(jobs): let a worker join again that was ended by mistake

Cause: an ended incarnation is remembered so that a delayed heartbeat doesn't bring it back, and nothing told a delayed heartbeat from a live worker.

Change: an incarnation that goes on sending heartbeats for two intervals after the first ignored one, by its own clock and by the leader's, joins again, unless a later incarnation is known or it drains. It gets tasks once it has answered a poll, as any worker.

Why it works: heartbeats that were held up may span as much of the worker's clock, but they arrive together.

Evidence: worker_that_was_ended_by_mistake_joins_again fails without the change; heartbeats_held_up_until_after_the_end_dont_readmit_a_worker holds with and without it.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -69,6 +69,7 @@
 use self::fleet::Fleet;
 pub use self::fleet::{InstanceResponse, ListedInstance};
 use self::handovers::Handovers;
+use self::incarnations::EndedIncarnation;
 use self::maintenance::MaintenanceTracker;
 use self::moves::MoveTracker;
 use self::pools::PoolPlanner;
@@ -299,8 +300,8 @@
     /// Incarnations on which an earlier leader may have started tasks and whose run list this
     /// leader has not read yet, with their pools.
     unreconciled: BTreeMap<IncarnationId, SmolStr>,
-    /// Incarnations that have ended permanently, and when, on the steady clock.
-    ended_incarnations: HashMap<IncarnationId, u64>,
+    /// Incarnations that have ended permanently.
+    ended_incarnations: HashMap<IncarnationId, EndedIncarnation>,
     /// Incarnations that were removed as silent and may return, with the number of the last end that was
     /// processed, and when, on the steady clock.
     silent_incarnations: HashMap<IncarnationId, (u64, u64)>,
--- a/crates/jasminefall-jobs/src/leader/heartbeats.rs
+++ b/crates/jasminefall-jobs/src/leader/heartbeats.rs
@@ -37,9 +37,7 @@
 
     /// Adds the sender of a heartbeat, unless its incarnation has ended or been replaced.
     fn join_worker(&mut self, heartbeat: Heartbeat) -> bool {
-        if self.ended_incarnations.contains_key(&heartbeat.incarnation)
-            || self.has_later_incarnation(&heartbeat)
-        {
+        if self.has_later_incarnation(&heartbeat) || self.has_ended(&heartbeat) {
             self.log_ignored(&heartbeat, "incarnation-ended");
             return false;
         }
--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -6,7 +6,58 @@
 use crate::state::{Command, JobsState};
 use crate::worker::Heartbeat;
 
+/// The number of heartbeat intervals for which an ended incarnation has to go on sending heartbeats until it
+/// counts as ended by mistake.
+const OUTLIVED_HEARTBEATS: u64 = 2;
+
+/// Describes an incarnation that has ended permanently.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndedIncarnation {
+    /// When it ended, on the leader's steady clock.
+    ended_at_ms: u64,
+    /// The number of the last run end that was processed.
+    ends_seen: u64,
+    /// The incarnation's clock in the first heartbeat since then, and when that arrived on the leader's
+    /// steady clock.
+    first_heartbeat: Option<(u64, u64)>,
+}
+
+impl EndedIncarnation {
+    /// Records a heartbeat; returns whether the incarnation must have gone on since its end.
+    ///
+    /// Heartbeats that were held up may span some time on the worker's clock, but arrive together.
+    fn is_outlived(&mut self, clock_ms: u64, now_ms: u64, heartbeat_ms: u64) -> bool {
+        let margin_ms = heartbeat_ms * OUTLIVED_HEARTBEATS;
+        let (first_clock_ms, received_at_ms) =
+            *self.first_heartbeat.get_or_insert((clock_ms, now_ms));
+        clock_ms >= first_clock_ms + margin_ms && now_ms >= received_at_ms + margin_ms
+    }
+}
+
 impl Leader {
+    /// Returns whether the sender of a heartbeat has ended. One that was ended by mistake is forgotten, so
+    /// that it can join again; it gets tasks once it has answered a poll.
+    pub(super) fn has_ended(&mut self, heartbeat: &Heartbeat) -> bool {
+        let (now_ms, heartbeat_ms) = (self.now.steady_ms, self.settings.heartbeat_ms);
+        let incarnation = &heartbeat.incarnation;
+        let Some(ended) = self.ended_incarnations.get_mut(incarnation) else {
+            return false;
+        };
+        let is_outlived = ended.is_outlived(heartbeat.clock_ms, now_ms, heartbeat_ms);
+        if heartbeat.draining || !is_outlived {
+            return true;
+        }
+        let ended = *ended;
+        self.log_event(format!(
+            "event=worker_readmitted worker={incarnation} ended_ms_ago={}",
+            now_ms.saturating_sub(ended.ended_at_ms)
+        ));
+        self.ended_incarnations.remove(incarnation);
+        self.silent_incarnations
+            .insert(incarnation.clone(), (ended.ends_seen, now_ms));
+        false
+    }
+
     /// Processes a worker's deregistration: ends its draining incarnations.
     ///
     /// The worker ends only once it has received the acknowledgement, or some time later without one,
@@ -98,9 +149,13 @@
         state: &JobsState,
     ) {
         if let Some(worker) = self.workers.get(&handle) {
-            let incarnation = worker.incarnation().clone();
+            let ended = EndedIncarnation {
+                ended_at_ms: self.now.steady_ms,
+                ends_seen: worker.ends_seen,
+                first_heartbeat: None,
+            };
             self.ended_incarnations
-                .insert(incarnation, self.now.steady_ms);
+                .insert(worker.incarnation().clone(), ended);
         }
         self.end_incarnation(handle, cause, successor, state);
     }
@@ -143,7 +198,7 @@
         let now_ms = self.now.steady_ms;
         let ended_retention_ms = self.settings.ended_retention_ms;
         self.ended_incarnations
-            .retain(|_, at_ms| now_ms < *at_ms + ended_retention_ms);
+            .retain(|_, ended| now_ms < ended.ended_at_ms + ended_retention_ms);
         self.silent_incarnations
             .retain(|_, (_, at_ms)| now_ms < *at_ms + ended_retention_ms);
     }
--- a/crates/jasminefall-jobs/tests/leader/maintained_workers.rs
+++ b/crates/jasminefall-jobs/tests/leader/maintained_workers.rs
@@ -1,6 +1,6 @@
 //! Workers on instances whose maintenance an earlier leader may have requested, as in review/8 (LOST).
 
-use jasminefall_jobs::leader::{Effect, InstanceResponse};
+use jasminefall_jobs::leader::{Effect, InstanceResponse, ListedInstance};
 
 use crate::harness::{self, Harness};
 
@@ -133,3 +133,43 @@
         assert_eq!(harness.worker_count(), 1 + usize::from(has_arrived));
     }
 }
+
+/// Returns a new leader that has ended the only worker, which it couldn't poll yet, by a list that names
+/// another worker on its instance.
+fn harness_with_mistaken_end() -> Harness {
+    let mut harness = Harness::new(1);
+    harness.change_leader();
+    harness.cut_off("i-0");
+    harness.deliver_instance_list(&[ListedInstance {
+        worker: Some("i-7".into()),
+        ..harness::up_instance("m-0", harness::POOL)
+    }]);
+    assert_eq!(harness.worker_count(), 0);
+    harness
+}
+
+/// Guards against LOST after any mistaken end: heartbeats of a worker that went on were ignored for the
+/// retention time.
+#[test]
+fn worker_that_was_ended_by_mistake_joins_again() {
+    let mut harness = harness_with_mistaken_end();
+    harness.reconnect("i-0");
+    harness.advance(4_500);
+    harness.answer_each_poll();
+    assert_eq!(harness.worker_count(), 1);
+    harness.submit(1, harness::job(&[1], 100));
+    assert_eq!(harness.take_starts().len(), 1);
+}
+
+/// Guards against the return of a worker that has ended: heartbeats that a cut held up arrive together.
+#[test]
+fn heartbeats_held_up_until_after_the_end_dont_readmit_a_worker() {
+    let mut harness = harness_with_mistaken_end();
+    let first_clock_ms = harness.worker_clock_ms();
+    harness.advance(9_000);
+    for sent_ms in [0, 1_500, 3_000, 4_500] {
+        let clock_ms = first_clock_ms + sent_ms;
+        assert!(!harness.heartbeat_with(0, |heartbeat| heartbeat.clock_ms = clock_ms));
+    }
+    assert_eq!(harness.worker_count(), 0);
+}
