fix(dispatch): pass no refusal on while another copy is under way (REFUSED)

What callers saw: a submission got 429 or 503, "not accepted and never runs", and could still run.

Cause: an entry that gets no response sends the submission again, on purpose. The leader refuses the second copy by its load of that moment, while the first copy is still on its way, or proposed and not committed.

Change: while a copy without a response is under way, the entry answers a refusal of another one with 504, "send the same request again". A copy that was answered, or could not be sent, doesn't count.

Why it works: a refusal is passed on only if it is the one for every copy. A submission that was cancelled before is refused as before, since the record of the cancellation stands against all copies.

Evidence: refusal_of_a_submission_is_no_answer_while_another_copy_is_under_way fails without the change.

--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -138,6 +138,8 @@
     ) -> Result<Response, ForwardError> {
         let deadline = Instant::now() + limit;
         let mut may_be_executed = false;
+        // Whether a copy without a response may still be executed.
+        let mut is_copy_under_way = false;
         let mut tried = BTreeSet::new();
         loop {
             let Some(address) = self.next_candidate(&tried) else {
@@ -157,7 +159,7 @@
                 response = self.send(address, remaining, request) => response,
                 leader = self.other_leader_answered(address) => {
                     log::info!("event=forward_moved from={address} to={leader}");
-                    may_be_executed = true;
+                    is_copy_under_way = true;
                     tried.remove(&leader);
                     continue;
                 }
@@ -175,12 +177,17 @@
                 Ok(Response::Expired) => {}
                 Ok(response) => {
                     self.record_leader(address);
+                    // The refusal of one copy doesn't prevent the other one from being accepted.
+                    if is_copy_under_way && request.is_submission() && response.is_refusal() {
+                        log::info!("event=refusal_unconfirmed path={}", request.client_path());
+                        break;
+                    }
                     return Ok(response);
                 }
-                Err(error) => may_be_executed |= self.record_failure(address, &error),
+                Err(error) => is_copy_under_way |= self.record_failure(address, &error),
             }
         }
-        Err(if may_be_executed {
+        Err(if may_be_executed || is_copy_under_way {
             ForwardError::Unknown
         } else {
             ForwardError::NotExecuted
--- a/crates/jasminefall-dispatch/src/message.rs
+++ b/crates/jasminefall-dispatch/src/message.rs
@@ -73,6 +73,12 @@
         }
     }
 
+    /// Returns whether this submits a job.
+    #[must_use]
+    pub fn is_submission(&self) -> bool {
+        self.name() == "submission"
+    }
+
     /// Returns the path of the client's HTTP request, which names the job, for log lines; empty for
     /// requests of workers and operators.
     #[must_use]
@@ -151,6 +157,19 @@
 }
 
 impl Response {
+    /// Returns whether a submission with this response was not accepted, though another copy of it may be.
+    #[must_use]
+    pub const fn is_refusal(&self) -> bool {
+        matches!(
+            self,
+            Self::NoConfiguration
+                | Self::NoQueue
+                | Self::Invalid(_)
+                | Self::RetryAfter { .. }
+                | Self::Unauthorized
+        )
+    }
+
     /// Returns the response for a sender of an earlier release, which knows no time limits.
     #[must_use]
     pub fn for_earlier_release(self) -> Self {
--- a/crates/jasminefall-dispatch/tests/forwarding.rs
+++ b/crates/jasminefall-dispatch/tests/forwarding.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use jasminefall_dispatch::forwarding::{ForwardError, Forwarder, call_leader};
-use jasminefall_dispatch::message::{Request, Response};
+use jasminefall_dispatch::message::{ClientOperation, Request, Response};
 use jasminefall_wire::codec::{decode, encode};
 use jasminefall_wire::handshake::SiteKey;
 use jasminefall_wire::message::ControlError;
@@ -42,15 +42,19 @@
             propose: Box::new(|_| Box::pin(async { Err(ControlError::NotLeader(None)) })),
             renew: Box::new(|_| Box::pin(async { Err(ControlError::NotLeader(None)) })),
             forward: Box::new(move |body| {
-                if let Ok(Request::WaveState(number)) = decode(&body) {
-                    received.borrow_mut().push(number);
-                }
+                let response = match decode(&body) {
+                    Ok(Request::WaveState(number)) => {
+                        received.borrow_mut().push(number);
+                        Response::Wave { complete: true }
+                    }
+                    _ => Response::RetryAfter { after_ms: 1_000 },
+                };
                 let is_unresponsive = is_unresponsive.get();
                 Box::pin(async move {
                     if is_unresponsive {
                         std::future::pending::<()>().await;
                     }
-                    Ok(encode(&Response::Wave { complete: true }))
+                    Ok(encode(&response))
                 })
             }),
         };
@@ -110,6 +114,37 @@
         .await;
 }
 
+fn submission() -> Request {
+    Request::Client {
+        host: "layouts.example".into(),
+        path: "/builds/5c0e7a21d94b36f8".into(),
+        call: ClientOperation::Submit(Box::default()),
+    }
+}
+
+/// Guards against REFUSED: a client was told that its job never runs, by the response to the second copy of the
+/// submission, and the first one was accepted later.
+#[tokio::test]
+async fn refusal_of_a_submission_is_no_answer_while_another_copy_is_under_way() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let (previous_leader, new_leader) =
+                (ModelledControl::default(), ModelledControl::default());
+            let seeds = vec![previous_leader.serve().await, new_leader.serve().await];
+            let forwarder = Forwarder::new(SiteKey::new(KEY), seeds.clone());
+            let refused = forwarder.forward(LIMIT, &submission()).await;
+            assert_eq!(refused, Ok(Response::RetryAfter { after_ms: 1_000 }));
+            assert_eq!(forwarder.leader(), Some(seeds[0]));
+
+            previous_leader.is_unresponsive.set(true);
+            let refused = forwarder.forward(LIMIT, &submission()).await;
+            assert_eq!(refused, Err(ForwardError::Unknown));
+            assert_eq!(forwarder.leader(), Some(seeds[1]));
+        })
+        .await;
+}
+
 /// Calls the leader while the known leader goes through `changes`, given as ports; the instance at
 /// port `unresponsive` never responds. Returns the result and the called ports.
 async fn call_during_changes(
