--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -31,6 +31,8 @@
     pub up: bool,
     /// Whether it is moving to another pool or in maintenance; all runs on it have ended.
     pub is_unavailable: bool,
+    /// Whether it is in maintenance.
+    pub in_maintenance: bool,
 }
 
 /// Classifies the platform's response to a maintenance or move request.
@@ -64,6 +66,12 @@
         self.listed
     }
 
+    /// Returns whether the platform lists an instance as in maintenance.
+    pub(crate) fn is_in_maintenance(&self, instance: &str) -> bool {
+        let listed = self.instances.get(instance);
+        listed.is_some_and(|listed| listed.in_maintenance)
+    }
+
     /// Records that an instance is up in a pool, since a worker has begun an incarnation on it.
     pub(crate) fn record_up(&mut self, instance: &str, pool: &SmolStr, worker: &SmolStr) {
         if let Some(listed) = self.instances.get_mut(instance) {
@@ -71,6 +79,7 @@
             listed.worker = Some(worker.clone());
             listed.up = true;
             listed.is_unavailable = false;
+            listed.in_maintenance = false;
         }
     }
 
@@ -80,6 +89,7 @@
         if let Some(listed) = self.instances.get_mut(instance) {
             listed.up = true;
             listed.is_unavailable = false;
+            listed.in_maintenance = false;
         }
     }
 
@@ -188,6 +198,7 @@
         self.fleet.instances = by_name.collect();
         self.end_replaced_incarnations(state);
         self.reapply_newer_changes();
+        self.record_listed_maintenance(state);
         let mut missing = Vec::new();
         for (number, wave) in &state.waves {
             for instance in &wave.instances {
--- a/crates/jasminefall-jobs/src/leader/maintenance.rs
+++ b/crates/jasminefall-jobs/src/leader/maintenance.rs
@@ -195,7 +195,12 @@
         if self.is_deferred(wave) {
             return;
         }
-        let available = (wave.max_down as usize).saturating_sub(in_progress);
+        // Those that an earlier leader has sent into maintenance are down as well.
+        let listed_down = wave.instances.iter().filter(|instance| {
+            self.fleet.is_in_maintenance(instance) && !self.maintenance.is_in_progress(instance)
+        });
+        let unavailable = in_progress + listed_down.count();
+        let available = (wave.max_down as usize).saturating_sub(unavailable);
         let waiting = self.waiting_instances(wave);
         let abandoned = &self.maintenance.abandoned_at_ms;
         let is_abandoned = |instance: &&SmolStr| {
@@ -267,15 +272,46 @@
         listed.is_some_and(|known| known.up || has_heartbeats)
     }
 
-    /// Requests a new instance list if a wave waits for instances that are not up.
+    /// Requests a new instance list if a wave waits for instances that are not up, or until others are back.
     fn refresh_list_if_instances_down(&mut self, state: &JobsState) {
         let mut open = state.waves.values().filter(|wave| !wave.is_complete());
         let is_down = |instance: &SmolStr| !self.is_up(instance);
-        if open.any(|wave| self.waiting_instances(wave).any(is_down)) {
+        let is_awaited = |instance: &SmolStr| {
+            self.fleet.is_in_maintenance(instance) && !self.maintenance.is_in_progress(instance)
+        };
+        if open.any(|wave| {
+            self.waiting_instances(wave).any(is_down) || wave.instances.iter().any(is_awaited)
+        }) {
             self.fleet.request_refresh();
         }
     }
 
+    /// Records the maintenance that an earlier leader has begun, so that it isn't requested again, if no other
+    /// wave can be its cause.
+    pub(super) fn record_listed_maintenance(&mut self, state: &JobsState) {
+        let waves = state.waves.iter();
+        let inherited =
+            waves.filter(|(number, _)| self.maintenance.inherited_waves.contains(number));
+        let begun = inherited.flat_map(|(number, wave)| {
+            let waiting = self.waiting_instances(wave);
+            let begun = waiting.filter(|instance| {
+                let mut waves = state.waves.values();
+                self.fleet.is_in_maintenance(instance)
+                    && waves.all(|other| {
+                        std::ptr::eq(other, wave) || !other.instances.contains(instance)
+                    })
+            });
+            begun.map(|instance| (*number, instance.clone()))
+        });
+        let begun: Vec<_> = begun.collect();
+        for (wave, instance) in begun {
+            self.log_event(format!(
+                "event=maintenance_listed instance={instance} wave={wave}"
+            ));
+            self.propose(Command::RecordMaintained { wave, instance });
+        }
+    }
+
     fn advance_instance(&mut self, wave: u64, instance: &SmolStr) {
         let now_ms = self.now.steady_ms;
         let key = (wave, instance.clone());
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -1026,6 +1026,7 @@
         worker: None,
         up: true,
         is_unavailable: false,
+        in_maintenance: false,
     }
 }
 
--- a/crates/jasminefall-jobs/tests/leader/maintained_workers.rs
+++ b/crates/jasminefall-jobs/tests/leader/maintained_workers.rs
@@ -1,6 +1,7 @@
 //! Workers on instances whose maintenance an earlier leader may have requested, as in review/8 (LOST).
 
 use jasminefall_jobs::leader::{Effect, InstanceResponse, ListedInstance};
+use jasminefall_jobs::prelude::{Command, Wave};
 
 use crate::harness::{self, Harness};
 
@@ -173,3 +174,77 @@
     }
     assert_eq!(harness.worker_count(), 0);
 }
+
+fn in_maintenance(instance: &str) -> ListedInstance {
+    ListedInstance {
+        up: false,
+        is_unavailable: true,
+        in_maintenance: true,
+        ..harness::up_instance(instance, harness::POOL)
+    }
+}
+
+/// Returns a new leader after its predecessor has sent an instance into maintenance, with a wave of two
+/// instances of which one may be down; `response` is what the predecessor received.
+fn harness_with_instance_down(response: Option<InstanceResponse>) -> Harness {
+    let mut harness = Harness::new(2);
+    harness.list_instances();
+    harness.start_wave(&["m-0", "m-1"]);
+    harness.advance(500);
+    assert_eq!(harness.take_maintenance(), ["m-0"]);
+    if let Some(response) = response {
+        harness.respond_to_maintenance(&"m-0".into(), response);
+    }
+    harness.cut_off("i-0");
+    harness.change_leader();
+    harness.send_heartbeats();
+    harness.answer_polls();
+    harness
+}
+
+/// Guards against LIMIT: a new leader sent another instance into maintenance while `max_down` were down.
+#[test]
+fn new_leader_counts_the_instances_that_are_listed_in_maintenance() {
+    for response in [None, Some(InstanceResponse::Done)] {
+        let mut harness = harness_with_instance_down(response);
+        let up = harness::up_instance("m-1", harness::POOL);
+        harness.deliver_instance_list(&[in_maintenance("m-0"), up.clone()]);
+        harness.advance(9_000);
+        assert_eq!(harness.take_maintenance(), Vec::<&str>::new());
+        harness.deliver_instance_list(&[harness::up_instance("m-0", harness::POOL), up]);
+        harness.advance(500);
+        assert_eq!(harness.take_maintenance(), ["m-1"], "after {response:?}");
+    }
+}
+
+/// Guards against a second stop of the tasks on an instance whose maintenance an earlier leader has begun.
+#[test]
+fn maintenance_begun_by_an_earlier_leader_is_not_requested_again() {
+    let mut harness = harness_with_instance_down(None);
+    let up = harness::up_instance("m-1", harness::POOL);
+    harness.deliver_instance_list(&[in_maintenance("m-0"), up]);
+    let wave = &harness.state.waves[&1];
+    assert!(wave.maintained.contains("m-0"));
+    assert!(!wave.is_complete());
+}
+
+/// Guards against MIXED: the maintenance on the list may be that of another wave.
+#[test]
+fn listed_maintenance_of_an_instance_in_two_waves_is_not_attributed() {
+    let mut harness = Harness::new(2);
+    harness.list_instances();
+    harness.start_wave(&["m-0", "m-1"]);
+    harness.apply(Command::StartWave {
+        wave: 2,
+        plan: Wave {
+            instances: vec!["m-0".into()],
+            max_down: 1,
+            ..Wave::default()
+        },
+    });
+    harness.change_leader();
+    harness.deliver_instance_list(&[in_maintenance("m-0"), in_maintenance("m-1")]);
+    let maintained = |wave| harness.state.waves[&wave].maintained.iter().cloned();
+    assert_eq!(maintained(1).collect::<Vec<_>>(), ["m-1"]);
+    assert_eq!(maintained(2).count(), 0);
+}
