--- a/crates/jasminefall-dispatch/src/control/api.rs
+++ b/crates/jasminefall-dispatch/src/control/api.rs
@@ -360,6 +360,7 @@
     match decision {
         None => node.not_leader(),
         Some(SubmitDecision::AlreadyAccepted) => Response::Accepted,
+        Some(SubmitDecision::KeyInUse) => key_in_use(),
         Some(SubmitDecision::CancelledEarlier) => Response::CancelledEarlier,
         Some(SubmitDecision::RetryAfter { after_ms }) => Response::RetryAfter { after_ms },
         Some(SubmitDecision::OverCap { step }) => Response::Invalid(
@@ -382,6 +383,7 @@
                 Ok(Outcome::NoQueue) => Response::NoQueue,
                 Ok(Outcome::Unauthorized) => Response::Unauthorized,
                 Ok(Outcome::CancelledEarlier) => Response::CancelledEarlier,
+                Ok(Outcome::KeyInUse) => key_in_use(),
                 Ok(_) => Response::Accepted,
                 Err(error) => proposal_error(node, error),
             }
@@ -389,6 +391,15 @@
     }
 }
 
+/// Returns the response to a job whose key names a job of another queue. Workers know a task by the key of its
+/// job only, so the two couldn't be told apart there.
+fn key_in_use() -> Response {
+    Response::Invalid(
+        "the key names a job of another queue; the job was not accepted and never runs; use a new key"
+            .into(),
+    )
+}
+
 async fn cancel(node: &Node, key: JobKey, queue: &Queue) -> Response {
     let decide =
         || node.with_leader(|leader, state| leader.decide_cancellation(key, &queue.key, state));
--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -59,6 +59,8 @@
 pub enum SubmitDecision {
     /// The job was accepted before; the client gets the same response as then.
     AlreadyAccepted,
+    /// The key names a job of another queue; the job is refused and never runs.
+    KeyInUse,
     /// The job was cancelled before it was submitted; it is refused and never runs.
     CancelledEarlier,
     /// The job is accepted; the caller proposes it to the replicated log.
@@ -125,8 +127,16 @@
             ));
             return SubmitDecision::CancelledEarlier;
         }
-        if state.jobs.contains_key(&key) {
-            return SubmitDecision::AlreadyAccepted;
+        if let Some(known) = state.jobs.get(&key) {
+            return if known.queue == queue.key {
+                SubmitDecision::AlreadyAccepted
+            } else {
+                self.log_event(format!(
+                    "event=job_key_in_use job={key} queue={}",
+                    queue.name
+                ));
+                SubmitDecision::KeyInUse
+            };
         }
         if let Some(workspace) = workspace
             && let Some(step) = workspace.cap.first_impossible_step(spec)
--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -141,6 +141,8 @@
     Unauthorized,
     /// The job was cancelled before it was submitted, so it isn't added.
     CancelledEarlier,
+    /// The key names a job of another queue, so the job isn't added.
+    KeyInUse,
 }
 
 /// Holds the workspace that a job belongs to.
@@ -424,8 +426,10 @@
         if let Some(known) = self.jobs.get(&key) {
             return if known.is_early_cancellation() {
                 Outcome::CancelledEarlier
-            } else {
+            } else if known.queue == queue {
                 Outcome::Done
+            } else {
+                Outcome::KeyInUse
             };
         }
         let job = Job::new(queue, spec, at_ms);
