fix(jobs): ignore heartbeats with another pool than the known worker's (LOST)

Cause: a heartbeat with a pool that isn't declared was ignored for unknown incarnations only. For a known one its labels, capacity and sequence were taken over, and the worker's own heartbeats were taken for outdated.

Change: a heartbeat that names another pool than that of its known incarnation changes nothing. One that names its own pool counts, also if the configuration no longer declares the pool.

Why it works: a worker stays in one pool for its whole incarnation, so such a heartbeat is another writer's.

The test heartbeat_with_another_pool_changes_nothing_of_a_known_worker fails without.

--- a/crates/jasminefall-jobs/src/leader/heartbeats.rs
+++ b/crates/jasminefall-jobs/src/leader/heartbeats.rs
@@ -7,16 +7,12 @@
 
 impl Leader {
     /// Processes a heartbeat; returns false for an incarnation that has ended or been replaced, or
-    /// whose pool is not in the configuration.
+    /// whose pool is not in the configuration or isn't that of the known incarnation.
     pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, state: &JobsState) -> bool {
         let known = self.directory.by_incarnation(&heartbeat.incarnation);
-        let configuration = &state.configuration;
         // Checked before the heartbeat can replace another incarnation, since its sender is no worker.
-        if known.is_none()
-            && !configuration.pools.is_empty()
-            && configuration.pool(&heartbeat.pool).is_none()
-        {
-            self.log_ignored(&heartbeat, "unknown-pool");
+        if let Some(cause) = self.foreign_pool(known, &heartbeat, state) {
+            self.log_ignored(&heartbeat, cause);
             return false;
         }
         self.end_earlier_incarnations(&heartbeat, state);
@@ -28,6 +24,26 @@
         is_accepted
     }
 
+    /// Returns why the pool of a heartbeat shows that another writer has sent it. The pool of an incarnation
+    /// never changes, and stays its own if the configuration no longer declares it.
+    fn foreign_pool(
+        &self,
+        known: Option<WorkerHandle>,
+        heartbeat: &Heartbeat,
+        state: &JobsState,
+    ) -> Option<&'static str> {
+        let known = known.and_then(|handle| self.workers.get(&handle));
+        match known {
+            Some(worker) => (worker.heartbeat.pool != heartbeat.pool).then_some("other-pool"),
+            None => {
+                let configuration = &state.configuration;
+                let is_unknown = !configuration.pools.is_empty()
+                    && configuration.pool(&heartbeat.pool).is_none();
+                is_unknown.then_some("unknown-pool")
+            }
+        }
+    }
+
     fn log_ignored(&mut self, heartbeat: &Heartbeat, cause: &str) {
         self.log_event(format!(
             "event=heartbeat_ignored worker={} cause={cause} pool={} sequence={}",
@@ -88,10 +104,9 @@
             self.directory
                 .update_address(handle, previous_address, address);
         }
-        // The pool and the instance of an incarnation never change.
+        // The instance of an incarnation never changes.
         worker.heartbeat = Heartbeat {
             instance: previous.instance.clone(),
-            pool: previous.pool.clone(),
             ..heartbeat
         };
         let heartbeat = worker.heartbeat.clone();
--- a/crates/jasminefall-jobs/tests/leader/odd_entries.rs
+++ b/crates/jasminefall-jobs/tests/leader/odd_entries.rs
@@ -1,4 +1,4 @@
-//! Entries of the instance list that another writer has left.
+//! Entries of the instance list and heartbeats that another writer has left.
 
 use jasminefall_jobs::prelude::*;
 
@@ -51,3 +51,40 @@
     assert!(!harness.state.waves[&1].is_complete());
     assert_eq!(harness.status(1), None::<JobStatus>);
 }
+
+/// Guards against LOST, as in review/9: a heartbeat of another writer, with the incarnation of a known worker and
+/// another pool, replaced its labels, and later ones of the worker were taken for outdated.
+#[test]
+fn heartbeat_with_another_pool_changes_nothing_of_a_known_worker() {
+    for pool in ["", "elsewhere", harness::STANDBY] {
+        let mut harness = Harness::new(1);
+        let is_accepted = harness.heartbeat_with(0, |heartbeat| {
+            heartbeat.pool = pool.into();
+            heartbeat.labels = vec!["a".into()];
+            heartbeat.capacity = Resources::default();
+            heartbeat.address = "10.0.9.9:80".into();
+            heartbeat.draining = true;
+            heartbeat.sequence = u64::MAX;
+        });
+        assert!(!is_accepted, "{pool:?}");
+        assert_eq!(harness.worker_count(), 1);
+        harness.submit(1, harness::job(&[1], 100));
+        assert_eq!(harness.take_starts().len(), 1, "{pool:?}");
+        let with_label = |heartbeat: &mut Heartbeat| heartbeat.labels = vec!["b".into()];
+        assert!(harness.heartbeat_with(0, with_label));
+        let mut job = harness::job(&[1], 100);
+        job.steps[0].needs_label = Some("b".into());
+        harness.submit(2, job);
+        assert_eq!(harness.take_starts().len(), 1, "{pool:?}");
+    }
+}
+
+/// A worker goes on in its pool when a configuration no longer declares the pool.
+#[test]
+fn heartbeat_of_a_known_worker_counts_without_a_declaration_of_its_pool() {
+    let mut harness = Harness::new(0);
+    harness.set_queue_pool(2, harness::OTHER_POOL);
+    harness.start_ready_worker_in_other_pool();
+    harness.remove_queue(3);
+    assert!(harness.heartbeat_with(0, |heartbeat| heartbeat.draining = true));
+}
