fix(jobs): count a job as begun once a run of it is confirmed (MIXED)

What callers saw: while workers left start requests unanswered, a queue said that a few jobs wait, of which none had begun; a job was shown as running.

Cause: a job counted as begun as soon as the start of a task was requested.

Change: it counts as begun once a start was accepted, a run list has shown a run, or a run has ended.

Why it works: only these prove a run; a request may take effect late or never.

The test job_waits_until_a_run_of_it_is_confirmed fails without the change.

--- a/crates/jasminefall-jobs/src/leader/clients.rs
+++ b/crates/jasminefall-jobs/src/leader/clients.rs
@@ -4,9 +4,9 @@
 
 use smol_str::SmolStr;
 
-use super::{Leader, Worker};
+use super::{Leader, Run, RunState, Worker};
 use crate::configuration::Queue;
-use crate::ids::{JobKey, QueueKey};
+use crate::ids::{JobKey, QueueKey, StepId};
 use crate::job::{JobSpec, Resources, StepSpec, Work};
 use crate::policy::admission::{self, Admission, JobDemand, PoolLoad, WorkspaceLoad};
 use crate::policy::durations::StepKind;
@@ -430,12 +430,18 @@
         QueryResponse::Waiting(waiting.count())
     }
 
-    /// Returns whether a task of a job no longer waits for its start.
+    /// Returns whether a task of a job is known to have started. A start that was only requested may never
+    /// take effect.
     fn has_started(&self, key: JobKey) -> bool {
-        let has_started_task = |id: &crate::ids::StepId| {
-            self.steps
-                .get(id)
-                .is_some_and(|step| step.done_count > 0 || step.waiting.len() < step.done.len())
+        let is_confirmed = |run: &Run| run.listed || run.state == RunState::Running;
+        let has_started_task = |id: &StepId| {
+            let Some(step) = self.steps.get(id) else {
+                return false;
+            };
+            let tasks = (0..step.step().tasks).filter(|index| !step.waiting.contains(index));
+            let mut runs =
+                tasks.flat_map(|index| self.runs.get(&id.task(index)).into_iter().flatten());
+            step.done_count > 0 || (step.waiting.len() < step.done.len() && runs.any(is_confirmed))
         };
         self.schedules.has_run(key) || self.step_ids(key).iter().any(has_started_task)
     }
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -35,7 +35,8 @@
 
 use harness::{Harness, long_running_job, task};
 use jasminefall_jobs::leader::{
-    Effect, InstanceResponse, LeaderSettings, ListedInstance, PollChannel, StartRequest,
+    Effect, InstanceResponse, LeaderSettings, ListedInstance, PollChannel, QueryResponse,
+    StartRequest,
 };
 use jasminefall_jobs::prelude::*;
 use smol_str::{SmolStr, format_smolstr};
@@ -52,6 +53,23 @@
     assert!(harness.take_starts().is_empty());
 }
 
+/// Guards against MIXED: jobs whose starts got no answer were not counted as waiting, for as long as their tasks
+/// were not at work.
+#[test]
+fn job_waits_until_a_run_of_it_is_confirmed() {
+    let mut harness = Harness::new(1);
+    harness.submit(1, harness::job(&[2], 100));
+    let starts = harness.take_starts();
+    assert_eq!(starts.len(), 2);
+    assert_eq!(harness.waiting_jobs(), QueryResponse::Waiting(1));
+    harness.lose_start_response(&starts[0]);
+    assert_eq!(harness.waiting_jobs(), QueryResponse::Waiting(1));
+    assert_eq!(harness.query(1), QueryResponse::Status(JobStatus::Queued));
+    harness.accept_start(&starts[1]);
+    assert_eq!(harness.waiting_jobs(), QueryResponse::Waiting(0));
+    assert_eq!(harness.query(1), QueryResponse::Status(JobStatus::Running));
+}
+
 #[test]
 fn step_starts_after_its_dependencies_complete() {
     let mut harness = Harness::new(2);
