test(requests): print the entry's log when a network fault is reported wrongly

Its assertions are the same; a failure now shows the log of the entry, which tells whether the claim of the request was confirmed.

--- a/crates/jasminefall-testing/tests/requests_outcomes.rs
+++ b/crates/jasminefall-testing/tests/requests_outcomes.rs
@@ -311,22 +311,20 @@
         let path = "/call/render/publish?bytes=4000";
         Call::post(site.callers_address(0), path, key).with_timeout_ms(400)
     };
+    let assert_may_have_run = |response: Response| {
+        let log = site.entry_log(0);
+        assert_eq!(response.outcome, "may-have-run", "log of the entry:\n{log}");
+    };
     let faults = &proxy.faults;
     let order = std::sync::atomic::Ordering::SeqCst;
     faults.close_after_response_bytes.store(600, order);
-    assert_eq!(post("cut").send().await.unwrap().outcome, "may-have-run");
+    assert_may_have_run(post("cut").send().await.unwrap());
     faults.close_after_response_bytes.store(0, order);
     faults.drop_responses.store(true, order);
-    assert_eq!(
-        post("lost-answer").send().await.unwrap().outcome,
-        "may-have-run"
-    );
+    assert_may_have_run(post("lost-answer").send().await.unwrap());
     faults.drop_responses.store(false, order);
     faults.drop_requests.store(true, order);
-    assert_eq!(
-        post("lost-request").send().await.unwrap().outcome,
-        "may-have-run"
-    );
+    assert_may_have_run(post("lost-request").send().await.unwrap());
     faults.drop_requests.store(false, order);
     assert_eq!(post("sound").send().await.unwrap().outcome, "answered");
     for (key, runs) in [
