--- a/crates/jasminefall-dispatch/tests/forwarding.rs
+++ b/crates/jasminefall-dispatch/tests/forwarding.rs
@@ -74,15 +74,25 @@
     }
 }
 
+/// Returns a previous and a new leader, their addresses, and a forwarder that tries the previous one first.
+async fn two_leaders() -> (
+    ModelledControl,
+    ModelledControl,
+    Vec<SocketAddr>,
+    Rc<Forwarder>,
+) {
+    let (previous, new) = (ModelledControl::default(), ModelledControl::default());
+    let seeds = vec![previous.serve().await, new.serve().await];
+    let forwarder = Rc::new(Forwarder::new(SiteKey::new(KEY), seeds.clone()));
+    (previous, new, seeds, forwarder)
+}
+
 #[tokio::test]
 async fn in_flight_calls_to_unresponsive_leader_move_to_new_leader_before_later_calls() {
     let local = LocalSet::new();
     local
         .run_until(async {
-            let (previous_leader, new_leader) =
-                (ModelledControl::default(), ModelledControl::default());
-            let seeds = vec![previous_leader.serve().await, new_leader.serve().await];
-            let forwarder = Rc::new(Forwarder::new(SiteKey::new(KEY), seeds.clone()));
+            let (previous_leader, new_leader, seeds, forwarder) = two_leaders().await;
             let call = |number| {
                 let forwarder = forwarder.clone();
                 spawn_local(
@@ -129,10 +139,7 @@
     let local = LocalSet::new();
     local
         .run_until(async {
-            let (previous_leader, new_leader) =
-                (ModelledControl::default(), ModelledControl::default());
-            let seeds = vec![previous_leader.serve().await, new_leader.serve().await];
-            let forwarder = Forwarder::new(SiteKey::new(KEY), seeds.clone());
+            let (previous_leader, _new_leader, seeds, forwarder) = two_leaders().await;
             let refused = forwarder.forward(LIMIT, &submission()).await;
             assert_eq!(refused, Ok(Response::RetryAfter { after_ms: 1_000 }));
             assert_eq!(forwarder.leader(), Some(seeds[0]));
