test(jobs): failing tests of suspects that wait without a bound (LOST)

Callers saw accepted jobs that were never run again after their workers had crashed together. The tests crash workers and look only at which jobs are started within the 6 s after which a task without a run counts as lost:

- suspects_of_many_jobs_start_again_before_they_count_as_lost: 4 of 12 jobs are started
- suspects_start_again_before_they_count_as_lost_although_leaders_change: 4 of 12
- long_running_task_starts_beside_a_suspect_that_runs_on: the long-running task isn't
- suspected_gang_starts_again_although_each_worker_has_a_long_running_task: the gang isn't

--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -22,6 +22,8 @@
 mod harness;
 #[path = "leader/hot_workspace.rs"]
 mod hot_workspace;
+#[path = "leader/isolation.rs"]
+mod isolation;
 #[path = "leader/leases.rs"]
 mod leases;
 #[path = "leader/maintained_workers.rs"]
