fix(jobs): hold a worker for suspects for a bounded time (LOST)

Cause: a worker counted as held while any of its runs was a suspect's, and while it was emptied, without a limit.

Change: a worker is held for at most 6 s, and not again in the 6 s after that. Runs of suspects that were not isolated, or that a new leader finds, hold no worker. Crashes are counted as before.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -70,6 +70,7 @@
 pub use self::fleet::{InstanceResponse, ListedInstance};
 use self::handovers::Handovers;
 use self::incarnations::EndedIncarnation;
+use self::isolation::HoldPeriod;
 use self::maintenance::MaintenanceTracker;
 use self::moves::MoveTracker;
 use self::pools::PoolPlanner;
@@ -317,8 +318,8 @@
     last_run_numbers: HashMap<TaskId, u64>,
     failed_tasks: FailedTasks,
     suspects: Suspects,
-    /// Workers that get no further tasks until suspects have run there.
-    isolated_workers: BTreeSet<WorkerHandle>,
+    /// The workers that are held for suspects, or have been recently.
+    hold_periods: BTreeMap<WorkerHandle, HoldPeriod>,
     /// Pools in which no worker could be emptied for suspects, and since when, on the steady clock.
     isolation_blocked_since_ms: BTreeMap<SmolStr, u64>,
     durations: DurationEstimator,
@@ -368,7 +369,7 @@
             last_run_numbers: HashMap::new(),
             failed_tasks: FailedTasks::default(),
             suspects: Suspects::resumed(state),
-            isolated_workers: BTreeSet::new(),
+            hold_periods: BTreeMap::new(),
             isolation_blocked_since_ms: BTreeMap::new(),
             durations: DurationEstimator::default(),
             fleet: Fleet::default(),
--- a/crates/jasminefall-jobs/src/leader/isolation.rs
+++ b/crates/jasminefall-jobs/src/leader/isolation.rs
@@ -1,7 +1,8 @@
 //! Placement of suspects: tasks under which workers have crashed.
 //!
 //! The suspects of a job run on a worker without other jobs. Workers are emptied for them one after the
-//! other, so that most of a pool stays available to other tasks.
+//! other, so that most of a pool stays available to other tasks. A worker is held for suspects for a limited
+//! time: a task that crashes its workers does so soon after its start.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,6 +19,31 @@
 /// Time after which a suspect is placed beside other tasks if no worker of its pool could be emptied, in
 /// milliseconds.
 const ISOLATION_TIMEOUT_MS: u64 = 10_000;
+/// Time after its start from which a suspect no longer keeps other tasks off its worker, in milliseconds.
+const PROBATION_MS: u64 = 2_000;
+/// The longest time for which a worker is held for suspects, in milliseconds.
+const MAX_HOLD_MS: u64 = 6_000;
+/// Time after [`MAX_HOLD_MS`] in which a worker is not held again, so that other tasks get there, in
+/// milliseconds.
+const REST_MS: u64 = 6_000;
+
+/// Describes the period in which a worker may be held for suspects.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HoldPeriod {
+    began_at_ms: u64,
+    /// Whether the worker gets no tasks of other jobs, since suspects run there or it is emptied for them.
+    is_held: bool,
+}
+
+impl HoldPeriod {
+    const fn permits_hold(&self, now_ms: u64) -> bool {
+        now_ms < self.began_at_ms + MAX_HOLD_MS
+    }
+
+    const fn is_over(&self, now_ms: u64) -> bool {
+        now_ms >= self.began_at_ms + MAX_HOLD_MS + REST_MS
+    }
+}
 
 impl Leader {
     /// Places the suspects of a pool that wait, and removes from `eligible` the workers that suspects hold.
@@ -27,11 +53,11 @@
         eligible: &mut Vec<EligibleWorker>,
         state: &JobsState,
     ) {
-        if self.suspects.is_empty() && self.isolated_workers.is_empty() {
+        if self.suspects.is_empty() && self.hold_periods.is_empty() {
             return;
         }
         let waiting = self.waiting_suspects(pool);
-        self.release_isolated_workers(pool, &waiting);
+        self.release_workers(pool, &waiting);
         let held = self.directory.in_pool(pool);
         let held = held.filter(|handle| self.is_held_by_suspects(*handle));
         let mut available = self.isolation_limit(pool).saturating_sub(held.count());
@@ -48,10 +74,11 @@
                 self.note_advice_need(task.step_id());
                 continue;
             };
-            if !self.is_held_by_suspects(eligible[position].handle) {
+            let handle = eligible[position].handle;
+            if available > 0 && !self.is_held_by_suspects(handle) && self.may_be_held(handle) {
                 available -= 1;
+                self.hold(handle);
             }
-            self.isolated_workers.remove(&eligible[position].handle);
             self.start_suspect(task, &mut eligible[position]);
         }
         let unplaced: Vec<TaskId> = unplaced.into_values().collect();
@@ -160,30 +187,56 @@
         }
     }
 
-    /// Returns whether a worker runs suspects, or is emptied for them.
+    /// Returns whether a worker gets no tasks of other jobs, since suspects run there or it is emptied for them.
     pub(super) fn is_held_by_suspects(&self, handle: WorkerHandle) -> bool {
-        self.isolated_workers.contains(&handle)
-            || self
-                .workers
-                .get(&handle)
-                .is_some_and(|worker| self.hosts_suspects(worker))
+        let period = self.hold_periods.get(&handle);
+        period.is_some_and(|period| period.is_held && period.permits_hold(self.now.steady_ms))
+    }
+
+    /// Returns whether a worker may be held for suspects, or has been held for the longest time just before.
+    fn may_be_held(&self, handle: WorkerHandle) -> bool {
+        let period = self.hold_periods.get(&handle);
+        period.is_none_or(|period| period.permits_hold(self.now.steady_ms))
+    }
+
+    fn hold(&mut self, handle: WorkerHandle) {
+        let period = self.hold_periods.entry(handle).or_insert(HoldPeriod {
+            began_at_ms: self.now.steady_ms,
+            is_held: true,
+        });
+        period.is_held = true;
     }
 
     fn hosts_suspects(&self, worker: &Worker) -> bool {
         worker.runs.keys().any(|task| self.suspects.contains(*task))
     }
 
-    /// Makes workers of a pool available to other tasks that were emptied for suspects, if none of the waiting
-    /// suspects can run there.
-    fn release_isolated_workers(&mut self, pool: &SmolStr, waiting: &[TaskId]) {
-        let mut isolated = std::mem::take(&mut self.isolated_workers);
-        isolated.retain(|handle| {
-            self.workers.get(handle).is_some_and(|worker| {
-                worker.heartbeat.pool != *pool
-                    || waiting.iter().any(|task| self.can_host(*task, *handle))
-            })
+    /// Returns whether a suspect on a worker may still be about to crash it.
+    fn hosts_suspects_on_probation(&self, worker: &Worker) -> bool {
+        let now_ms = self.now.steady_ms;
+        worker.runs.iter().any(|(task, number)| {
+            let run = self.run(*task, *number);
+            self.suspects.contains(*task)
+                && run.is_some_and(|run| now_ms < run.requested_at_ms + PROBATION_MS)
+        })
+    }
+
+    /// Makes workers of a pool available to other tasks on which no suspect is on probation, and none of the
+    /// waiting suspects can run.
+    fn release_workers(&mut self, pool: &SmolStr, waiting: &[TaskId]) {
+        let now_ms = self.now.steady_ms;
+        let mut periods = std::mem::take(&mut self.hold_periods);
+        periods.retain(|handle, period| {
+            let Some(worker) = self.workers.get(handle) else {
+                return false;
+            };
+            if worker.heartbeat.pool == *pool {
+                period.is_held &= self.hosts_suspects_on_probation(worker)
+                    || waiting.iter().any(|task| self.can_host(*task, *handle));
+            }
+            !period.is_over(now_ms)
         });
-        self.isolated_workers = isolated;
+        self.hold_periods = periods;
     }
 
     /// Returns whether a worker could run a task if it were empty.
@@ -209,7 +262,8 @@
                 return false;
             }
             if worker.runs.is_empty() {
-                may_hold_more || self.isolated_workers.contains(&known.handle)
+                self.is_held_by_suspects(known.handle)
+                    || (may_hold_more && self.may_be_held(known.handle))
             } else {
                 self.hosts_suspects(worker) && runs_only(worker, task.job)
             }
@@ -254,13 +308,20 @@
         suspects: &[TaskId],
         limit: usize,
     ) {
+        let hosts_suspects = |handle: WorkerHandle| {
+            let worker = self.workers.get(&handle);
+            worker.is_some_and(|worker| self.hosts_suspects(worker))
+        };
         let in_pool = self.directory.in_pool(pool);
-        let emptying = in_pool.filter(|handle| self.isolated_workers.contains(handle));
+        let emptying =
+            in_pool.filter(|handle| self.is_held_by_suspects(*handle) && !hosts_suspects(*handle));
         let mut emptying: Vec<WorkerHandle> = emptying.collect();
         let emptiable = eligible.iter().filter_map(|known| {
             let worker = self.workers.get(&known.handle)?;
-            let is_emptiable =
-                worker.long_running_runs == 0 && !self.is_held_by_suspects(known.handle);
+            let is_emptiable = worker.long_running_runs == 0
+                && !hosts_suspects(known.handle)
+                && !self.is_held_by_suspects(known.handle)
+                && self.may_be_held(known.handle);
             is_emptiable.then_some((worker.used.cpu_millis, known.handle))
         });
         let mut emptiable: Vec<_> = emptiable.collect();
@@ -276,7 +337,9 @@
                 chosen.push(emptiable.remove(position).1);
             }
         }
-        self.isolated_workers.extend(chosen);
+        for handle in chosen {
+            self.hold(handle);
+        }
     }
 }
 
--- a/crates/jasminefall-jobs/src/leader/runs.rs
+++ b/crates/jasminefall-jobs/src/leader/runs.rs
@@ -86,6 +86,11 @@
         self.runs.entry(run.task).or_default().push(run);
     }
 
+    pub(super) fn run(&self, task: TaskId, number: u64) -> Option<&Run> {
+        let mut runs = self.runs.get(&task)?.iter();
+        runs.find(|run| run.number == number)
+    }
+
     pub(super) fn run_mut(&mut self, task: TaskId, number: u64) -> Option<&mut Run> {
         let runs = self.runs.get_mut(&task)?;
         runs.iter_mut().find(|run| run.number == number)
--- a/crates/jasminefall-jobs/tests/leader/isolation.rs
+++ b/crates/jasminefall-jobs/tests/leader/isolation.rs
@@ -81,7 +81,6 @@
 
 /// Guards against LOST: a worker was closed to other jobs for as long as a suspect ran there.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn long_running_task_starts_beside_a_suspect_that_runs_on() {
     let mut harness = Harness::new(3);
     let small = Resources {
