feat(jobs): tell which tasks wait, since when and for what reason

Once a second the leader determines for each open step which tasks wait, by reason (given up, isolation, uncommitted end, unconfirmed start, unknown runs, no worker, cap, no ticket, gang, no room). One clock measures the wait, from the end of the last confirmed run, or from the opening of the step or the beginning of the leadership; refused and unanswered starts and changed reasons don't restart it. From 2 s on a step gets a line event=task_waiting, and another one for each further reason; at most three lines a reason and twelve a report, and event=waiting_tasks_omitted counts the rest. Leader::longest_waits returns the longest wait by reason. Nothing on the wire or in the state changes.

A tick looks at no more than 4,000 steps.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -30,6 +30,7 @@
 //! - `advice`: workers on which the policy of a queue permits a step
 //! - `best_effort`: pacing of best-effort tasks
 //! - `failures`: failed runs, which speak against their task or their worker
+//! - `waits`: how long tasks wait for a run, and why
 
 mod advice;
 mod best_effort;
@@ -52,6 +53,7 @@
 mod steps;
 mod suspects;
 mod usage;
+mod waits;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -79,6 +81,8 @@
 use self::suspects::Suspects;
 use self::usage::UsageTracker;
 pub use self::usage::WorkspaceUse;
+pub use self::waits::WaitReason;
+use self::waits::Waits;
 pub use self::workers::{Worker, WorkerHandle};
 use crate::ids::{IncarnationId, StepId, TaskId};
 use crate::job::JobSpec;
@@ -333,6 +337,7 @@
     shares_ranked_at_ms: HashMap<SmolStr, u64>,
     pacing: PaceTracker,
     advice: AdviceTracker,
+    waits: Waits,
     /// Pools in which a waiting task may fit by now, so that placement has to run.
     dirty_pools: BTreeSet<SmolStr>,
     placement_retried_at_ms: u64,
@@ -387,6 +392,7 @@
             shares_ranked_at_ms: HashMap::new(),
             pacing: PaceTracker::default(),
             advice: AdviceTracker::default(),
+            waits: Waits::default(),
             dirty_pools: BTreeSet::new(),
             placement_retried_at_ms: now.steady_ms,
             next_ended_jobs_at_ms: now.steady_ms,
@@ -426,6 +432,7 @@
         self.advance_maintenance(state);
         self.rebalance_pools(state);
         self.record_ended_jobs(state);
+        self.report_waits(state);
     }
 
     /// Starts waiting tasks in the pools that have changed since the last call.
--- a/crates/jasminefall-jobs/src/leader/advice.rs
+++ b/crates/jasminefall-jobs/src/leader/advice.rs
@@ -129,6 +129,12 @@
         matches!(self.answers.get(&handle), Some(Answer::Denied))
     }
 
+    /// Returns whether there is a valid ticket for any worker.
+    pub(super) fn has_ticket(&self) -> bool {
+        let is_granted = |answer: &Answer| matches!(answer, Answer::Granted { .. });
+        self.answers.values().any(is_granted)
+    }
+
     /// Returns whether a request about a worker can lead to a ticket that is missing.
     fn lacks_answer(&self, handle: WorkerHandle, now_ms: u64) -> bool {
         match self.answers.get(&handle) {
@@ -203,6 +209,11 @@
         self.unmet.remove(&id);
     }
 
+    /// Returns whether a step waits for tickets.
+    pub(super) fn is_unmet(&self, id: StepId) -> bool {
+        self.unmet.contains_key(&id)
+    }
+
     /// Returns the number of steps that wait for tickets.
     pub(super) fn unmet_count(&self) -> usize {
         self.unmet.len()
--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -213,6 +213,7 @@
         successor: Successor,
         state: &JobsState,
     ) {
+        self.record_confirmed_ends(handle);
         let Some(worker) = self.workers.remove(&handle) else {
             return;
         };
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -305,6 +305,9 @@
         let now_ms = self.now.steady_ms;
         self.record_run_number(end.task, end.run);
         let removed = self.remove_run(end.task, end.run);
+        if removed.is_some() {
+            self.waits.record_run_end(end.task, now_ms);
+        }
         let duration_ms = removed
             .as_ref()
             .map(|run| now_ms.saturating_sub(run.requested_at_ms));
--- a/crates/jasminefall-jobs/src/leader/runs.rs
+++ b/crates/jasminefall-jobs/src/leader/runs.rs
@@ -93,6 +93,7 @@
 
     /// Removes a run and releases its resources on the worker.
     pub(super) fn remove_run(&mut self, task: TaskId, number: u64) -> Option<Run> {
+        self.record_confirmed_end(task, number);
         let runs = self.runs.get_mut(&task)?;
         let position = runs.iter().position(|run| run.number == number)?;
         let run = runs.swap_remove(position);
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -200,6 +200,7 @@
         if let Some(step) = self.steps.get_mut(&id) {
             step.open = true;
         }
+        self.waits.add_step(id, self.now.steady_ms);
         self.dirty_pools.insert(pool.clone());
         self.open_steps
             .entry(pool)
@@ -315,6 +316,7 @@
         for index in indexes {
             self.suspects.remove(id.task(index));
             self.failed_tasks.remove(id.task(index));
+            self.waits.remove_task(id.task(index));
             step.waiting.remove(&index);
             if let Some(done) = step.done.get_mut(index as usize)
                 && !std::mem::replace(done, true)
@@ -326,6 +328,7 @@
             return;
         }
         self.schedules.record_step_done(id);
+        self.waits.remove_step(id);
         let (pool, priority) = (step.pool.clone(), step.priority);
         let spec = step.spec.clone();
         if let Some(open) = self.open_steps.get_mut(&pool) {
@@ -373,6 +376,7 @@
         };
         self.retain_unconfirmed_use(&step, id.job);
         self.advice.forget_step(id);
+        self.waits.remove_step(id);
         self.not_yet_due.remove(&(step.due_ms, id));
         if let Some(open) = self.open_steps.get_mut(&step.pool) {
             open.remove(&(step.priority, id));
--- a/crates/jasminefall-jobs/src/leader/usage.rs
+++ b/crates/jasminefall-jobs/src/leader/usage.rs
@@ -174,18 +174,11 @@
         let Some(step) = self.steps.get(&id) else {
             return true;
         };
-        let Some(name) = &step.workspace else {
-            return true;
-        };
-        let tasks = if all_tasks { step.step().tasks } else { 1 };
-        let Some(workspace) = state.configuration.access.workspace(name) else {
+        let Some((workspace, needs)) = self.exceeded_cap(step, all_tasks, state) else {
             return true;
         };
+        let name = &workspace.name;
         let uses = self.usage.of(name);
-        let needs = step.step().needs.times(u64::from(tasks));
-        if workspace.cap.permits(&uses.total(), &needs, tasks == 1) {
-            return true;
-        }
         let now_ms = self.now.steady_ms;
         let logged_at_ms = self.usage.cap_logged_at_ms.entry(name.clone()).or_default();
         if now_ms >= *logged_at_ms + CAP_LOG_INTERVAL_MS {
@@ -209,6 +202,23 @@
         false
     }
 
+    /// Returns the workspace whose cap does not permit one more task of a step, or all its tasks at once, and
+    /// what these need.
+    pub(super) fn exceeded_cap<'a>(
+        &self,
+        step: &StepState,
+        all_tasks: bool,
+        state: &'a JobsState,
+    ) -> Option<(&'a Workspace, Resources)> {
+        let name = step.workspace.as_ref()?;
+        let workspace = state.configuration.access.workspace(name)?;
+        let tasks = if all_tasks { step.step().tasks } else { 1 };
+        let needs = step.step().needs.times(u64::from(tasks));
+        let used = self.usage.of(name).total();
+        let is_permitted = workspace.cap.permits(&used, &needs, tasks == 1);
+        (!is_permitted).then_some((workspace, needs))
+    }
+
     /// Returns the shares of the workspaces that have work in a pool.
     pub(super) fn pool_shares(&self, pool: &SmolStr, state: &JobsState) -> PoolShares {
         let workers = self.directory.in_pool(pool);
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -34,6 +34,8 @@
 mod odd_entries;
 #[path = "leader/run_lists.rs"]
 mod run_lists;
+#[path = "leader/waits.rs"]
+mod waits;
 
 use harness::{Harness, long_running_job, task};
 use jasminefall_jobs::leader::{
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -6,7 +6,7 @@
 use jasminefall_jobs::leader::{
     Advice, AdviceFailure, AdviceRequest, CancelDecision, Effect, InstanceResponse, Leader,
     LeaderSettings, ListedInstance, Now, PollRequest, QueryResponse, StartRequest, SubmitDecision,
-    WorkerHandle, WorkspaceUse,
+    WaitReason, WorkerHandle, WorkspaceUse,
 };
 use jasminefall_jobs::prelude::*;
 use smol_str::{SmolStr, format_smolstr};
@@ -99,6 +99,7 @@
     stops: Vec<TaskId>,
     maintenance: Vec<SmolStr>,
     effects: Vec<Effect>,
+    log_lines: Vec<String>,
     /// The most starts that one pass of the leader has requested.
     max_starts_in_pass: usize,
     /// Proposed commands that are not committed yet.
@@ -147,6 +148,7 @@
             stops: Vec::new(),
             maintenance: Vec::new(),
             effects: Vec::new(),
+            log_lines: Vec::new(),
             max_starts_in_pass: 0,
             log: VecDeque::new(),
             commits_enabled: true,
@@ -449,7 +451,7 @@
         loop {
             self.leader.place_waiting_tasks(&self.state);
             let effects = self.leader.take_effects();
-            self.leader.take_log();
+            self.log_lines.extend(self.leader.take_log());
             if effects.is_empty() {
                 return;
             }
@@ -698,6 +700,32 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Returns the log lines of an event since the last call for any event.
+    pub(crate) fn take_log_lines(&mut self, event: &str) -> Vec<String> {
+        let prefix = format!("event={event} ");
+        let mut lines = std::mem::take(&mut self.log_lines);
+        lines.retain(|line| line.starts_with(&prefix));
+        lines
+    }
+
+    /// Returns the longest wait for a reason, in milliseconds.
+    pub(crate) fn longest_wait_ms(&self, reason: WaitReason) -> u64 {
+        let mut waits = self.leader.longest_waits();
+        let found = waits.find(|(known, _)| *known == reason);
+        found.map_or(0, |(_, longest_ms)| longest_ms)
+    }
+
+    /// Refuses a start on its worker for lack of room.
+    pub(crate) fn refuse_start(&mut self, request: &StartRequest) {
+        let response = WorkerResponse::Refused {
+            refusal: Refusal::NoRoom,
+            clock_ms: Some(self.now.steady_ms),
+        };
+        self.leader
+            .on_start_response(request, &response, &self.state);
+        self.process_effects();
+    }
+
     fn worker(&mut self, handle: WorkerHandle) -> &mut SimulatedWorker {
         let name = self.worker_names[&handle].clone();
         self.workers
