feat(dispatch): publish the longest wait of a task by reason

The leader knows why tasks wait, but no metric told it, so that nothing could page before a task counted as lost.

jasminefall_longest_wait_seconds{reason="..."} is set from Leader::longest_waits with the other metrics of the leader; a reason that holds for no task is zero. A follower serves none, so that an earlier leader keeps no wait that has ended. Existing metrics stay.

--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -423,6 +423,10 @@
             }
             inner.execute_effects_and_schedule(self);
         }
+        if inner.leader.is_none() {
+            // A follower must not keep reporting waits that have ended since.
+            self.metrics.clear_longest_waits();
+        }
         inner.process_ready(self);
     }
 
@@ -461,6 +465,7 @@
         for (decision, count) in gauges {
             self.metrics.set_decision_count(decision, count);
         }
+        self.metrics.set_longest_waits(leader.longest_waits());
     }
 }
 
--- a/crates/jasminefall-dispatch/src/metrics.rs
+++ b/crates/jasminefall-dispatch/src/metrics.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use jasminefall_jobs::leader::WorkspaceUse;
+use jasminefall_jobs::leader::{WaitReason, WorkspaceUse};
 use jasminefall_jobs::prelude::WorkspaceName;
 use jasminefall_platform::settings::PlatformSettings;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -35,6 +36,12 @@
     decision: &'static str,
 }
 
+/// Labels the longest wait of a task for a reason.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WaitLabels {
+    reason: &'static str,
+}
+
 /// Labels a gauge of a workspace.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct WorkspaceLabels {
@@ -56,6 +63,7 @@
     decisions: Family<DecisionLabels, Gauge>,
     commit_seconds: Histogram,
     workspaces: Family<WorkspaceLabels, Gauge>,
+    longest_wait_seconds: Family<WaitLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl Default for Metrics {
@@ -85,6 +93,12 @@
         let workspaces = Family::default();
         let help = "Use and refusals of the workspaces that use the most";
         registry.register("workspaces", help, Family::clone(&workspaces));
+        let longest_wait_seconds = Family::default();
+        registry.register(
+            "longest_wait_seconds",
+            "Longest time that a task waits for a run, by the reason",
+            Family::clone(&longest_wait_seconds),
+        );
         Self {
             registry: Rc::new(registry),
             calls,
@@ -92,6 +106,7 @@
             decisions,
             commit_seconds,
             workspaces,
+            longest_wait_seconds,
         }
     }
 
@@ -147,6 +162,21 @@
         }
     }
 
+    /// Sets the longest wait of a task for each reason, in milliseconds.
+    pub fn set_longest_waits(&self, waits: impl Iterator<Item = (WaitReason, u64)>) {
+        for (reason, longest_ms) in waits {
+            let reason = reason.as_str();
+            let labels = WaitLabels { reason };
+            let gauge = self.longest_wait_seconds.get_or_create(&labels);
+            gauge.set(Duration::from_millis(longest_ms).as_secs_f64());
+        }
+    }
+
+    /// Removes the longest waits, which only a leader knows.
+    pub fn clear_longest_waits(&self) {
+        self.longest_wait_seconds.clear();
+    }
+
     fn render(&self) -> HttpResponse {
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
