test(jobs): failures of a data centre in random schedules, and the rule LOST

Nothing in the schedules crashed many workers at once or ran tasks for longer than 2.5 s, and a job that waited counted only if it wasn't completed 30 s after the faults, so that suspects could wait for isolation unnoticed.

Add the rule LOST, which sees only what runs where: nothing of a job runs, or a long-running task doesn't, although it fits on undisturbed workers (docs/incidents/lost-isolation.md). Add setups in which a half or a third of 4 to 30 unequal workers crash together two or three times, return after 0.6 s and are cut off for 9 s, beside tasks of 10 to 25 s.

The existing setups draw the same plans: their counts over the default seeds are the same as before, and the rule isn't checked in them.

--- a/crates/jasminefall-jobs/tests/schedules.rs
+++ b/crates/jasminefall-jobs/tests/schedules.rs
@@ -13,7 +13,7 @@
 
 use std::ops::Range;
 
-use plan::Setup;
+use plan::{Outages, Setup};
 use world::{Counts, World};
 
 /// Returns the seeds to play: those of the environment or else the default ones.
@@ -189,6 +189,53 @@
     assert!(counts.advice > 0 && counts.completed > 0, "{counts:?}");
 }
 
+/// Guards against LOST: suspects of many jobs wait for isolation, one job after the other.
+#[test]
+#[ignore = "listed in KNOWN-RED.txt"]
+fn data_centre_crashes_lose_no_task() {
+    let counts = play(Setup::DATA_CENTRE, seeds(1..25));
+    assert!(counts.crashes > 0 && counts.completed > 0, "{counts:?}");
+}
+
+/// Guards against LOST: as above, with restarts under the same name and a leader that is lost.
+#[test]
+#[ignore = "listed in KNOWN-RED.txt"]
+fn data_centre_crashes_and_lost_leaders_lose_no_task() {
+    let setup = Setup {
+        outages: Some(Outages { loses_leader: true }),
+        restarts_under_name: true,
+        ..Setup::DATA_CENTRE
+    };
+    let counts = play(setup, seeds(1..25));
+    assert!(counts.leaderships > 0 && counts.completed > 0, "{counts:?}");
+}
+
+/// Guards against LOST and BUDGET: tasks that crash their workers beside the failures of a data centre.
+#[test]
+#[ignore = "listed in KNOWN-RED.txt"]
+fn data_centre_crashes_and_deadly_tasks_lose_no_task() {
+    let setup = Setup {
+        max_deadly_millis: 15,
+        restarts_under_name: true,
+        ..Setup::DATA_CENTRE
+    };
+    let counts = play(setup, seeds(1..25));
+    assert!(counts.crashes > 0 && counts.completed > 0, "{counts:?}");
+}
+
+/// Guards against LOST: suspects that need tickets.
+#[test]
+#[ignore = "listed in KNOWN-RED.txt"]
+fn data_centre_crashes_with_advice_lose_no_task() {
+    let setup = Setup {
+        needs_advice: true,
+        outages: Some(Outages { loses_leader: true }),
+        ..Setup::DATA_CENTRE
+    };
+    let counts = play(setup, seeds(1..25));
+    assert!(counts.advice > 0 && counts.completed > 0, "{counts:?}");
+}
+
 #[test]
 fn same_seed_plays_the_same_schedule() {
     let setup = Setup {
--- a/crates/jasminefall-jobs/tests/schedules/advice.rs
+++ b/crates/jasminefall-jobs/tests/schedules/advice.rs
@@ -41,6 +41,8 @@
         let chance = self.random.random_range(0..100);
         if chance < REFUSED_PERCENT {
             let refused = result_at(Err(AdviceFailure::Refused(429)));
+            self.waits
+                .on_advice_failed(request.step.job, self.now_ms + DECIDE_MS);
             return self.schedule(self.now_ms + DECIDE_MS, refused);
         }
         let work_ms = DECIDE_MS + EACH_MS * request.workers.len() as u64;
@@ -49,6 +51,8 @@
         let is_lost = chance < REFUSED_PERCENT + LOST_PERCENT;
         if is_lost || done_at_ms > gives_up_at_ms {
             let unanswered = result_at(Err(AdviceFailure::NoResponse));
+            self.waits
+                .on_advice_failed(request.step.job, gives_up_at_ms);
             return self.schedule(gives_up_at_ms, unanswered);
         }
         let advice = self.decide(&request, done_at_ms);
@@ -82,7 +86,7 @@
     }
 
     /// Returns whether a step is permitted on the workers of a slot.
-    fn is_permitted(&self, step: StepId, slot: usize) -> bool {
+    pub(super) fn is_permitted(&self, step: StepId, slot: usize) -> bool {
         let stride = (self.slots.len() / PERMITTED_WORKERS).max(2);
         let offset = usize::try_from(step.job.0).unwrap_or_default();
         (slot + offset).is_multiple_of(stride)
--- a/crates/jasminefall-jobs/tests/schedules/fleet.rs
+++ b/crates/jasminefall-jobs/tests/schedules/fleet.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use smol_str::format_smolstr;
 
-use super::{Event, FULL_CAPACITY, WALL_CLOCK_MS, World};
+use super::{Event, WALL_CLOCK_MS, World};
 use crate::plan::{Fault, POOL};
 use crate::worker::Worker;
 
@@ -29,6 +29,7 @@
         );
         let capacity = self.slots[slot].capacity;
         self.note(format!("joins worker={incarnation}"));
+        self.waits.disturb(self.now_ms);
         let worker = Worker::new((slot, incarnation), capacity, self.now_ms, clock);
         self.workers.push(worker);
         self.slots[slot].life = life;
@@ -94,6 +95,7 @@
             kind.as_str()
         ));
         self.facts.on_end(life, task, run, (kind, number));
+        self.waits.on_end(task, self.now_ms);
         self.answer_held_polls(life, None);
     }
 
@@ -106,15 +108,17 @@
         self.note(format!("down worker={incarnation} crash={is_crash}"));
         for (task, run) in &runs {
             self.note(format!("lost task={task} run={run} worker={incarnation}"));
+            self.waits.on_end(*task, self.now_ms);
         }
         self.facts.on_shutdown(life, &runs, is_crash);
+        self.waits.disturb(self.now_ms);
         self.counts.lost_runs += runs.len() as u64;
         self.counts.crashes += u64::from(is_crash);
         let slot = self.workers[life].slot;
-        let restart_ms = if self.setup.restarts_under_name {
-            100..1_000
-        } else {
-            2_000..4_000
+        let restart_ms = match self.setup.restart_ms {
+            Some(restart_ms) => restart_ms..restart_ms + 1,
+            None if self.setup.restarts_under_name => 100..1_000,
+            None => 2_000..4_000,
         };
         self.after(restart_ms, Event::WorkerJoins { slot });
     }
@@ -125,10 +129,12 @@
             Fault::Lossy { slot, lasts_ms } => {
                 let slot = &mut self.slots[slot];
                 slot.lossy_until_ms = slot.lossy_until_ms.max(now_ms + lasts_ms);
+                self.waits.disturb(now_ms + lasts_ms);
             }
             Fault::Cut { slot, lasts_ms } => {
                 let slot = &mut self.slots[slot];
                 slot.cut_until_ms = slot.cut_until_ms.max(now_ms + lasts_ms);
+                self.waits.disturb(now_ms + lasts_ms);
                 let incarnation = self.workers[slot.life].incarnation.clone();
                 self.note(format!("cut worker={incarnation} lasts_ms={lasts_ms}"));
             }
@@ -140,10 +146,12 @@
     }
 
     pub(super) fn change_capacity(&mut self, slot: usize, percent: u64) {
+        let full = self.plan.capacities[slot];
         let capacity = Resources {
-            cpu_millis: FULL_CAPACITY.cpu_millis * percent / 100,
-            ..FULL_CAPACITY
+            cpu_millis: full.cpu_millis * percent / 100,
+            ..full
         };
+        self.waits.disturb(self.now_ms);
         self.slots[slot].capacity = capacity;
         self.counts.capacity_changes += 1;
         let life = self.slots[slot].life;
--- a/crates/jasminefall-jobs/tests/schedules/log.rs
+++ b/crates/jasminefall-jobs/tests/schedules/log.rs
@@ -106,6 +106,7 @@
             return;
         }
         self.note("leader lost".to_owned());
+        self.waits.disturb(self.now_ms + absent_ms);
         self.requests.clear();
         let committed = self.random.random_range(0..=self.proposals.len());
         for (number, (_, command)) in std::mem::take(&mut self.proposals).into_iter().enumerate() {
--- a/crates/jasminefall-jobs/tests/schedules/plan.rs
+++ b/crates/jasminefall-jobs/tests/schedules/plan.rs
@@ -11,10 +11,14 @@
 pub(crate) const POOL: &str = "render";
 /// Time of the first and the last fault, in milliseconds.
 const FAULTS_MS: std::ops::Range<u64> = 3_000..28_000;
-/// Time at which the long-running jobs are cancelled, after the last fault has ended.
-pub(crate) const CALM_FROM_MS: u64 = 41_000;
-/// End of a schedule.
-pub(crate) const END_MS: u64 = CALM_FROM_MS + 30_000;
+/// Duration of a task of a job with long tasks, in milliseconds.
+const LONG_TASK_MS: std::ops::RangeInclusive<u64> = 10_000..=25_000;
+const FULL_CAPACITY: Resources = Resources {
+    cpu_millis: 8_000,
+    memory_mb: 16_000,
+    gpus: 0,
+};
+const LARGEST_CPU_MILLIS: u64 = 16_000;
 
 /// Defines a group of worlds by the number of their workers and faults.
 #[derive(Debug, Clone, Copy)]
@@ -37,6 +41,35 @@
     pub(crate) network_holds_requests: bool,
     /// Whether each step needs tickets of the advice service.
     pub(crate) needs_advice: bool,
+    /// Unequal workers and jobs; replaces `workers` and `jobs`.
+    pub(crate) mix: Option<Mix>,
+    /// Failures of a data centre.
+    pub(crate) outages: Option<Outages>,
+    /// Time after which a worker that has ended is followed by the next one; drawn if there is none.
+    pub(crate) restart_ms: Option<u64>,
+    /// Whether the rule LOST is checked.
+    pub(crate) checks_waits: bool,
+    pub(crate) last_submit_ms: u64,
+    /// Time at which the long-running jobs are cancelled, after the last fault has ended.
+    pub(crate) calm_from_ms: u64,
+    pub(crate) end_ms: u64,
+}
+
+/// Defines the work in a pool of 4 to 30 workers of unequal capacity.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Mix {
+    /// The share of jobs whose tasks last 10 to 25 s.
+    pub(crate) long_percent: u32,
+    /// The share of steps whose tasks fit only on the largest workers.
+    pub(crate) large_percent: u32,
+}
+
+/// Defines failures of a data centre, which has a half or a third of the workers: they crash within some
+/// hundred milliseconds, return, and are cut off soon afterwards.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Outages {
+    /// Whether the leader is lost between the crashes and the cuts.
+    pub(crate) loses_leader: bool,
 }
 
 impl Setup {
@@ -54,6 +87,32 @@
         restarts_under_name: false,
         network_holds_requests: false,
         needs_advice: false,
+        mix: None,
+        outages: None,
+        restart_ms: None,
+        checks_waits: false,
+        last_submit_ms: FAULTS_MS.end,
+        calm_from_ms: 41_000,
+        end_ms: 71_000,
+    };
+    /// A data centre fails twice or three times, beside few other faults.
+    pub(crate) const DATA_CENTRE: Self = Self {
+        lossy_periods: 2,
+        cuts: 0,
+        crashes: 1,
+        mix: Some(Mix {
+            long_percent: 35,
+            large_percent: 3,
+        }),
+        outages: Some(Outages {
+            loses_leader: false,
+        }),
+        restart_ms: Some(600),
+        checks_waits: true,
+        last_submit_ms: 90_000,
+        calm_from_ms: 100_000,
+        end_ms: 270_000,
+        ..Self::PLAIN
     };
 }
 
@@ -113,6 +172,8 @@
     pub(crate) faults: Vec<(u64, Fault)>,
     /// The share of requests that are harmed in a lossy period.
     pub(crate) harmed_percent: u32,
+    /// The capacity of the worker in each slot.
+    pub(crate) capacities: Vec<Resources>,
     longest_task_ms: u64,
 }
 
@@ -124,16 +185,22 @@
             faults: Vec::new(),
             harmed_percent: random.random_range(40..80),
             longest_task_ms: [400, 800, 1_500, 2_500][random.random_range(0..4)],
+            capacities: vec![FULL_CAPACITY; setup.workers],
         };
+        let mut jobs = setup.jobs;
+        if setup.mix.is_some() {
+            plan.capacities = unequal_capacities(random);
+            jobs = plan.capacities.len() as u64 * random.random_range(3..=8);
+        }
         let deadly_millis = random.random_range(0..=setup.max_deadly_millis);
-        for number in 1..=setup.jobs {
-            plan.add_job(JobKey(number), deadly_millis, random);
+        for number in 1..=jobs {
+            plan.add_job(JobKey(number), setup, deadly_millis, random);
         }
         plan.add_faults(setup, random);
         plan
     }
 
-    fn add_job(&mut self, key: JobKey, deadly_millis: u32, random: &mut StdRng) {
+    fn add_job(&mut self, key: JobKey, setup: &Setup, deadly_millis: u32, random: &mut StdRng) {
         let long_running = random.random_ratio(1, 16);
         let step_count = if long_running {
             1
@@ -145,9 +212,22 @@
         } else {
             (self.longest_task_ms, deadly_millis)
         };
+        let has_long_tasks = !long_running
+            && setup
+                .mix
+                .is_some_and(|mix| random.random_ratio(mix.long_percent, 100));
         let mut steps = Vec::new();
         for step in 0..step_count {
-            let tasks = random.random_range(1..=if long_running { 3 } else { 8 });
+            let is_large = !long_running
+                && setup
+                    .mix
+                    .is_some_and(|mix| random.random_ratio(mix.large_percent, 100));
+            let most_tasks = match (long_running, is_large) {
+                (true, _) => 3,
+                (_, true) => 2,
+                _ => 8,
+            };
+            let tasks = random.random_range(1..=most_tasks);
             for index in 0..tasks {
                 let task = TaskId {
                     job: key,
@@ -155,13 +235,20 @@
                     step,
                     index,
                 };
-                let behaviour = behaviour(longest_ms, deadly_millis, random);
+                let mut behaviour = behaviour(longest_ms, deadly_millis, random);
+                if has_long_tasks {
+                    behaviour.duration_ms = random.random_range(LONG_TASK_MS);
+                }
                 self.behaviours.insert(task, behaviour);
             }
             steps.push(StepSpec {
                 tasks,
                 needs: Resources {
-                    cpu_millis: random.random_range(1..=4) * 500,
+                    cpu_millis: if is_large {
+                        random.random_range(FULL_CAPACITY.cpu_millis + 1..=LARGEST_CPU_MILLIS)
+                    } else {
+                        random.random_range(1..=4) * 500
+                    },
                     memory_mb: 100,
                     gpus: 0,
                 },
@@ -178,14 +265,14 @@
         };
         self.jobs.push(PlannedJob {
             key,
-            submit_at_ms: random.random_range(500..FAULTS_MS.end),
+            submit_at_ms: random.random_range(500..setup.last_submit_ms),
             spec: Arc::new(spec),
             long_running,
         });
     }
 
     fn add_faults(&mut self, setup: &Setup, random: &mut StdRng) {
-        let slots = setup.workers;
+        let slots = self.capacities.len();
         for _ in 0..setup.lossy_periods {
             let lasts_ms = random.random_range(1_000..6_000);
             self.add_fault(|slot| Fault::Lossy { slot, lasts_ms }, slots, random);
@@ -207,6 +294,33 @@
         for _ in 0..setup.leader_changes {
             self.add_leader_change(slots, random);
         }
+        if let Some(outages) = setup.outages {
+            let restart_ms = setup.restart_ms.unwrap_or_default();
+            self.add_outages(outages, restart_ms, random);
+        }
+    }
+
+    /// Adds failures of the data centre that has every second or third slot.
+    fn add_outages(&mut self, outages: Outages, restart_ms: u64, random: &mut StdRng) {
+        let divisor = random.random_range(2..=3);
+        let mut at_ms = random.random_range(3_000..8_000);
+        for _ in 0..random.random_range(2..=3) {
+            for slot in (0..self.capacities.len()).step_by(divisor) {
+                let crashes_ms = at_ms + random.random_range(0..400);
+                self.faults.push((crashes_ms, Fault::Crash { slot }));
+                let cut = Fault::Cut {
+                    slot,
+                    lasts_ms: 9_000,
+                };
+                self.faults.push((crashes_ms + restart_ms + 2_000, cut));
+            }
+            if outages.loses_leader {
+                let lost_ms = at_ms + random.random_range(1_000..2_500);
+                let absent_ms = random.random_range(300..2_500);
+                self.faults.push((lost_ms, Fault::LeaderLost { absent_ms }));
+            }
+            at_ms += random.random_range(18_000..22_000);
+        }
     }
 
     fn add_fault(&mut self, fault: impl Fn(usize) -> Fault, slots: usize, random: &mut StdRng) {
@@ -242,6 +356,20 @@
     }
 }
 
+/// Returns capacities of 4 to 30 workers, at least two of which are of the largest size.
+fn unequal_capacities(random: &mut StdRng) -> Vec<Resources> {
+    let count = random.random_range(4..=30);
+    let sizes = (0..count).map(|slot| {
+        let percent = [50, 100, 100, 200][random.random_range(0..4)];
+        let percent = if slot < 2 { 200 } else { percent };
+        Resources {
+            cpu_millis: FULL_CAPACITY.cpu_millis * percent / 100,
+            ..FULL_CAPACITY
+        }
+    });
+    sizes.collect()
+}
+
 fn behaviour(longest_ms: u64, deadly_millis: u32, random: &mut StdRng) -> Behaviour {
     let is_deadly = random.random_ratio(deadly_millis, 1_000);
     Behaviour {
--- a/crates/jasminefall-jobs/tests/schedules/requests.rs
+++ b/crates/jasminefall-jobs/tests/schedules/requests.rs
@@ -169,7 +169,11 @@
         };
         let is_endless = step.long_running && kind == EndKind::Done;
         if !is_endless {
-            let duration_ms = behaviour.duration_ms.min(10_000);
+            let duration_ms = if step.long_running {
+                behaviour.duration_ms.min(10_000)
+            } else {
+                behaviour.duration_ms
+            };
             self.schedule(
                 self.now_ms + duration_ms,
                 Event::RunEnds {
--- a/crates/jasminefall-jobs/tests/schedules/rules.rs
+++ b/crates/jasminefall-jobs/tests/schedules/rules.rs
@@ -299,6 +299,11 @@
         self.report_job("PROGRESS", job, at_ms, format!("the job is {status:?}"));
     }
 
+    /// LOST: something of a job waits although there is room for it.
+    pub(crate) fn on_lost(&mut self, job: JobKey, at_ms: u64, cause: String) {
+        self.report_job("LOST", job, at_ms, cause);
+    }
+
     fn report_job(&mut self, rule: &'static str, job: JobKey, at_ms: u64, cause: String) {
         if self.violation.is_none() {
             self.violation = Some(Violation {
--- a/crates/jasminefall-jobs/tests/schedules/world.rs
+++ b/crates/jasminefall-jobs/tests/schedules/world.rs
@@ -11,7 +11,8 @@
 use rand::{Rng, SeedableRng};
 
 use self::advice::Tickets;
-use super::plan::{self, CALM_FROM_MS, END_MS, Fault, Plan, Setup};
+use self::waits::Waits;
+use super::plan::{self, Fault, Plan, Setup};
 use super::rules::{Facts, Violation};
 use super::worker::Worker;
 
@@ -19,6 +20,7 @@
 mod fleet;
 mod log;
 mod requests;
+mod waits;
 
 const TICK_MS: u64 = 10;
 /// The most events that are listed for a broken rule.
@@ -26,11 +28,6 @@
 /// Time after which a request without an answer has failed, beyond the wait that it asks for.
 const REQUEST_TIMEOUT_MS: u64 = 400;
 const WALL_CLOCK_MS: u64 = 1_700_000_000_000;
-const FULL_CAPACITY: Resources = Resources {
-    cpu_millis: 8_000,
-    memory_mb: 16_000,
-    gpus: 0,
-};
 
 /// A request of a leader on its way to the worker with the index `life`.
 #[derive(Debug, Clone)]
@@ -180,6 +177,7 @@
     slots: Vec<Slot>,
     tickets: Tickets,
     facts: Facts,
+    waits: Waits,
     counts: Counts,
     journal: Vec<(u64, String)>,
 }
@@ -197,13 +195,14 @@
         let mut state = JobsState::default();
         let configuration = plan::configuration(&setup);
         state.apply(Command::Configure(Arc::new(configuration)));
-        let slot = Slot {
+        let slots = plan.capacities.iter().map(|capacity| Slot {
             life: 0,
-            capacity: FULL_CAPACITY,
+            capacity: *capacity,
             lossy_until_ms: 0,
             cut_until_ms: 0,
             heartbeats_lost: 0,
-        };
+        });
+        let slots = slots.collect();
         let mut world = Self {
             setup,
             settings: LeaderSettings::default(),
@@ -219,9 +218,10 @@
             client_commands: Vec::new(),
             requests: BTreeMap::new(),
             workers: Vec::new(),
-            slots: vec![slot; setup.workers],
+            slots,
             tickets: Tickets::default(),
             facts: Facts::default(),
+            waits: Waits::default(),
             counts: Counts::default(),
             journal: Vec::new(),
         };
@@ -232,7 +232,7 @@
     fn schedule_plan(&mut self) {
         self.schedule(0, Event::LeaderElected);
         self.schedule(0, Event::Tick);
-        for slot in 0..self.setup.workers {
+        for slot in 0..self.slots.len() {
             self.schedule(0, Event::WorkerJoins { slot });
         }
         for number in 0..self.plan.jobs.len() {
@@ -241,13 +241,13 @@
         for (at_ms, fault) in self.plan.faults.clone() {
             self.schedule(at_ms, Event::Fault(fault));
         }
-        self.schedule(CALM_FROM_MS, Event::CancelLongRunning);
+        self.schedule(self.setup.calm_from_ms, Event::CancelLongRunning);
     }
 
     /// Plays the schedule to its end or to the first broken rule.
     pub(crate) fn run(&mut self) -> Result<Counts, Violation> {
         while let Some(((at_ms, _), event)) = self.events.pop_first() {
-            if at_ms > END_MS {
+            if at_ms > self.setup.end_ms {
                 break;
             }
             self.now_ms = at_ms;
@@ -305,6 +305,9 @@
             Event::Tick => {
                 self.schedule(self.now_ms + TICK_MS, Event::Tick);
                 self.drive_leader(Leader::tick);
+                if self.setup.checks_waits && self.now_ms.is_multiple_of(waits::CHECK_INTERVAL_MS) {
+                    self.check_waits();
+                }
             }
             Event::Commit { fencing_token } if fencing_token == self.fencing_token => self.commit(),
             Event::Commit { .. } => {}
