test(jobs): gangs in random schedules, and LOST after crashes of single workers

Gangs weren't played at all, and LOST was checked only where a data centre fails.

Members of a gang end together, or end alone if another one doesn't start within 2 s. Play gangs beside the failures of a data centre, and the rule LOST beside crashes, departures and lost leaders in a pool of six workers. The advice service answers every request once the faults are over, so that a lost answer doesn't count as a wait.

The existing setups draw the same plans.

--- a/crates/jasminefall-jobs/tests/schedules/fleet.rs
+++ b/crates/jasminefall-jobs/tests/schedules/fleet.rs
@@ -96,6 +96,7 @@
         ));
         self.facts.on_end(life, task, run, (kind, number));
         self.waits.on_end(task, self.now_ms);
+        self.end_gang(task, run, kind);
         self.answer_held_polls(life, None);
     }
 
@@ -109,6 +110,7 @@
         for (task, run) in &runs {
             self.note(format!("lost task={task} run={run} worker={incarnation}"));
             self.waits.on_end(*task, self.now_ms);
+            self.end_gang(*task, *run, EndKind::GangBroken);
         }
         self.facts.on_shutdown(life, &runs, is_crash);
         self.waits.disturb(self.now_ms);
--- a/crates/jasminefall-jobs/tests/schedules/plan.rs
+++ b/crates/jasminefall-jobs/tests/schedules/plan.rs
@@ -47,6 +47,8 @@
     pub(crate) outages: Option<Outages>,
     /// Time after which a worker that has ended is followed by the next one; drawn if there is none.
     pub(crate) restart_ms: Option<u64>,
+    /// Time from which the advice service answers every request.
+    pub(crate) advice_fails_until_ms: u64,
     /// Whether the rule LOST is checked.
     pub(crate) checks_waits: bool,
     pub(crate) last_submit_ms: u64,
@@ -62,6 +64,16 @@
     pub(crate) long_percent: u32,
     /// The share of steps whose tasks fit only on the largest workers.
     pub(crate) large_percent: u32,
+    /// The share of jobs whose last step is a gang.
+    pub(crate) gang_percent: u32,
+}
+
+impl Mix {
+    pub(crate) const DATA_CENTRE: Self = Self {
+        long_percent: 35,
+        large_percent: 3,
+        gang_percent: 0,
+    };
 }
 
 /// Defines failures of a data centre, which has a half or a third of the workers: they crash within some
@@ -90,6 +102,7 @@
         mix: None,
         outages: None,
         restart_ms: None,
+        advice_fails_until_ms: u64::MAX,
         checks_waits: false,
         last_submit_ms: FAULTS_MS.end,
         calm_from_ms: 41_000,
@@ -100,14 +113,12 @@
         lossy_periods: 2,
         cuts: 0,
         crashes: 1,
-        mix: Some(Mix {
-            long_percent: 35,
-            large_percent: 3,
-        }),
+        mix: Some(Mix::DATA_CENTRE),
         outages: Some(Outages {
             loses_leader: false,
         }),
         restart_ms: Some(600),
+        advice_fails_until_ms: 65_000,
         checks_waits: true,
         last_submit_ms: 90_000,
         calm_from_ms: 100_000,
@@ -155,6 +166,16 @@
     pub(crate) crash_after_ms: Option<u64>,
 }
 
+impl Behaviour {
+    const fn without_failures(self) -> Self {
+        Self {
+            fail_percent: 0,
+            crash_after_ms: None,
+            ..self
+        }
+    }
+}
+
 /// Holds a job that is submitted at some time.
 #[derive(Debug)]
 pub(crate) struct PlannedJob {
@@ -216,18 +237,24 @@
             && setup
                 .mix
                 .is_some_and(|mix| random.random_ratio(mix.long_percent, 100));
+        let gang_percent = setup.mix.map_or(0, |mix| mix.gang_percent);
+        let has_gang = !long_running && gang_percent > 0 && random.random_ratio(gang_percent, 100);
         let mut steps = Vec::new();
         for step in 0..step_count {
+            let is_gang = has_gang && step + 1 == step_count;
             let is_large = !long_running
+                && !is_gang
                 && setup
                     .mix
                     .is_some_and(|mix| random.random_ratio(mix.large_percent, 100));
             let most_tasks = match (long_running, is_large) {
                 (true, _) => 3,
                 (_, true) => 2,
+                _ if is_gang => 4,
                 _ => 8,
             };
             let tasks = random.random_range(1..=most_tasks);
+            let mut gang_behaviour = None;
             for index in 0..tasks {
                 let task = TaskId {
                     job: key,
@@ -239,6 +266,9 @@
                 if has_long_tasks {
                     behaviour.duration_ms = random.random_range(LONG_TASK_MS);
                 }
+                if is_gang {
+                    behaviour = gang_behaviour.get_or_insert(behaviour).without_failures();
+                }
                 self.behaviours.insert(task, behaviour);
             }
             steps.push(StepSpec {
@@ -253,6 +283,7 @@
                     gpus: 0,
                 },
                 estimated_ms: 1_000,
+                gang: is_gang,
                 after: (0..step).collect(),
                 long_running,
                 ..StepSpec::default()
--- a/crates/jasminefall-jobs/tests/schedules/requests.rs
+++ b/crates/jasminefall-jobs/tests/schedules/requests.rs
@@ -159,6 +159,9 @@
         self.facts
             .on_start(&start, &self.workers, &dependencies, heartbeat_ms);
         self.counts.starts += 1;
+        if step.gang {
+            self.after_gang_start(life, task, run);
+        }
         if let Some(after_ms) = behaviour.crash_after_ms {
             return self.schedule(self.now_ms + after_ms, Event::WorkerCrashes { life });
         }
--- a/crates/jasminefall-jobs/tests/schedules/world.rs
+++ b/crates/jasminefall-jobs/tests/schedules/world.rs
@@ -18,6 +18,7 @@
 
 mod advice;
 mod fleet;
+mod gangs;
 mod log;
 mod requests;
 mod waits;
@@ -78,6 +79,12 @@
         run: u64,
         kind: EndKind,
     },
+    /// A run of a gang ends if other members haven't started.
+    CheckGang {
+        life: usize,
+        task: TaskId,
+        run: u64,
+    },
     WorkerCrashes {
         life: usize,
     },
@@ -333,6 +340,7 @@
                 run,
                 kind,
             } => self.end_run(life, task, run, kind),
+            Event::CheckGang { life, task, run } => self.check_gang(life, task, run),
             Event::WorkerCrashes { life } => self.shut_down(life, true),
             Event::WorkerJoins { slot } => self.join(slot),
             Event::Deregister { life } => self.deregister(life),
