--- a/crates/jasminefall-jobs/tests/schedules/requests.rs
+++ b/crates/jasminefall-jobs/tests/schedules/requests.rs
@@ -159,6 +159,9 @@
         self.facts
             .on_start(&start, &self.workers, &dependencies, heartbeat_ms);
         self.counts.starts += 1;
+        if step.gang {
+            self.after_gang_start(life, task, run);
+        }
         if let Some(after_ms) = behaviour.crash_after_ms {
             return self.schedule(self.now_ms + after_ms, Event::WorkerCrashes { life });
         }
@@ -169,7 +172,11 @@
         };
         let is_endless = step.long_running && kind == EndKind::Done;
         if !is_endless {
-            let duration_ms = behaviour.duration_ms.min(10_000);
+            let duration_ms = if step.long_running {
+                behaviour.duration_ms.min(10_000)
+            } else {
+                behaviour.duration_ms
+            };
             self.schedule(
                 self.now_ms + duration_ms,
                 Event::RunEnds {
