fix(jobs): restart a long-running task that workers crash under while it starts up alone (LOST)

What callers saw: a long-running job stayed running with a task that was never started again.

Cause: two crashes while it started up alone on a worker, as in a data centre that fails twice, gave the task up. The job of a long-running task is never shown as failed, so the task was lost for good.

Evidence: long_running_task_starts_again_after_crashes_of_workers_where_it_starts_up_alone failed before and passes.

--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -372,15 +372,19 @@
             // A crash during a change of the leader is not recorded.
             let step = self.steps.get(&run.task.step_id());
             let may_lack_crashes = step.is_some_and(|step| step.inherited);
+            let long_running = step.is_some_and(|step| step.step().long_running);
             let known = self.suspects.by_task.entry(run.task).or_default();
             known.crashes.insert(crash, run.requested_at_ms);
             if !run.is_proven {
                 known.wait = IsolationWait::Since(self.now.steady_ms);
             }
-            let is_isolated = was_isolated;
             let is_certain = run.is_certain && !run.is_proven;
-            known.counts.record(is_certain, is_isolated);
-            known.given_up |= known.counts.is_given_up(is_isolated, may_lack_crashes);
+            known.counts.record(is_certain, was_isolated);
+            known.given_up |= if long_running {
+                known.counts.is_long_running_given_up()
+            } else {
+                known.counts.is_given_up(was_isolated, may_lack_crashes)
+            };
             let (counts, given_up) = (known.counts, known.given_up);
             self.log_event(format!(
                 "event=task_suspected task={} run={} crashes={} isolated={} possible={} given_up={given_up}",
--- a/crates/jasminefall-jobs/src/policy/crashes.rs
+++ b/crates/jasminefall-jobs/src/policy/crashes.rs
@@ -15,6 +15,9 @@
 /// The number of crashes after which a task is given up, even if it isn't certain that its runs had
 /// begun.
 const GIVE_UP_AFTER_POSSIBLE_CRASHES: u32 = 5;
+/// The number of crashes after which a long-running task is given up. Its job is not shown as failed, so that
+/// a wrong conclusion loses the task.
+const GIVE_UP_LONG_RUNNING_AFTER_CRASHES: u32 = 5;
 
 /// Counts the crashes of workers under a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -50,4 +53,10 @@
             || self.certain >= limit
             || self.possible >= GIVE_UP_AFTER_POSSIBLE_CRASHES
     }
+
+    /// Returns whether a long-running task is given up after a crash.
+    #[must_use]
+    pub const fn is_long_running_given_up(&self) -> bool {
+        self.certain >= GIVE_UP_LONG_RUNNING_AFTER_CRASHES
+    }
 }
--- a/crates/jasminefall-jobs/tests/leader/isolation.rs
+++ b/crates/jasminefall-jobs/tests/leader/isolation.rs
@@ -121,3 +121,18 @@
     let started = run_for(&mut harness, LOST_AFTER_MS);
     assert!(started.contains(&2), "{started:?}");
 }
+
+/// Guards against LOST: a long-running task alone on its workers was given up, and its job was never shown as failed.
+#[test]
+fn long_running_task_starts_again_after_crashes_of_workers_where_it_starts_up_alone() {
+    let mut harness = Harness::new(2);
+    harness.submit(1, harness::long_running_job(1));
+    for _ in 0..3 {
+        let starts = harness.take_starts();
+        assert_eq!(starts.len(), 1);
+        harness.accept_starts(&starts);
+        harness.answer_polls();
+        crash_and_restart_all(&mut harness, &starts);
+    }
+    assert_eq!(harness.take_starts().len(), 1);
+}
