--- a/crates/jasminefall-jobs/src/leader/isolation.rs
+++ b/crates/jasminefall-jobs/src/leader/isolation.rs
@@ -222,7 +222,7 @@
         period.is_some_and(|period| period.is_held && period.permits_hold(self.now.steady_ms))
     }
 
-    /// Returns whether a worker may be held for suspects, or has been held for the longest time just before.
+    /// Returns whether a worker may be held for suspects; not if it has been held for the longest time just before.
     fn may_be_held(&self, handle: WorkerHandle) -> bool {
         let period = self.hold_periods.get(&handle);
         period.is_none_or(|period| period.permits_hold(self.now.steady_ms))
--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -115,6 +115,7 @@
             let counts = CrashCounts {
                 certain: count,
                 possible: count,
+                early: count,
                 ..CrashCounts::default()
             };
             (
@@ -378,8 +379,9 @@
             if !run.is_proven {
                 known.wait = IsolationWait::Since(self.now.steady_ms);
             }
-            let is_certain = run.is_certain && !run.is_proven;
-            known.counts.record(is_certain, was_isolated);
+            known
+                .counts
+                .record(run.is_certain, !run.is_proven, was_isolated);
             known.given_up |= if long_running {
                 known.counts.is_long_running_given_up()
             } else {
--- a/crates/jasminefall-jobs/src/policy/crashes.rs
+++ b/crates/jasminefall-jobs/src/policy/crashes.rs
@@ -1,8 +1,8 @@
 //! Conclusions from crashes of workers about the tasks that ran there.
 //!
 //! A task may crash every worker that starts it, and a worker may crash for reasons of its own. All
-//! tasks on a crashed worker are suspects. The suspects of a job then run on a worker without other
-//! jobs, so that a further crash is most likely their own.
+//! tasks on a crashed worker are suspects. The suspects of a job then run for some time on a worker without
+//! other jobs, so that a further crash is most likely their own.
 
 /// The number of crashes after which a task is given up, if only its own job ran on the workers, or on
 /// the last one and earlier crashes may not have been counted.
@@ -15,26 +15,27 @@
 /// The number of crashes after which a task is given up, even if it isn't certain that its runs had
 /// begun.
 const GIVE_UP_AFTER_POSSIBLE_CRASHES: u32 = 5;
-/// The number of crashes after which a long-running task is given up. Its job is not shown as failed, so that
-/// a wrong conclusion loses the task.
-const GIVE_UP_LONG_RUNNING_AFTER_CRASHES: u32 = 5;
 
 /// Counts the crashes of workers under a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct CrashCounts {
-    /// The crashes while a run of the task was active.
+    /// The crashes soon after the start of a run of the task that was active.
     pub certain: u32,
     /// Those of them where only tasks of its job ran on the worker.
     pub isolated: u32,
     /// The crashes while a run was active or its start had no response.
     pub possible: u32,
+    /// Those of them soon after the start of the run.
+    pub early: u32,
 }
 
 impl CrashCounts {
-    /// Counts a crash; `is_certain` states whether the run was active, `is_isolated` whether only tasks
-    /// of its job ran on the worker.
-    pub fn record(&mut self, is_certain: bool, is_isolated: bool) {
+    /// Counts a crash; `is_active` states whether the run was active, `is_early` whether it had just started, and
+    /// `is_isolated` whether only tasks of its job ran on the worker.
+    pub fn record(&mut self, is_active: bool, is_early: bool, is_isolated: bool) {
+        let is_certain = is_active && is_early;
         self.possible += 1;
+        self.early += u32::from(is_early);
         self.certain += u32::from(is_certain);
         self.isolated += u32::from(is_certain && is_isolated);
     }
@@ -54,9 +55,10 @@
             || self.possible >= GIVE_UP_AFTER_POSSIBLE_CRASHES
     }
 
-    /// Returns whether a long-running task is given up after a crash.
+    /// Returns whether a long-running task is given up. Its job is never shown as failed, so that a wrong conclusion
+    /// loses the task.
     #[must_use]
     pub const fn is_long_running_given_up(&self) -> bool {
-        self.certain >= GIVE_UP_LONG_RUNNING_AFTER_CRASHES
+        self.early >= GIVE_UP_AFTER_POSSIBLE_CRASHES
     }
 }
