--- a/crates/jasminefall-jobs/src/leader/isolation.rs
+++ b/crates/jasminefall-jobs/src/leader/isolation.rs
@@ -24,11 +24,11 @@
 const LONG_RUNNING_ISOLATION_TIMEOUT_MS: u64 = 4_000;
 /// Time after its start from which a suspect no longer keeps other tasks off its worker, in milliseconds.
 const PROBATION_MS: u64 = 1_000;
-/// The longest time for which a worker is held for suspects, in milliseconds.
+/// The longest time from the beginning of a hold period to the end of the last hold in it, in milliseconds.
 const MAX_HOLD_MS: u64 = 6_000;
 /// Time after [`MAX_HOLD_MS`] in which a worker is not held again, so that other tasks get there, in
 /// milliseconds.
-const REST_MS: u64 = 6_000;
+const HOLD_COOLDOWN_MS: u64 = 6_000;
 
 /// Describes the period in which a worker may be held for suspects.
 #[derive(Debug, Clone, Copy)]
@@ -44,7 +44,7 @@
     }
 
     const fn is_over(&self, now_ms: u64) -> bool {
-        now_ms >= self.began_at_ms + MAX_HOLD_MS + REST_MS
+        now_ms >= self.began_at_ms + MAX_HOLD_MS + HOLD_COOLDOWN_MS
     }
 }
 
@@ -105,8 +105,8 @@
         for task in self.waiting_suspects(pool) {
             if jobs.len() < most_jobs || jobs.contains(&task.job) {
                 jobs.insert(task.job);
-            } else if !self.suspects.is_repeated(task) {
-                self.suspects.end_isolation(task);
+            } else if !self.suspects.has_repeated_crashes(task) {
+                self.suspects.end_isolation_wait(task);
             }
         }
     }
@@ -114,7 +114,7 @@
     /// Begins the waits for isolation of the suspects of a pool that an earlier leader has recorded.
     fn begin_isolation_waits(&mut self, pool: &SmolStr) {
         let now_ms = self.now.steady_ms;
-        for task in self.suspects.awaiting_begin() {
+        for task in self.suspects.with_wait_not_begun() {
             let step = self.steps.get(&task.step_id());
             if step.is_some_and(|step| step.pool == *pool && !self.may_have_unknown_runs(step)) {
                 self.suspects.begin_isolation_wait(task, now_ms);
@@ -245,7 +245,7 @@
         worker.runs.iter().any(|(task, number)| {
             let run = self.run(*task, *number);
             self.suspects.contains(*task)
-                && run.is_some_and(|run| !has_passed_probation(run, worker))
+                && run.is_some_and(|run| !has_survived_probation(run, worker))
         })
     }
 
@@ -375,7 +375,7 @@
 }
 
 /// Returns whether the worker has listed a run as active after its probation.
-pub(super) const fn has_passed_probation(run: &Run, worker: &Worker) -> bool {
+pub(super) const fn has_survived_probation(run: &Run, worker: &Worker) -> bool {
     run.listed && worker.listed_at_ms >= run.requested_at_ms + PROBATION_MS
 }
 
--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::isolation::has_passed_probation;
+use super::isolation::has_survived_probation;
 use super::{Leader, Run, RunState, Worker, WorkerHandle, first_run_number};
 use crate::ids::{IncarnationId, JobKey, TaskId};
 use crate::policy::crashes::CrashCounts;
@@ -32,7 +32,7 @@
     /// Whether the run was of a long-running task that had finished its start-up.
     has_started_up: bool,
     /// Whether the worker has listed the run as active after its probation.
-    is_proven: bool,
+    survived_probation: bool,
 }
 
 impl LostRun {
@@ -43,7 +43,7 @@
             requested_at_ms: run.requested_at_ms,
             is_certain: !matches!(run.state, RunState::Requested | RunState::Unconfirmed),
             has_started_up: run.has_started_up(),
-            is_proven: has_passed_probation(run, worker),
+            survived_probation: has_survived_probation(run, worker),
         }
     }
 }
@@ -160,7 +160,7 @@
     }
 
     /// Returns the suspects of earlier leaders whose wait for isolation has not begun.
-    pub(super) fn awaiting_begin(&self) -> Vec<TaskId> {
+    pub(super) fn with_wait_not_begun(&self) -> Vec<TaskId> {
         let awaiting = self.by_task.iter();
         let awaiting = awaiting.filter(|(_, known)| known.wait == IsolationWait::NotBegun);
         awaiting.map(|(task, _)| *task).collect()
@@ -174,13 +174,13 @@
     }
 
     /// Returns whether several workers have crashed under a task.
-    pub(crate) fn is_repeated(&self, task: TaskId) -> bool {
+    pub(crate) fn has_repeated_crashes(&self, task: TaskId) -> bool {
         let known = self.by_task.get(&task);
         known.is_some_and(|known| known.counts.certain > 1)
     }
 
     /// Ends the wait of a suspect for a worker without other jobs, until a worker crashes under it again.
-    pub(crate) fn end_isolation(&mut self, task: TaskId) {
+    pub(crate) fn end_isolation_wait(&mut self, task: TaskId) {
         if let Some(known) = self.by_task.get_mut(&task) {
             known.wait = IsolationWait::Over;
         }
@@ -376,12 +376,12 @@
             let long_running = step.is_some_and(|step| step.step().long_running);
             let known = self.suspects.by_task.entry(run.task).or_default();
             known.crashes.insert(crash, run.requested_at_ms);
-            if !run.is_proven {
+            if !run.survived_probation {
                 known.wait = IsolationWait::Since(self.now.steady_ms);
             }
             known
                 .counts
-                .record(run.is_certain, !run.is_proven, was_isolated);
+                .record(run.is_certain, !run.survived_probation, was_isolated);
             known.given_up |= if long_running {
                 known.counts.is_long_running_given_up()
             } else {
--- a/crates/jasminefall-jobs/src/policy/crashes.rs
+++ b/crates/jasminefall-jobs/src/policy/crashes.rs
@@ -7,10 +7,11 @@
 /// The number of crashes after which a task is given up, if only its own job ran on the workers, or on
 /// the last one and earlier crashes may not have been counted.
 const GIVE_UP_AFTER_ISOLATED_CRASHES: u32 = 2;
-/// The number of crashes after which a task is given up, if only its own job ran on the last worker.
-/// The first one may have come just after the task's run had ended, and the second by chance.
+/// The number of crashes after which a task is given up, if only its own job ran on the last worker, or earlier
+/// crashes may not have been counted. The first one may have come just after the task's run had ended, and the
+/// second by chance.
 const GIVE_UP_AFTER_CRASHES: u32 = 3;
-/// The number of crashes after which a task is given up, whatever ran on the workers.
+/// The number of crashes after which a task is given up, whatever ran on the workers, if all crashes are counted.
 const GIVE_UP_AFTER_SHARED_CRASHES: u32 = 4;
 /// The number of crashes after which a task is given up, even if it isn't certain that its runs had
 /// begun.
