Review case 15: a dropped and restored route lets a task run beyond its attempts

Tried: a route is dropped while a task runs that fails for the last time, and restored. Promise: no start after all attempts have failed, rule BUDGET.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.."
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=2 115 target/review/release/standin-3 gang "$PWD" "$folder" review/15/record.txt
+timeout --kill-after=2 115 target/review/release/standin-3 budget "$PWD" "$folder" review/15/record.txt
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
