--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 mod budget;
-mod gang;
+mod end_twice;
 mod late_start;
 mod missing_machine;
 
@@ -19,7 +19,7 @@
     let run = match case {
         "late-start" => late_start::run,
         "missing-machine" => missing_machine::run,
-        "gang" => gang::run,
+        "end-twice" => end_twice::run,
         "budget" => budget::run,
         _ => return Verdict::CouldNotRun("no such case".to_owned()),
     };
@@ -95,7 +95,5 @@
     Work {
         duration_ms,
         end: "done",
-        gang: 0,
-        checkpoints: false,
     }
 }
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -193,6 +193,22 @@
         self.processes.push(entry);
     }
 
+    /// Kills the control instance at an address, and starts it again after a time.
+    pub fn restart_control(&mut self, address: SocketAddr, down: Duration) {
+        let known = self.control_addresses();
+        let position = known.iter().position(|known| *known == address);
+        let position = position.expect("the address is that of a control instance");
+        let number = u8::try_from(position).unwrap() + 1;
+        let name = format!("control-{number}");
+        line(format_args!("SIGKILL {name}"));
+        let _ = self.processes[position].0.kill();
+        let _ = self.processes[position].0.wait();
+        std::thread::sleep(down);
+        line(format_args!("starts {name} again"));
+        let process = self.start_program("jasminefall-dispatch-control", &name, number, false);
+        self.processes[position] = process;
+    }
+
     /// Sends a request of the operator to the control instances in turn until one gives a clear answer.
     pub fn operate(
         &self,
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -1,6 +1,6 @@
 //! Workers: they run tasks under a lease, keep the highest fencing token, and send heartbeats.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -15,10 +15,6 @@
 const MAX_LEASE_MS: u64 = 6_000;
 /// `heartbeat_ms` of the settings.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
-/// `checkpoint_interval_s` of the settings.
-const CHECKPOINT_MS: u64 = 500;
-/// `gang_timeout_ms` of the settings.
-const GANG_TIMEOUT_MS: u64 = 3_000;
 /// How long a stop takes; at most `stop_ms`.
 const STOP_TAKES_MS: u64 = 50;
 
@@ -27,30 +23,21 @@
 pub struct Work {
     pub duration_ms: u64,
     pub end: &'static str,
-    /// The number of members if the task is one of a gang.
-    pub gang: usize,
-    /// Whether the run makes checkpoints.
-    pub checkpoints: bool,
 }
 
 /// An observation of a worker.
 #[derive(Clone, Debug)]
 pub struct Event {
-    pub at: Instant,
     pub worker: String,
     /// `start`, `noted` or the kind of an end.
     pub kind: String,
     pub task: String,
     pub run: u64,
-    pub saved: String,
 }
 
 struct Run {
     number: u64,
     started_at: Instant,
-    /// When all members of the gang were present; the start for other tasks.
-    works_since: Option<Instant>,
-    resumed_ms: u64,
     saved: String,
     stop_at: Option<Instant>,
     work: Work,
@@ -80,14 +67,18 @@
 #[derive(Default)]
 pub struct Fleet {
     pub events: Mutex<Vec<Event>>,
-    /// Who runs which task of a gang under which number, and the checkpoint that it was given.
-    gangs: Mutex<BTreeMap<(String, u64), BTreeMap<String, (String, Option<Instant>)>>>,
     /// The control addresses.
     pub controls: Mutex<Vec<SocketAddr>>,
     /// Leaves the next start unanswered and carries it out after this time, in milliseconds.
     pub late_start_ms: Mutex<Option<u64>>,
     /// The worker that has left a start unanswered.
     pub late_worker: Mutex<Option<String>>,
+    /// Cuts off the next worker that lists an end as `failed`, for this time, in milliseconds.
+    pub cut_after_failure_ms: Mutex<Option<u64>>,
+    /// The worker that has been cut off, and when.
+    pub cut_worker: Mutex<Option<(String, Instant)>>,
+    /// When a heartbeat was acknowledged last.
+    pub acknowledged_at: Mutex<Option<Instant>>,
     /// The address that the latest answer to a heartbeat named, which is that of the leader.
     pub receiver: Mutex<Option<SocketAddr>>,
 }
@@ -98,12 +89,10 @@
             "worker {worker}: {kind} {task} run {run} saved {saved:?}"
         ));
         self.events.lock().unwrap().push(Event {
-            at: Instant::now(),
             worker: worker.to_owned(),
             kind: kind.to_owned(),
             task: task.to_owned(),
             run,
-            saved: saved.to_owned(),
         });
     }
 
@@ -122,6 +111,8 @@
     work_of: Box<dyn Fn(&str, u64, &str) -> Work + Send + Sync>,
     life: Mutex<Option<Life>>,
     changed: Condvar,
+    /// Until when no byte reaches the worker or leaves it.
+    cut_until: Mutex<Option<Instant>>,
     server: Mutex<Option<Server>>,
 }
 
@@ -139,6 +130,7 @@
             work_of: Box::new(work_of),
             life: Mutex::default(),
             changed: Condvar::new(),
+            cut_until: Mutex::default(),
             server: Mutex::default(),
         })
     }
@@ -185,25 +177,28 @@
             ));
             for (task, run) in &life.running {
                 self.fleet.note(&self.name, "crashed", task, run.number, "");
-                self.leave_gang(task, run.number);
             }
         }
         self.changed.notify_all();
         *self.server.lock().unwrap() = None;
     }
 
-    fn leave_gang(&self, task: &str, run: u64) {
-        let step = task
-            .rsplit_once('.')
-            .map_or("", |(step, _)| step)
-            .to_owned();
-        let mut gangs = self.fleet.gangs.lock().unwrap();
-        if let Some(members) = gangs.get_mut(&(step, run)) {
-            members.remove(task);
+    /// Waits until the worker isn't cut off; returns whether it was.
+    fn wait_for_cut(&self) -> bool {
+        let until = *self.cut_until.lock().unwrap();
+        let left = until.map(|until| until.saturating_duration_since(Instant::now()));
+        let left = left.filter(|left| !left.is_zero());
+        if let Some(left) = left {
+            std::thread::sleep(left);
         }
+        left.is_some()
     }
 
     fn handle(self: &Arc<Self>, request: &Request) -> Reply {
+        // The sender has given up by then, so that the request is lost.
+        if self.wait_for_cut() {
+            return Reply::Close;
+        }
         if request
             .header("target-instance")
             .is_some_and(|target| target != self.name)
@@ -310,29 +305,11 @@
         let work = (self.work_of)(&task, run, &body["spec"].as_str().unwrap_or_default());
         self.fleet.note(&self.name, "start", &task, run, &given);
         let now = Instant::now();
-        if work.gang > 0 {
-            let step = task
-                .rsplit_once('.')
-                .map_or("", |(step, _)| step)
-                .to_owned();
-            let mut gangs = self.fleet.gangs.lock().unwrap();
-            let members = gangs.entry((step, run)).or_default();
-            members.insert(task.clone(), (given.clone(), None));
-            // The members work together from a common checkpoint.
-            let checkpoints: BTreeSet<_> = members.values().map(|(given, _)| given).collect();
-            if members.len() == work.gang && checkpoints.len() == 1 {
-                for (_, since) in members.values_mut() {
-                    *since = Some(now);
-                }
-            }
-        }
         life.running.insert(
             task,
             Run {
                 number: run,
                 started_at: now,
-                works_since: (work.gang == 0).then_some(now),
-                resumed_ms: progress_of(&given),
                 saved: given,
                 stop_at: None,
                 work,
@@ -381,6 +358,17 @@
                 let ended: Vec<_> = life.ended.iter().map(|end| json!(end)).collect();
                 let list = json!({ "clock_ms": life.clock_ms(), "born": life.born,
                     "running": running, "ended": ended });
+                if life.ended.iter().any(|(.., how, _)| how == "failed")
+                    && let Some(cut_ms) = self.fleet.cut_after_failure_ms.lock().unwrap().take()
+                {
+                    line(format_args!(
+                        "worker {} is cut off after this list: {list}",
+                        self.name
+                    ));
+                    let now = Instant::now();
+                    *self.cut_until.lock().unwrap() = Some(now + Duration::from_millis(cut_ms));
+                    *self.fleet.cut_worker.lock().unwrap() = Some((self.name.clone(), now));
+                }
                 return Reply::Status(200, list.to_string());
             }
             guard = self.changed.wait_timeout(guard, until - now).unwrap().0;
@@ -395,39 +383,13 @@
         let (now, clock_ms) = (Instant::now(), life.clock_ms());
         let has_lapsed = clock_ms > life.lease_until_ms;
         let mut ends = Vec::new();
-        for (task, run) in &mut life.running {
-            let step = task
-                .rsplit_once('.')
-                .map_or("", |(step, _)| step)
-                .to_owned();
-            let mut present = run.work.gang;
-            if run.work.gang > 0 {
-                let gangs = self.fleet.gangs.lock().unwrap();
-                let members = gangs.get(&(step, run.number));
-                present = members.map_or(0, BTreeMap::len);
-                if run.works_since.is_none() {
-                    let own = members.and_then(|members| members.get(task));
-                    run.works_since = own.and_then(|(_, since)| *since);
-                }
-            }
+        for (task, run) in &life.running {
             let worked_ms = worked_ms(run, now);
-            let saves = worked_ms / CHECKPOINT_MS;
-            if run.work.checkpoints && saves > run.resumed_ms / CHECKPOINT_MS {
-                run.saved = checkpoint(task, saves * CHECKPOINT_MS);
-            }
-            let waited = now.duration_since(run.started_at).as_millis();
             let kind = if has_lapsed {
                 "lapsed"
             } else if run.stop_at.is_some_and(|at| now >= at) {
-                if run.work.checkpoints && worked_ms > run.resumed_ms {
-                    run.saved = checkpoint(task, worked_ms);
-                }
                 "stopped"
-            } else if run.works_since.is_some() && present < run.work.gang {
-                "broken"
-            } else if run.works_since.is_none() && waited > u128::from(GANG_TIMEOUT_MS) {
-                "alone"
-            } else if run.works_since.is_some() && worked_ms >= run.work.duration_ms {
+            } else if worked_ms >= run.work.duration_ms {
                 run.work.end
             } else {
                 continue;
@@ -440,10 +402,6 @@
             };
             let upto = life.refused_upto.entry(task.clone()).or_default();
             *upto = (*upto).max(run.number);
-            // Ends as done leave the gang only after a time, since the members end together.
-            if *kind != "done" {
-                self.leave_gang(task, run.number);
-            }
             self.fleet
                 .note(&self.name, kind, task, run.number, &run.saved);
             let end = life.next_end;
@@ -468,6 +426,7 @@
             let controls = self.fleet.controls.lock().unwrap().clone();
             let candidates: Vec<_> = receiver.into_iter().chain(controls).collect();
             for address in candidates {
+                self.wait_for_cut();
                 let clock_ms = match self.life.lock().unwrap().as_ref() {
                     Some(life) if life.born == born => life.clock_ms(),
                     _ => return,
@@ -485,6 +444,7 @@
                     let named = named["heartbeat_addr"].as_str();
                     receiver = named.and_then(|text| text.parse().ok()).or(receiver);
                     *self.fleet.receiver.lock().unwrap() = receiver;
+                    *self.fleet.acknowledged_at.lock().unwrap() = Some(Instant::now());
                     break;
                 }
                 receiver = None;
@@ -503,25 +463,9 @@
     }
 }
 
-/// A checkpoint names the work that it stands for; each member of a gang makes its own.
-fn checkpoint(task: &str, worked_ms: u64) -> String {
-    let index = task.rsplit('.').next().unwrap_or_default();
-    format!("{worked_ms:06}-{index}")
-}
-
-fn progress_of(saved: &str) -> u64 {
-    saved
-        .split('-')
-        .next()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0)
-}
-
 fn worked_ms(run: &Run, now: Instant) -> u64 {
-    let since = run
-        .works_since
-        .map_or(0, |since| now.saturating_duration_since(since).as_millis());
-    run.resumed_ms + u64::try_from(since).unwrap()
+    let worked = now.saturating_duration_since(run.started_at);
+    u64::try_from(worked.as_millis()).unwrap()
 }
 
 fn percent(run: &Run) -> u64 {
