Review case 15: a failed run counts twice after a change of the leader

Tried: a worker is cut off before a failure that it has listed is acknowledged, and the leader is killed once the worker is removed as silent. Promise: no job is shown as failed without cause, rule LOST.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.."
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=2 115 target/review/release/standin-3 budget "$PWD" "$folder" review/15/record.txt &
+timeout --kill-after=2 115 target/review/release/standin-3 end-twice "$PWD" "$folder" review/15/record.txt &
 child=$!
 # The programs end with the stand-in.
 trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' INT TERM
--- a/review/standin-3/src/cases/late_start.rs
+++ b/review/standin-3/src/cases/late_start.rs
@@ -7,6 +7,7 @@
 
 use super::{World, done_after};
 use crate::Verdict;
+use crate::record::line;
 use crate::site::wait_until;
 use crate::worker::Event;
 
@@ -16,6 +17,8 @@
 const WORK_MS: u64 = 15_000;
 /// When the unanswered start is carried out, after its arrival; the pages name 2 to 12 s.
 const LATE_MS: u64 = 5_500;
+/// The time for which the site's own days let orders be late.
+const DISRUPTION: Duration = Duration::from_millis(6_100);
 const CRASH_AFTER_MS: u64 = 1_500;
 const DOWN_MS: u64 = 3_000;
 
@@ -39,6 +42,7 @@
     if trouble {
         *world.fleet.late_start_ms.lock().unwrap() = Some(LATE_MS);
     }
+    let began_at = Instant::now();
     let steps = json!([{ "count": 1, "cpu": 2000, "mem_mb": 512, "estimated_ms": WORK_MS }]);
     if !world.site.submit(JOB, &steps) {
         return Err(Verdict::CouldNotRun("the job was not accepted".to_owned()));
@@ -68,6 +72,14 @@
         checked = Instant::now();
         is_over()
     });
+    let orders = world.fleet.orders.lock().unwrap();
+    let within = orders
+        .iter()
+        .filter(|at| (began_at..began_at + DISRUPTION).contains(at));
+    line(format_args!(
+        "{} orders to workers within {DISRUPTION:?} from the submission on, one of them late",
+        within.count()
+    ));
     Ok(())
 }
 
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -69,6 +69,8 @@
     pub events: Mutex<Vec<Event>>,
     /// The control addresses.
     pub controls: Mutex<Vec<SocketAddr>>,
+    /// When each order to a worker arrived.
+    pub orders: Mutex<Vec<Instant>>,
     /// Leaves the next start unanswered and carries it out after this time, in milliseconds.
     pub late_start_ms: Mutex<Option<u64>>,
     /// The worker that has left a start unanswered.
@@ -205,6 +207,7 @@
         {
             return Reply::Status(421, "{}".to_owned());
         }
+        self.fleet.orders.lock().unwrap().push(Instant::now());
         let body = request.json();
         match request.path.as_str() {
             "/run-start" => {
