--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -40,12 +40,13 @@
 /// The interval between a leader's heartbeats, in milliseconds; several fit into the election timeout.
 const LEADER_HEARTBEAT_MS: u64 = 120;
 /// How often the membership is checked for a necessary change, in ticks.
-const REPAIR_INTERVAL_TICKS: u64 = 8;
+const REPAIR_INTERVAL_TICKS: u64 = 4;
 /// The interval at which the metrics of workspaces are updated, in ticks.
 const WORKSPACE_METRICS_INTERVAL_TICKS: u64 = 40;
 /// The time without messages from a voter after which another available replica replaces it, in
-/// milliseconds; longer than a restart takes.
-const REPLACE_AFTER_MS: u64 = 4_000;
+/// milliseconds; a silent leader is replaced by an election within the same time. The replaced voter stays a
+/// learner if it returns.
+const REPLACE_AFTER_MS: u64 = 2 * ELECTION_TIMEOUT_MS;
 /// The number of pending disk jobs at which messages from other replicas are dropped.
 const MAX_DISK_JOBS: usize = 1_024;
 /// The share of accepted connections that heartbeats may use on the leader, in percent. The rest is for
--- a/crates/jasminefall-dispatch/src/control/node/inner.rs
+++ b/crates/jasminefall-dispatch/src/control/node/inner.rs
@@ -20,7 +20,7 @@
 
 use super::super::platform_client::{self, InstanceRequest};
 use super::super::worker_channels::{ChannelsByWorker, Target, WorkerRequest};
-use super::{Node, ProposeError, REPAIR_INTERVAL_TICKS, now};
+use super::{Node, ProposeError, now};
 use crate::forwarding::Forwarder;
 use crate::settings::replica_address;
 
@@ -28,6 +28,8 @@
 /// since each round costs a message to every other replica and a pass over the waiting tasks. The time
 /// is a fraction of the duration of a disk sync.
 const BATCH_WINDOW: Duration = Duration::from_millis(2);
+/// How often the channels to ended incarnations are closed, in ticks.
+const CHANNEL_CHECK_INTERVAL_TICKS: u64 = 8;
 /// The number of entries applied since the last snapshot at which a new snapshot is made.
 const COMPACT_AFTER_ENTRIES: u64 = 20_000;
 /// The size of the log at which a new snapshot is made, or the size of the last snapshot if that is
@@ -476,7 +478,7 @@
         };
         self.channels.send(node, &target, request);
         // Closes the channels to ended incarnations only at some ticks, since this reads all channels.
-        if self.ticks.is_multiple_of(REPAIR_INTERVAL_TICKS) {
+        if self.ticks.is_multiple_of(CHANNEL_CHECK_INTERVAL_TICKS) {
             let Self {
                 channels, leader, ..
             } = self;
--- a/crates/jasminefall-replica/src/repair.rs
+++ b/crates/jasminefall-replica/src/repair.rs
@@ -44,12 +44,12 @@
         self
     }
 
-    /// Proposes the next membership change if the replica is the leader.
+    /// Proposes the next membership change if the replica is the leader and knows which voters answer it.
     ///
     /// Returns whether a change was due; the caller then calls [`Replica::take_ready`], because the
     /// replica may have messages to send.
     pub fn propose_next_change(&self, replica: &mut Replica, now_ms: u64) -> bool {
-        if !replica.is_leader() {
+        if !replica.has_heard_voters() {
             return false;
         }
         let members = replica.members();
@@ -114,6 +114,12 @@
         member.id != leader && (member.newer_incarnation.is_some() || is_unresponsive)
     }
 
+    /// Returns whether a voter has been silent for some time, but not for long enough to be replaced.
+    fn may_be_lost(&self, member: &MemberStatus, leader: ReplicaId) -> bool {
+        let is_quiet = member.silent_ms >= self.replace_after_ms / 2;
+        member.id != leader && is_quiet && !self.needs_replacement(member, leader)
+    }
+
     fn data_centre(&self, id: ReplicaId) -> DataCentre {
         self.data_centres.get(&id).cloned().unwrap_or_default()
     }
@@ -158,8 +164,15 @@
     /// Returns the voter to remove: first one that needs replacement, then one in the data centre
     /// with the most voters.
     ///
-    /// The leader is never chosen.
+    /// The leader is never chosen. No voter that answers is chosen while another one may be lost, because the
+    /// lost one would stay.
     fn surplus_voter(&self, voters: &[&MemberStatus], leader: ReplicaId) -> Option<ReplicaId> {
+        let mut others = voters.iter();
+        if others.clone().any(|voter| self.may_be_lost(voter, leader))
+            && !others.any(|voter| self.needs_replacement(voter, leader))
+        {
+            return None;
+        }
         let removable = voters.iter().filter(|voter| voter.id != leader);
         let rank = |voter: &&&MemberStatus| {
             let needs_replacement = self.needs_replacement(voter, leader);
--- a/crates/jasminefall-replica/src/replica.rs
+++ b/crates/jasminefall-replica/src/replica.rs
@@ -5,6 +5,7 @@
 //! [`Replica::take_ready`] returns the data to store, the messages to send and the entries to apply.
 //! The caller stores in the order given, then calls [`Replica::mark_synced`].
 
+mod contacts;
 mod election;
 mod joining;
 mod lease;
@@ -41,13 +42,16 @@
     log: Log,
     role: Role,
     leader: Option<ReplicaId>,
+    /// The time of this replica's latest election as the leader.
+    elected_at_ms: u64,
     commit_index: LogIndex,
     /// The last entry that [`Replica::take_ready`] has returned for application.
     delivered_index: LogIndex,
     /// The last entry of the log that is synced to this replica's disk.
     synced_index: LogIndex,
     now_ms: u64,
-    started: bool,
+    /// The time of the first input; `None` before it.
+    started_at_ms: Option<u64>,
     withhold_votes_until_ms: u64,
     election_at_ms: u64,
     join_requests: BTreeMap<ReplicaId, JoinRequest>,
@@ -55,6 +59,8 @@
     /// The time of the next round of join requests or [`Body::Hello`] messages.
     next_join_at_ms: u64,
     observed: BTreeMap<ReplicaId, ObservedState>,
+    /// The time of the next check for voters that have not been heard lately.
+    next_greeting_at_ms: u64,
     /// The time until which [`Body::Hello`] messages are sent, to detect outdated files.
     state_check_until_ms: u64,
     outdated: bool,
@@ -62,12 +68,14 @@
     ready: Ready,
 }
 
-/// Holds the least state that another replica must have stored, according to its messages.
+/// Holds the least state that another replica must have stored, according to its messages, and when the
+/// latest one arrived.
 #[derive(Debug, Clone, Copy, Default)]
 struct ObservedState {
     incarnation: Incarnation,
     term: Term,
     acknowledged: (Term, LogIndex),
+    heard_at_ms: u64,
 }
 
 /// Records the latest request of a replica to join the group.
@@ -95,17 +103,19 @@
             log,
             role: Role::Follower,
             leader: None,
+            elected_at_ms: 0,
             commit_index: start,
             delivered_index: start,
             synced_index,
             now_ms: 0,
-            started: false,
+            started_at_ms: None,
             withhold_votes_until_ms: 0,
             election_at_ms: 0,
             join_requests: BTreeMap::new(),
             unformed_replicas: BTreeMap::new(),
             next_join_at_ms: 0,
             observed: BTreeMap::new(),
+            next_greeting_at_ms: 0,
             state_check_until_ms: 0,
             outdated: false,
             incoming_snapshot: None,
@@ -208,8 +218,11 @@
         if self.is_leader() {
             self.step_down_without_quorum();
             self.send_heartbeats();
-        } else if self.now_ms >= self.election_at_ms {
-            self.start_pre_vote();
+        } else {
+            if self.now_ms >= self.election_at_ms {
+                self.start_pre_vote();
+            }
+            self.greet_quiet_voters();
         }
     }
 
@@ -251,10 +264,10 @@
     /// Advances the clock; the first call starts the period in which votes are withheld.
     fn advance_clock(&mut self, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
-        if self.started {
+        if self.started_at_ms.is_some() {
             return;
         }
-        self.started = true;
+        self.started_at_ms = Some(self.now_ms);
         self.withhold_votes_after_start();
     }
 
--- a/crates/jasminefall-replica/src/replica/election.rs
+++ b/crates/jasminefall-replica/src/replica/election.rs
@@ -234,18 +234,20 @@
     }
 
     fn become_leader(&mut self) {
-        let progress = Progress {
+        let progress = |other| Progress {
             sent_index: self.log.last_index(),
             last_contact_at_ms: self.now_ms,
+            responded_at_ms: self.heard_at_ms(other),
             ..Progress::default()
         };
         let others: BTreeMap<_, _> = self
             .membership()
             .members_except(self.id)
-            .map(|other| (other, progress))
+            .map(|other| (other, progress(other)))
             .collect();
         self.role = Role::Leader(others);
         self.leader = Some(self.id);
+        self.elected_at_ms = self.now_ms;
         self.append_new_entry(Payload::Noop);
     }
 
--- a/crates/jasminefall-replica/src/replica/joining.rs
+++ b/crates/jasminefall-replica/src/replica/joining.rs
@@ -127,7 +127,7 @@
         self.start_pre_vote();
     }
 
-    /// Records the state that the sender of a message must have stored.
+    /// Records the state that the sender of a message must have stored, and that it was heard.
     ///
     /// The leader treats any message of a non-member as a request to join.
     pub(super) fn observe_sender(&mut self, message: &Message) {
@@ -145,6 +145,7 @@
                 ..ObservedState::default()
             };
         }
+        observed.heard_at_ms = self.now_ms;
         let stored_term = match message.body {
             // A pre-vote request carries the next term, which its sender has not stored yet.
             Body::VoteRequest { pre: true, .. } => message.term.previous(),
--- a/crates/jasminefall-replica/src/replica/membership.rs
+++ b/crates/jasminefall-replica/src/replica/membership.rs
@@ -77,7 +77,8 @@
     pub incarnation: Incarnation,
     /// Whether it is a voter rather than a learner.
     pub is_voter: bool,
-    /// The time since the leader sent the latest message that it has answered, in milliseconds.
+    /// The time since the leader sent the latest message that it has answered, in milliseconds. If it has
+    /// not answered this leader, the time since this replica last heard it, under any leader.
     pub silent_ms: u64,
     /// The number of the leader's entries that it has not acknowledged.
     pub lag_entries: u64,
@@ -141,17 +142,17 @@
 
     fn member_status(&self, id: ReplicaId, progress: Option<Progress>) -> MemberStatus {
         let progress = progress.unwrap_or_default();
-        let (last_contact_at_ms, match_index) = if id == self.id {
+        let (responded_at_ms, match_index) = if id == self.id {
             (self.now_ms, self.log.last_index())
         } else {
-            (progress.last_contact_at_ms, progress.match_index)
+            (progress.responded_at_ms, progress.match_index)
         };
         let incarnation = self.membership().incarnation(id);
         MemberStatus {
             id,
             incarnation,
             is_voter: self.membership().voters.contains(&id),
-            silent_ms: self.now_ms.saturating_sub(last_contact_at_ms),
+            silent_ms: self.now_ms.saturating_sub(responded_at_ms),
             lag_entries: self.log.last_index().0.saturating_sub(match_index.0),
             newer_incarnation: self.newer_incarnation_of(id),
         }
--- a/crates/jasminefall-replica/src/replica/parts.rs
+++ b/crates/jasminefall-replica/src/replica/parts.rs
@@ -100,8 +100,14 @@
     pub match_index: LogIndex,
     /// The last index sent to the replica.
     pub sent_index: LogIndex,
-    /// The leader's clock when it sent the latest message that was answered, in milliseconds.
+    /// The leader's clock when it sent the latest message that was answered, or at its election if none
+    /// was, in milliseconds.
     pub last_contact_at_ms: u64,
+    /// The leader's clock when it sent the latest message that was answered, or before its election when it
+    /// last heard the replica as a follower, in milliseconds.
+    pub responded_at_ms: u64,
+    /// Whether the replica has answered this leader.
+    pub has_answered: bool,
     /// The leader's clock when it last sent entries, a heartbeat or a chunk, in milliseconds.
     pub last_sent_at_ms: u64,
     /// The leader's clock when it last moved `sent_index` back after a rejection, in milliseconds.
--- a/crates/jasminefall-replica/src/replica/replication.rs
+++ b/crates/jasminefall-replica/src/replica/replication.rs
@@ -191,6 +191,8 @@
         };
         let progress = progress.get_mut(&from)?;
         progress.last_contact_at_ms = progress.last_contact_at_ms.max(sent_at_ms);
+        progress.responded_at_ms = progress.responded_at_ms.max(sent_at_ms);
+        progress.has_answered = true;
         Some(progress)
     }
 
--- a/crates/jasminefall-replica/tests/repair.rs
+++ b/crates/jasminefall-replica/tests/repair.rs
@@ -108,3 +108,22 @@
         "data centre a holds three of six voters"
     );
 }
+
+/// Guards against a group that keeps a lost voter: a new leader removed one that answers from a group of six.
+#[test]
+fn surplus_voter_that_answers_stays_while_another_one_may_be_lost() {
+    let policy = policy(3);
+    let mut members = voters(&[1, 2, 3, 5]);
+    members[3].silent_ms = REPLACE_AFTER_MS / 2;
+    assert_eq!(policy.next_change(LEADER, &members, &[]), None);
+    members[3].silent_ms = REPLACE_AFTER_MS;
+    let removed = policy.next_change(LEADER, &members, &[]);
+    assert_eq!(removed, Some(MembershipChange::Remove(ReplicaId(5))));
+    members[3].silent_ms = 0;
+    let removed = policy.next_change(LEADER, &members, &[]);
+    assert_eq!(
+        removed,
+        Some(MembershipChange::Remove(ReplicaId(2))),
+        "data centre a holds two of four voters"
+    );
+}
--- a/crates/jasminefall-replica/tests/schedules.rs
+++ b/crates/jasminefall-replica/tests/schedules.rs
@@ -12,6 +12,7 @@
 use group::Group;
 
 const DEFAULT_SCHEDULE_COUNT: u64 = 10_000;
+const DEFAULT_REPLACEMENT_SCHEDULE_COUNT: u64 = 3_000;
 const THREAD_COUNT: u64 = 4;
 
 fn number_from_env(name: &str) -> Option<u64> {
@@ -20,15 +21,27 @@
 
 #[test]
 fn random_schedules_are_safe_and_recover_without_faults() {
+    run_schedules(Group::new, DEFAULT_SCHEDULE_COUNT);
+}
+
+/// Guards against the loss of an acknowledged entry, or of the quorum, by replaced machines beside crashes
+/// that lose unsynced data and membership changes at any step.
+#[test]
+fn random_schedules_with_replaced_machines_are_safe_and_recover() {
+    run_schedules(Group::with_replacements, DEFAULT_REPLACEMENT_SCHEDULE_COUNT);
+}
+
+/// Runs the schedules of the groups that `create` returns for each seed.
+fn run_schedules(create: fn(u64) -> Group, default_count: u64) {
     if let Some(seed) = number_from_env("SCHEDULE_SEED") {
-        return Group::new(seed).run();
+        return create(seed).run();
     }
-    let schedules = number_from_env("SCHEDULES").unwrap_or(DEFAULT_SCHEDULE_COUNT);
+    let schedules = number_from_env("SCHEDULES").unwrap_or(default_count);
     let run = |thread| {
         move || {
             (thread..schedules)
                 .step_by(THREAD_COUNT as usize)
-                .map(run_one)
+                .map(|seed| run_one(create, seed))
                 .sum::<u64>()
         }
     };
@@ -51,13 +64,13 @@
 /// It was down when it was removed, and its stale membership did not include the leader.
 #[test]
 fn replica_removed_while_down_rejoins_when_its_voters_exclude_the_leader() {
-    run_one(18_813);
+    run_one(Group::new, 18_813);
 }
 
 /// Runs one schedule and returns the number of acknowledged proposals; panics with the seed.
-fn run_one(seed: u64) -> u64 {
+fn run_one(create: fn(u64) -> Group, seed: u64) -> u64 {
     let run = std::panic::AssertUnwindSafe(|| {
-        let mut group = Group::new(seed);
+        let mut group = create(seed);
         group.run();
         group.acknowledged_count()
     });
--- a/crates/jasminefall-replica/tests/schedules/group.rs
+++ b/crates/jasminefall-replica/tests/schedules/group.rs
@@ -13,7 +13,8 @@
 const STEP_MS: u64 = 10;
 const FAULT_PHASE_MS: u64 = 6_000;
 const RECOVERY_TIMEOUT_MS: u64 = 20_000;
-const VOTER_COUNT: usize = 3;
+/// The average number of steps between two replacements of a machine.
+const STEPS_PER_REPLACEMENT: u32 = 60;
 const COMPACT_AFTER_ENTRIES: u64 = 12;
 
 /// Holds the parameters of a schedule, drawn from its seed.
@@ -45,6 +46,9 @@
 /// Runs one schedule.
 pub(crate) struct Group {
     seed: u64,
+    voter_count: usize,
+    /// Whether machines are replaced by others at new addresses.
+    replaces_machines: bool,
     random: ChaCha8Rng,
     nodes: Vec<Node>,
     in_flight: Vec<(u64, Message)>,
@@ -57,9 +61,22 @@
 }
 
 impl Group {
+    /// Creates a group of three voters.
     pub(crate) fn new(seed: u64) -> Self {
+        Self::with_voter_count(seed, 3)
+    }
+
+    /// Creates a group of five voters whose machines are also replaced.
+    pub(crate) fn with_replacements(seed: u64) -> Self {
+        Self {
+            replaces_machines: true,
+            ..Self::with_voter_count(seed, 5)
+        }
+    }
+
+    fn with_voter_count(seed: u64, voter_count: usize) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let size = VOTER_COUNT as u64 + random.random_range(0..=2);
+        let size = voter_count as u64 + random.random_range(0..=2);
         let nodes = (1..=size).map(|id| {
             let rate = random.random_range(0.955..1.045);
             Node::new(ReplicaId(id), id, rate, random.random_range(0..100_000))
@@ -67,6 +84,8 @@
         let nodes = nodes.collect();
         let mut group = Self {
             seed,
+            voter_count,
+            replaces_machines: false,
             nodes,
             in_flight: Vec::new(),
             blocked_links: BTreeSet::new(),
@@ -91,6 +110,9 @@
     pub(crate) fn run(&mut self) {
         while self.now_ms < FAULT_PHASE_MS {
             self.inject_fault();
+            if self.replaces_machines && self.random.random_ratio(1, STEPS_PER_REPLACEMENT) {
+                self.replace_machine();
+            }
             self.advance();
         }
         self.stop_faults();
@@ -118,7 +140,7 @@
             };
             replica.is_leader()
                 && replica.commit_index() >= acknowledged
-                && voters.len() >= VOTER_COUNT
+                && voters.len() >= self.voter_count
                 && voters.iter().all(has_its_files)
         })
     }
@@ -146,10 +168,15 @@
         }
     }
 
+    /// Starts a replica, unless its machine has been removed.
     fn start(&mut self, position: usize) {
-        let first: Vec<_> = (1..=VOTER_COUNT as u64).map(ReplicaId).collect();
+        if self.nodes[position].is_removed {
+            return;
+        }
+        let first: Vec<_> = (1..=self.voter_count as u64).map(ReplicaId).collect();
         let (settings, seed) = (self.settings(), self.random.random());
-        self.nodes[position].start(settings, &first, seed);
+        let peers: Vec<_> = self.nodes.iter().map(|node| node.id).collect();
+        self.nodes[position].start(settings, &first, &peers, seed);
     }
 
     /// Advances the time by one step and handles all due events; messages arrive in random order.
@@ -222,12 +249,13 @@
         if let Ok(index) = replica.read_index(now_ms) {
             self.checks.check_read(index);
         }
-        let policy = RepairPolicy::new(VOTER_COUNT, 2_000);
-        let join_requests: Vec<_> = replica.join_requests().collect();
-        let change = random_change
-            .or_else(|| policy.next_change(node.id, &replica.members(), &join_requests));
-        if let Some(change) = change {
-            let _ = replica.change_membership(now_ms, change);
+        match random_change {
+            Some(change) => {
+                let _ = replica.change_membership(now_ms, change);
+            }
+            None => {
+                RepairPolicy::new(self.voter_count, 2_000).propose_next_change(replica, now_ms);
+            }
         }
     }
 
@@ -247,16 +275,21 @@
     ///
     /// At most one of three disks may be lost while the group forms.
     fn may_lose_disk(&self) -> bool {
-        let nodes = &self.nodes[..VOTER_COUNT];
-        let is_forming = nodes.iter().any(|node| {
+        let has_lost_disk = self.last_incarnation > self.nodes.len() as u64;
+        self.has_full_memberships() && !(self.is_forming() && has_lost_disk)
+    }
+
+    /// Returns whether the group may not have been formed yet.
+    fn is_forming(&self) -> bool {
+        let nodes = &self.nodes[..self.voter_count];
+        let mut nodes = nodes.iter().filter(|node| !node.is_removed);
+        nodes.any(|node| {
             let replica = node.replica.as_ref();
             replica.is_none_or(Replica::is_unformed) || node.durable.0.entries.is_empty()
-        });
-        let has_lost_disk = self.last_incarnation > self.nodes.len() as u64;
-        self.has_full_memberships() && !(is_forming && has_lost_disk)
+        })
     }
 
-    /// Returns whether every stored or current membership has three voters, all with their files.
+    /// Returns whether every stored or current membership has all its voters, each with its files.
     fn has_full_memberships(&self) -> bool {
         self.nodes.iter().all(|node| {
             let held = node
@@ -277,7 +310,7 @@
                 .chain([node.durable.0.snapshot.membership.clone()]);
             all.filter(|membership| !membership.voters.is_empty())
                 .all(|membership| {
-                    membership.voters.len() >= VOTER_COUNT
+                    membership.voters.len() >= self.voter_count
                         && membership.voters.iter().all(|id| {
                             let node = &self.nodes[id.0 as usize - 1];
                             membership.incarnation(*id) == node.durable.0.incarnation
@@ -493,6 +526,9 @@
     }
 
     fn crash(&mut self, position: usize) {
+        if self.nodes[position].is_removed {
+            return;
+        }
         let part = self.random.random_range(0..4);
         let node = &mut self.nodes[position];
         if let Some(job) = node.jobs.pop_front() {
@@ -502,6 +538,9 @@
     }
 
     fn lose_disk(&mut self, position: usize) {
+        if self.nodes[position].is_removed {
+            return;
+        }
         self.last_incarnation += 1;
         let node = &mut self.nodes[position];
         node.crash();
@@ -510,6 +549,23 @@
         self.start(position);
     }
 
+    /// Removes a machine for good and starts another one, with an empty disk, under a new identifier.
+    fn replace_machine(&mut self) {
+        let position = self.random.random_range(0..self.nodes.len());
+        let may_replace = !self.is_forming() && self.has_full_memberships();
+        if self.nodes[position].is_removed || !may_replace {
+            return;
+        }
+        self.nodes[position].remove();
+        self.last_incarnation += 1;
+        let id = ReplicaId(self.nodes.len() as u64 + 1);
+        let rate = self.random.random_range(0.955..1.045);
+        let offset_ms = self.random.random_range(0..100_000);
+        self.nodes
+            .push(Node::new(id, self.last_incarnation, rate, offset_ms));
+        self.start(self.nodes.len() - 1);
+    }
+
     fn stop_faults(&mut self) {
         self.faults_stopped = true;
         self.blocked_links.clear();
--- a/crates/jasminefall-replica/tests/schedules/node.rs
+++ b/crates/jasminefall-replica/tests/schedules/node.rs
@@ -66,6 +66,8 @@
     pub(crate) state_hash: u64,
     /// Proposals that are not committed yet.
     pub(crate) pending_proposals: Vec<(LogIndex, Term)>,
+    /// Whether the machine has been removed for good.
+    pub(crate) is_removed: bool,
     clock_rate: f64,
     clock_offset_ms: u64,
 }
@@ -88,6 +90,7 @@
             applied: LogIndex(0),
             state_hash: 0,
             pending_proposals: Vec::new(),
+            is_removed: false,
             clock_rate,
             clock_offset_ms,
         }
@@ -104,11 +107,19 @@
         self.clock_offset_ms + elapsed_ms
     }
 
-    pub(crate) fn start(&mut self, settings: Settings, first: &[ReplicaId], seed: u64) {
+    pub(crate) fn start(
+        &mut self,
+        settings: Settings,
+        first: &[ReplicaId],
+        peers: &[ReplicaId],
+        seed: u64,
+    ) {
         let recovered = self.durable.0.clone();
         self.load(&recovered.snapshot);
         let replica = Replica::new(self.id, settings, recovered, seed);
-        self.replica = Some(replica.with_first_voters(first.iter().copied()));
+        let replica = replica.with_first_voters(first.iter().copied());
+        let others = peers.iter().copied().filter(|peer| *peer != self.id);
+        self.replica = Some(replica.with_known_peers(others));
     }
 
     pub(crate) fn crash(&mut self) {
@@ -117,6 +128,14 @@
         self.pending_proposals.clear();
     }
 
+    /// Removes the machine with its disk.
+    pub(crate) fn remove(&mut self) {
+        self.crash();
+        self.durable = DurableState::default();
+        self.durable.0.incarnation = Incarnation(u64::MAX);
+        self.is_removed = true;
+    }
+
     /// Loads the application state from a snapshot.
     pub(crate) fn load(&mut self, snapshot: &Snapshot) {
         self.applied = snapshot.index;
