fix(dispatch): search the leader side by side, within each request's own time limit (LOST)

Cause: an entry knew members that had been replaced long ago, and without a known leader each request tried them one after the other, 500 ms for each that doesn't answer. A link held a lock while connecting, so that concurrent requests connected to a dead address in turn; neither the lock nor the attempt counted towards the time limit of a call.

Change: one attempt to connect serves all calls that wait for it, and a call ends at its own limit. One search serves all requests of a process; it asks the known instances side by side and ends when one answers as the leader, so an address that followers still name gets no requests. The members are refreshed while the leader is known, and links to those that left are closed. Requests, responses and connections are as before.

--- a/crates/jasminefall-dispatch/src/control/node.rs
+++ b/crates/jasminefall-dispatch/src/control/node.rs
@@ -252,13 +252,20 @@
     /// Returns the forwarder to the instance at a peer address.
     pub(super) fn forwarder(&self, address: SocketAddr) -> Rc<Forwarder> {
         let mut inner = self.inner.borrow_mut();
-        let key = inner.key.clone();
-        let create = || Rc::new(Forwarder::new(key, vec![address]));
-        inner
-            .forwarders
-            .entry(address)
-            .or_insert_with(create)
-            .clone()
+        if let Some(forwarder) = inner.forwarders.get(&address) {
+            return forwarder.clone();
+        }
+        let forwarder = Forwarder::new(inner.key.clone(), vec![address]).with_leader(address);
+        let forwarder = Rc::new(forwarder);
+        let Inner {
+            forwarders,
+            replica,
+            ..
+        } = &mut *inner;
+        let voters = &replica.membership().voters;
+        forwarders.retain(|known, _| voters.contains(&replica_id_at(*known)));
+        forwarders.insert(address, forwarder.clone());
+        forwarder
     }
 
     /// Returns the address to which a worker should send its heartbeats, as IP:PORT.
--- a/crates/jasminefall-dispatch/src/entry.rs
+++ b/crates/jasminefall-dispatch/src/entry.rs
@@ -29,6 +29,9 @@
 const MAX_READINESS_CONNECTIONS: usize = 64;
 /// How often the entry checks that a leader is known; also the timeout of that check.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// How often the members are refreshed, in checks of the leader; several times within the time in which two
+/// control instances may be replaced.
+const MEMBERS_REFRESH_CHECKS: u64 = 4;
 /// The time in which the load balancer detects that this entry is not ready: two failed checks, a
 /// second apart.
 const BALANCER_DETECTION_TIME: Duration = Duration::from_millis(2_300);
@@ -114,15 +117,16 @@
         .collect()
 }
 
-/// Looks up the leader whenever none is known, even if no client sends requests.
+/// Searches the leader whenever none is known, and refreshes the members at intervals, even if no client
+/// sends requests.
 async fn keep_leader_known(entry: &Entry) {
-    loop {
-        if entry.forwarder.leader().is_none() {
-            // Any read locates the leader, so that wave 0 need not exist.
-            let probe = Request::WaveState(0);
-            if let Err(error) = entry.forwarder.forward(LEADER_CHECK_INTERVAL, &probe).await {
-                log::debug!("event=no_leader error={error:?}");
-            }
+    for check in 0_u64.. {
+        entry
+            .forwarder
+            .search_if_unknown(LEADER_CHECK_INTERVAL)
+            .await;
+        if check.is_multiple_of(MEMBERS_REFRESH_CHECKS) {
+            entry.forwarder.refresh_members().await;
         }
         tokio::time::sleep(LEADER_CHECK_INTERVAL).await;
     }
--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -1,28 +1,31 @@
 //! Locating the leader and forwarding requests to it.
+//!
+//! - [`topology`]: the known control instances and the links to them
+//! - [`leader_search`]: the search for the leader, and the refresh of the members
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+mod leader_search;
+mod topology;
+
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use jasminefall_runtime::clock::monotonic_ms;
-use jasminefall_wire::client::ControlLink;
 use jasminefall_wire::extended::Extended;
 use jasminefall_wire::handshake::SiteKey;
 use jasminefall_wire::link::LinkError;
 use tokio::sync::watch;
 
+use self::topology::Topology;
 use crate::message::{Request, Response};
-use crate::time_limit::{ClockReadings, TimeLimit};
-use crate::unresponsive::UnresponsiveInstances;
+use crate::time_limit::TimeLimit;
 
 /// The `Retry-After` value of responses without a known leader, in seconds; an election takes one
 /// second.
 pub const NO_LEADER_RETRY_S: u64 = 1;
-/// The pause after every known control instance has been tried without success; short compared with an
+/// The pause after the leader has not executed a request, before it is sent again; short compared with an
 /// election, which takes a second.
-const ROUND_PAUSE: Duration = Duration::from_millis(60);
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// The longest time to wait for one instance; a commit on slow disks takes a few hundred milliseconds.
 const INSTANCE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -82,34 +85,32 @@
     topology: RefCell<Topology>,
     /// The instance that most recently responded as the leader.
     answering_leader: watch::Sender<Option<SocketAddr>>,
-}
-
-/// Holds what this process knows about the control instances.
-#[derive(Default)]
-struct Topology {
-    seeds: Vec<SocketAddr>,
-    members: BTreeSet<SocketAddr>,
-    leader: Option<SocketAddr>,
-    unresponsive: UnresponsiveInstances,
-    clocks: ClockReadings,
-    links: BTreeMap<SocketAddr, Rc<ControlLink>>,
+    /// Held by the one request that searches the leader for all that wait for it.
+    search: tokio::sync::Mutex<()>,
+    /// The number of refreshes of the members, which selects the instance to ask.
+    refreshes: Cell<usize>,
 }
 
 impl Forwarder {
     /// Creates a forwarder that discovers the control instances through the peer addresses `seeds`.
     #[must_use]
     pub fn new(key: SiteKey, seeds: Vec<SocketAddr>) -> Self {
-        let topology = Topology {
-            seeds,
-            ..Topology::default()
-        };
         Self {
             key,
-            topology: RefCell::new(topology),
+            topology: RefCell::new(Topology::new(seeds)),
             answering_leader: watch::Sender::new(None),
+            search: tokio::sync::Mutex::new(()),
+            refreshes: Cell::new(0),
         }
     }
 
+    /// Sets the instance that leads, as another instance has reported.
+    #[must_use]
+    pub fn with_leader(self, leader: SocketAddr) -> Self {
+        self.topology.borrow_mut().leader = Some(leader);
+        self
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         self.topology.borrow_mut().seeds = seeds;
@@ -140,17 +141,11 @@
         let mut may_be_executed = false;
         // Whether a copy without a response may still be executed.
         let mut is_copy_under_way = false;
-        let mut tried = BTreeSet::new();
-        loop {
-            let Some(address) = self.next_candidate(&tried) else {
-                tried.clear();
-                if Instant::now() + ROUND_PAUSE >= deadline {
-                    break;
-                }
-                tokio::time::sleep(ROUND_PAUSE).await;
-                continue;
-            };
-            tried.insert(address);
+        let mut rejected_by = None;
+        while let Some(address) = self.find_leader(deadline).await {
+            if rejected_by.take() == Some(address) {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
             let remaining = deadline.saturating_duration_since(Instant::now());
             if remaining.is_zero() {
                 break;
@@ -160,21 +155,19 @@
                 leader = self.other_leader_answered(address) => {
                     log::info!("event=forward_moved from={address} to={leader}");
                     is_copy_under_way = true;
-                    tried.remove(&leader);
                     continue;
                 }
             };
             match response {
-                Ok(Response::NotLeader { leader, members }) => {
-                    let leader = leader.filter(|leader| !self.is_unresponsive(*leader));
-                    self.record_redirect(leader, &members, address);
-                    if let Some(leader) = leader {
-                        tried.remove(&leader);
-                        tried.insert(address);
-                    }
+                Ok(Response::NotLeader { .. }) => {
+                    rejected_by = Some(address);
+                    self.clear_leader(address);
+                }
+                Ok(Response::Unknown) => {
+                    may_be_executed = true;
+                    rejected_by = Some(address);
                 }
-                Ok(Response::Unknown) => may_be_executed = true,
-                Ok(Response::Expired) => {}
+                Ok(Response::Expired) => rejected_by = Some(address),
                 Ok(response) => {
                     self.record_leader(address);
                     // The refusal of one copy doesn't prevent the other one from being accepted.
@@ -201,7 +194,7 @@
         remaining: Duration,
         request: &Request,
     ) -> Result<Response, LinkError> {
-        let link = self.link(address);
+        let link = self.topology.borrow_mut().link(address, &self.key);
         let sent_at_ms = monotonic_ms();
         let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
         let limit = {
@@ -240,7 +233,8 @@
             }
             LinkError::Unknown(error) => {
                 log::warn!("event=forward_unanswered to={address} error=\"{error}\"");
-                self.mark_unresponsive(address);
+                let mut topology = self.topology.borrow_mut();
+                topology.unresponsive.insert(address, Instant::now());
                 true
             }
         };
@@ -260,59 +254,6 @@
         std::future::pending().await
     }
 
-    /// Returns the next instance to try: the leader, then the members, then the seeds.
-    fn next_candidate(&self, tried: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
-        let topology = self.topology.borrow();
-        let members = topology.members.iter().copied();
-        let order = topology
-            .leader
-            .into_iter()
-            .chain(members)
-            .chain(topology.seeds.iter().copied());
-        let now = Instant::now();
-        order.into_iter().find(|address| {
-            !tried.contains(address) && !topology.unresponsive.contains(*address, now)
-        })
-    }
-
-    fn is_unresponsive(&self, address: SocketAddr) -> bool {
-        let topology = self.topology.borrow();
-        topology.unresponsive.contains(address, Instant::now())
-    }
-
-    fn mark_unresponsive(&self, address: SocketAddr) {
-        let mut topology = self.topology.borrow_mut();
-        topology.unresponsive.insert(address, Instant::now());
-    }
-
-    fn link(&self, address: SocketAddr) -> Rc<ControlLink> {
-        let mut topology = self.topology.borrow_mut();
-        let create = || Rc::new(ControlLink::new(address, self.key.clone()));
-        topology.links.entry(address).or_insert_with(create).clone()
-    }
-
-    /// Records the leader and the members reported by an instance that is not the leader.
-    fn record_redirect(
-        &self,
-        leader: Option<SocketAddr>,
-        members: &[SocketAddr],
-        reporter: SocketAddr,
-    ) {
-        let mut topology = self.topology.borrow_mut();
-        if !members.is_empty() {
-            topology.members = members.iter().copied().collect();
-        }
-        let previous = topology.leader;
-        if leader.is_some() && leader != previous {
-            log::info!(
-                "event=leader_found leader={leader:?} before={previous:?} reported_by={reporter}"
-            );
-        }
-        if leader.is_some() || previous == Some(reporter) {
-            topology.leader = leader;
-        }
-    }
-
     fn clear_leader(&self, address: SocketAddr) {
         let mut topology = self.topology.borrow_mut();
         if topology.leader == Some(address) {
--- a/crates/jasminefall-dispatch/tests/forwarding.rs
+++ b/crates/jasminefall-dispatch/tests/forwarding.rs
@@ -11,39 +11,56 @@
 use jasminefall_wire::handshake::SiteKey;
 use jasminefall_wire::message::ControlError;
 use jasminefall_wire::server::{ControlService, serve_control};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local, yield_now};
 
 const KEY: &[u8] = b"the key of a site under test, 32";
 /// The limit of calls that must succeed; far longer than the time to wait for one instance.
 const LIMIT: Duration = Duration::from_secs(10);
+/// The longest time that an entry forwards a request.
+const ENTRY_LIMIT: Duration = Duration::from_millis(1_800);
 /// The limit of calls that get a response within some turns of the runtime, or never.
 const SHORT_LIMIT: Duration = Duration::from_millis(300);
 
+/// What a follower knows of the group.
+#[derive(Clone)]
+struct KnownGroup {
+    leader: SocketAddr,
+    members: Vec<SocketAddr>,
+}
+
 /// Models a control instance that records requests and can stop responding.
 #[derive(Clone, Default)]
 struct ModelledControl {
     /// The wave numbers of the received requests.
     received: Rc<RefCell<Vec<u64>>>,
     is_unresponsive: Rc<Cell<bool>>,
+    /// What it names if it isn't the leader itself.
+    followed: Rc<RefCell<Option<KnownGroup>>>,
 }
 
 impl ModelledControl {
     /// Serves on a loopback address; responds to every read of a wave unless it is unresponsive.
     async fn serve(&self) -> SocketAddr {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let Self {
             received,
             is_unresponsive,
+            followed,
         } = self.clone();
         let service = ControlService {
             step: Box::new(|_| {}),
             propose: Box::new(|_| Box::pin(async { Err(ControlError::NotLeader(None)) })),
             renew: Box::new(|_| Box::pin(async { Err(ControlError::NotLeader(None)) })),
             forward: Box::new(move |body| {
-                let response = match decode(&body) {
-                    Ok(Request::WaveState(number)) => {
+                let response = match (followed.borrow().clone(), decode(&body)) {
+                    (Some(group), _) => Response::NotLeader {
+                        leader: Some(group.leader),
+                        members: group.members,
+                    },
+                    (None, Ok(Request::WaveState(number))) => {
                         received.borrow_mut().push(number);
                         Response::Wave { complete: true }
                     }
@@ -66,6 +83,12 @@
         self.received.borrow().clone()
     }
 
+    /// Makes the instance follow a leader of a group with these members.
+    fn follow(&self, leader: SocketAddr, members: &[SocketAddr]) {
+        let members = members.to_vec();
+        self.followed.replace(Some(KnownGroup { leader, members }));
+    }
+
     /// Waits until the request for the wave with this number has been received.
     async fn wait_for_request(&self, number: u64) {
         while !self.received.borrow().contains(&number) {
@@ -124,6 +147,102 @@
         .await;
 }
 
+/// Returns an address that accepts connections and never answers, as long as the listener is kept.
+async fn silent_address() -> (SocketAddr, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    (listener.local_addr().unwrap(), listener)
+}
+
+/// Guards against LOST: requests waited for one dead address after the other, and for each other's attempts.
+#[tokio::test]
+async fn requests_find_the_leader_behind_dead_addresses_at_any_rate() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let mut listeners = Vec::new();
+            let mut seeds = Vec::new();
+            for _ in 0..5 {
+                let (address, listener) = silent_address().await;
+                seeds.push(address);
+                listeners.push(listener);
+            }
+            let (refusing, listener) = silent_address().await;
+            drop(listener);
+            seeds.push(refusing);
+            let leader = ModelledControl::default();
+            seeds.push(leader.serve().await);
+            let forwarder = Rc::new(Forwarder::new(SiteKey::new(KEY), seeds.clone()));
+            let calls: Vec<_> = (0..60)
+                .map(|number| {
+                    let forwarder = forwarder.clone();
+                    spawn_local(async move {
+                        tokio::time::sleep(Duration::from_millis(10 * number)).await;
+                        forwarder
+                            .forward(ENTRY_LIMIT, &Request::WaveState(number))
+                            .await
+                    })
+                })
+                .collect();
+            for call in calls {
+                call.await.unwrap().expect("the leader is found");
+            }
+            assert_eq!(forwarder.leader(), seeds.last().copied());
+        })
+        .await;
+}
+
+/// Guards against LOST: an entry knew only members that had all been replaced since the leader changed last.
+#[tokio::test]
+async fn leader_is_found_after_all_members_known_from_its_election_are_replaced() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let (first_leader, follower) = (ModelledControl::default(), ModelledControl::default());
+            let seeds = vec![follower.serve().await, first_leader.serve().await];
+            follower.follow(seeds[1], &seeds);
+            let forwarder = Forwarder::new(SiteKey::new(KEY), seeds.clone());
+            forwarder.forward(LIMIT, &submission()).await.unwrap();
+            assert_eq!(forwarder.leader(), Some(seeds[1]));
+
+            let (new_leader, new_follower) =
+                (ModelledControl::default(), ModelledControl::default());
+            let members = [new_leader.serve().await, new_follower.serve().await];
+            follower.follow(seeds[1], &members);
+            forwarder.refresh_members().await;
+
+            first_leader.is_unresponsive.set(true);
+            follower.follow(seeds[1], &seeds);
+            new_follower.follow(members[0], &members);
+            forwarder
+                .forward(LIMIT, &Request::WaveState(1))
+                .await
+                .unwrap();
+            assert_eq!(forwarder.leader(), Some(members[0]));
+        })
+        .await;
+}
+
+/// Guards against requests to a lost leader that followers still name.
+#[tokio::test]
+async fn leader_that_only_others_name_gets_no_requests() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let (follower, leader) = (ModelledControl::default(), ModelledControl::default());
+            let (lost, _listener) = silent_address().await;
+            let seeds = vec![follower.serve().await, leader.serve().await];
+            follower.follow(lost, &[lost, seeds[0], seeds[1]]);
+            let forwarder = Forwarder::new(SiteKey::new(KEY), seeds.clone());
+            forwarder
+                .forward(LIMIT, &Request::WaveState(1))
+                .await
+                .unwrap();
+            assert_eq!(forwarder.leader(), Some(seeds[1]));
+            assert_eq!(leader.received(), [1]);
+        })
+        .await;
+}
+
 fn submission() -> Request {
     Request::Client {
         host: "layouts.example".into(),
--- a/crates/jasminefall-wire/tests/calls.rs
+++ b/crates/jasminefall-wire/tests/calls.rs
@@ -8,6 +8,7 @@
 use jasminefall_replica::prelude::*;
 use jasminefall_wire::client::ControlLink;
 use jasminefall_wire::handshake::SiteKey;
+use jasminefall_wire::link::LinkError;
 use jasminefall_wire::server::{ControlService, serve_control};
 use sha2::Sha256;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -141,3 +142,37 @@
     assert_eq!(received, ["[172, 2]"]);
     assert_eq!(response, FORWARD_RESPONSE);
 }
+
+/// Guards against LOST: calls to an address that doesn't answer connected one after the other, so that each
+/// waited for the attempts of those before it, beyond its own time limit.
+#[tokio::test]
+async fn calls_to_a_silent_address_share_one_attempt_and_end_at_their_own_limits() {
+    let local = LocalSet::new();
+    let run = local.run_until(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let accepted = Rc::new(RefCell::new(Vec::new()));
+        let connections = accepted.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                connections.borrow_mut().push(stream);
+            }
+        });
+        let link = Rc::new(ControlLink::new(address, SiteKey::new(KEY)));
+        let calls: Vec<_> = (0..20)
+            .map(|_| {
+                let link = link.clone();
+                spawn_local(async move {
+                    let limit = Duration::from_millis(100);
+                    link.forward::<_, u8>(limit, &300_u64).await
+                })
+            })
+            .collect();
+        for call in calls {
+            let outcome = call.await.unwrap();
+            assert!(matches!(outcome, Err(LinkError::NotSent(_))), "{outcome:?}");
+        }
+        assert_eq!(accepted.borrow().len(), 1);
+    });
+    run.await;
+}
