--- a/crates/jasminefall-dispatch/src/control/node/inner.rs
+++ b/crates/jasminefall-dispatch/src/control/node/inner.rs
@@ -414,12 +414,13 @@
                     }
                 }
             },
-            Effect::ListInstances => {
+            Effect::ListInstances { requested_at_ms } => {
                 if let Some(address) = self.settings.instance_api_address {
                     actix_rt::spawn(platform_client::list_instances(
                         node.clone(),
                         address,
                         token,
+                        requested_at_ms,
                     ));
                 }
             }
--- a/crates/jasminefall-dispatch/src/control/platform_client.rs
+++ b/crates/jasminefall-dispatch/src/control/platform_client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jasminefall_jobs::leader::{AdviceFailure, AdviceRequest, InstanceResponse, ListedInstance};
+use jasminefall_jobs::leader::{AdviceFailure, AdviceRequest, InstanceList, InstanceResponse};
 use jasminefall_platform::instances::{
     FENCING_TOKEN_HEADER, LEASE_HOLDER_HEADER, decode_advice, decode_instance_page,
     decode_instance_response, encode_advice_request, encode_maintenance, encode_move,
@@ -101,10 +101,19 @@
     body: &'a str,
 }
 
-/// Reads the list of instances page by page and passes it to the leader.
-pub(super) async fn list_instances(node: Node, address: SocketAddr, fencing_token: u64) {
+/// Reads the list of instances page by page and passes it to the leader, which requested it at
+/// `requested_at_ms` on its steady clock.
+pub(super) async fn list_instances(
+    node: Node,
+    address: SocketAddr,
+    fencing_token: u64,
+    requested_at_ms: u64,
+) {
     let platform = node.platform_client();
-    let mut listed: Vec<ListedInstance> = Vec::new();
+    let mut list = InstanceList {
+        requested_at_ms,
+        instances: Vec::new(),
+    };
     let mut unreadable = 0;
     let mut page: Option<String> = None;
     for _ in 0..MAX_PAGES {
@@ -132,7 +141,7 @@
         match decode_instance_page(&body) {
             Ok(found) => {
                 unreadable += found.unreadable;
-                listed.extend(found.instances);
+                list.instances.extend(found.instances);
                 page = found.next;
             }
             Err(error) => {
@@ -152,9 +161,9 @@
     if unreadable > 0 {
         log::warn!("event=instance_entries_unreadable count={unreadable}");
     }
-    log::info!("event=instances_read count={}", listed.len());
+    log::info!("event=instances_read count={}", list.instances.len());
     node.with_leadership(fencing_token, |leader, state| {
-        leader.on_instance_list(&listed, state);
+        leader.on_instance_list(&list, state);
     });
 }
 
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -69,7 +69,7 @@
 use self::directory::Directory;
 use self::failures::FailedTasks;
 use self::fleet::Fleet;
-pub use self::fleet::{InstanceResponse, ListedInstance};
+pub use self::fleet::{InstanceList, InstanceResponse, ListedInstance};
 use self::handovers::Handovers;
 use self::incarnations::EndedIncarnation;
 use self::isolation::HoldPeriod;
@@ -188,7 +188,10 @@
     /// Asks the advice service on which workers a step is permitted.
     Advise(AdviceRequest),
     /// Requests the platform's list of instances.
-    ListInstances,
+    ListInstances {
+        /// The time of the request, on the leader's steady clock in milliseconds.
+        requested_at_ms: u64,
+    },
     /// Sends an instance into maintenance.
     Maintain {
         /// The name of the instance that enters maintenance.
--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -2,13 +2,17 @@
 //!
 //! A new leader requests the platform's instance list at once and then at intervals. Between two
 //! lists, the leader's own requests and the heartbeats of workers keep the data up to date.
+//!
+//! A list shows some moment between its request and its arrival, which can be seconds apart, and lists can
+//! overtake one another. Whatever is concluded from a list about a fact therefore needs one that was
+//! requested after the fact was known ([`Fleet::covers`]).
 
 use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
 
 use super::handovers::Successor;
-use super::{Effect, Leader, Worker, WorkerHandle};
+use super::{Effect, Leader, WorkerHandle};
 use crate::state::{Command, JobsState};
 
 /// Interval at which the instance list is requested, in milliseconds; instances are added and
@@ -35,6 +39,15 @@
     pub in_maintenance: bool,
 }
 
+/// Holds the platform's list of all instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceList {
+    /// When the first page was requested, on the leader's steady clock in milliseconds.
+    pub requested_at_ms: u64,
+    /// The instances.
+    pub instances: Vec<ListedInstance>,
+}
+
 /// Classifies the platform's response to a maintenance or move request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InstanceResponse {
@@ -55,15 +68,28 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Fleet {
     pub(crate) instances: BTreeMap<SmolStr, ListedInstance>,
+    /// When the latest list that has arrived was requested; `None` before the first one.
+    as_of_ms: Option<u64>,
+    /// When a list was requested last.
     requested_at_ms: Option<u64>,
-    listed: bool,
     refresh_requested: bool,
 }
 
 impl Fleet {
     /// Returns whether this leader has received an instance list.
     pub(crate) const fn is_listed(&self) -> bool {
-        self.listed
+        self.as_of_ms.is_some()
+    }
+
+    /// Returns whether the latest list was requested at a time on the steady clock or later, so that it shows
+    /// what was so by then.
+    pub(crate) fn covers(&self, at_ms: u64) -> bool {
+        self.as_of_ms.is_some_and(|as_of_ms| as_of_ms >= at_ms)
+    }
+
+    /// Returns whether an instance that may have existed at a time on the steady clock is known to be gone.
+    pub(crate) fn lacks(&self, instance: &str, at_ms: u64) -> bool {
+        self.covers(at_ms) && !self.instances.contains_key(instance)
     }
 
     /// Returns whether the platform lists an instance as in maintenance.
@@ -104,7 +130,7 @@
     /// Requests the instance list if it is due.
     pub(super) fn refresh_instance_list(&mut self) {
         let now_ms = self.now.steady_ms;
-        let interval_ms = if self.fleet.refresh_requested || !self.fleet.listed {
+        let interval_ms = if self.fleet.refresh_requested || !self.fleet.is_listed() {
             LIST_RETRY_MS
         } else {
             LIST_INTERVAL_MS
@@ -115,7 +141,9 @@
         }
         self.fleet.requested_at_ms = Some(now_ms);
         self.fleet.refresh_requested = false;
-        self.effects.push(Effect::ListInstances);
+        self.effects.push(Effect::ListInstances {
+            requested_at_ms: now_ms,
+        });
     }
 
     /// Returns the worker on an instance: the one that names the instance in its heartbeat,
@@ -172,11 +200,11 @@
                 listed.up = false;
             }
         }
-        let requested_at_ms = self.fleet.requested_at_ms.unwrap_or(0);
-        let has_joined_since = |worker: &&Worker| worker.joined_at_ms >= requested_at_ms;
-        for worker in self.workers.values().filter(has_joined_since) {
-            if let Some(instance) = &worker.heartbeat.instance {
-                let heartbeat = &worker.heartbeat;
+        for worker in self.workers.values() {
+            let heartbeat = &worker.heartbeat;
+            if let Some(instance) = &heartbeat.instance
+                && !self.fleet.covers(worker.joined_at_ms)
+            {
                 let fleet = &mut self.fleet;
                 fleet.record_up(instance, &heartbeat.pool, &heartbeat.incarnation.worker);
             }
@@ -184,13 +212,20 @@
     }
 
     /// Replaces the known instances by the platform's list, and records instances of a wave that
-    /// the list lacks as maintained, since their maintenance can never start.
-    pub fn on_instance_list(&mut self, listed: &[ListedInstance], state: &JobsState) {
-        self.fleet.listed = true;
+    /// the list lacks as maintained, since their maintenance can never start. Ignores a list that a later one
+    /// has overtaken.
+    pub fn on_instance_list(&mut self, list: &InstanceList, state: &JobsState) {
+        let requested_ms_ago = self.now.steady_ms.saturating_sub(list.requested_at_ms);
+        if self.fleet.covers(list.requested_at_ms + 1) {
+            return self.log_event(format!(
+                "event=instance_list_overtaken requested_ms_ago={requested_ms_ago}"
+            ));
+        }
+        self.fleet.as_of_ms = Some(list.requested_at_ms);
         // An entry of an unknown pool, or without one, doesn't replace another entry of its instance.
         let is_of_known_pool =
             |entry: &&ListedInstance| state.configuration.pool(&entry.pool).is_some();
-        let (known, odd): (Vec<_>, Vec<_>) = listed.iter().partition(is_of_known_pool);
+        let (known, odd): (Vec<_>, Vec<_>) = list.instances.iter().partition(is_of_known_pool);
         let by_name = odd
             .into_iter()
             .chain(known)
@@ -201,16 +236,17 @@
         self.record_listed_maintenance(state);
         let mut missing = Vec::new();
         for (number, wave) in &state.waves {
+            let known_since_ms = self.maintenance.known_since_ms(*number);
             for instance in &wave.instances {
-                let is_listed = self.fleet.instances.contains_key(instance);
-                if !is_listed && !wave.maintained.contains(instance) {
+                if self.fleet.lacks(instance, known_since_ms) && !wave.maintained.contains(instance)
+                {
                     missing.push((*number, instance.clone()));
                 }
             }
         }
         for (wave, instance) in missing {
             self.log_event(format!(
-                "event=instance_missing instance={instance} wave={wave}"
+                "event=instance_missing instance={instance} wave={wave} requested_ms_ago={requested_ms_ago}"
             ));
             self.maintenance.remove(wave, &instance);
             self.propose(Command::RecordMaintained { wave, instance });
--- a/crates/jasminefall-jobs/src/leader/maintenance.rs
+++ b/crates/jasminefall-jobs/src/leader/maintenance.rs
@@ -62,6 +62,8 @@
     due: HashSet<SmolStr>,
     /// The waves that an earlier leader may have requested maintenance for.
     inherited_waves: BTreeSet<u64>,
+    /// When waves were accepted under this leader, on the steady clock.
+    accepted_at_ms: BTreeMap<u64, u64>,
     advanced_at_ms: u64,
 }
 
@@ -76,6 +78,12 @@
         }
     }
 
+    /// Returns since when this leader has known a wave, on the steady clock; zero for a wave that an earlier
+    /// leader accepted, since this one has requested no list before it knew it.
+    pub(crate) fn known_since_ms(&self, wave: u64) -> u64 {
+        self.accepted_at_ms.get(&wave).copied().unwrap_or(0)
+    }
+
     /// Returns whether an instance is being evacuated or is down for its maintenance.
     pub(crate) fn is_in_progress(&self, instance: &str) -> bool {
         self.in_progress.contains(instance)
@@ -133,6 +141,16 @@
 }
 
 impl Leader {
+    /// Records that a wave was accepted, now or by an earlier request.
+    pub(super) fn record_wave(&mut self, wave: u64) {
+        let now_ms = self.now.steady_ms;
+        if !self.maintenance.inherited_waves.contains(&wave) {
+            let accepted_at_ms = &mut self.maintenance.accepted_at_ms;
+            accepted_at_ms.entry(wave).or_insert(now_ms);
+        }
+        self.log_event(format!("event=wave_accepted wave={wave}"));
+    }
+
     /// Advances every wave, at intervals.
     pub(super) fn advance_maintenance(&mut self, state: &JobsState) {
         let now_ms = self.now.steady_ms;
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -538,7 +538,7 @@
             } => {
                 self.on_run_ends_recorded(incarnation, ends, state);
             }
-            Command::StartWave { .. } => self.log_event("event=wave_accepted".to_owned()),
+            Command::StartWave { wave, .. } => self.record_wave(*wave),
             Command::Lead
             | Command::Retire(_)
             | Command::RecordMaintained { .. }
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -22,6 +22,8 @@
 mod harness;
 #[path = "leader/hot_workspace.rs"]
 mod hot_workspace;
+#[path = "leader/instance_lists.rs"]
+mod instance_lists;
 #[path = "leader/isolation.rs"]
 mod isolation;
 #[path = "leader/leases.rs"]
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use jasminefall_jobs::leader::{
-    Advice, AdviceFailure, AdviceRequest, CancelDecision, Effect, InstanceResponse, Leader,
-    LeaderSettings, ListedInstance, Now, PollRequest, QueryResponse, StartRequest, SubmitDecision,
-    WaitReason, WorkerHandle, WorkspaceUse,
+    Advice, AdviceFailure, AdviceRequest, CancelDecision, Effect, InstanceList, InstanceResponse,
+    Leader, LeaderSettings, ListedInstance, Now, PollRequest, QueryResponse, StartRequest,
+    SubmitDecision, WaitReason, WorkerHandle, WorkspaceUse,
 };
 use jasminefall_jobs::prelude::*;
 use smol_str::{SmolStr, format_smolstr};
@@ -492,7 +492,7 @@
                     .on_move_response(&instance, &pool, response, &self.state);
             }
             Effect::Advise(request) => self.advice_requests.push_back(request),
-            Effect::Pace { .. } | Effect::ListInstances => {}
+            Effect::Pace { .. } | Effect::ListInstances { .. } => {}
         }
     }
 
@@ -1006,8 +1006,22 @@
         self.deliver_instance_list(&listed);
     }
 
+    /// Delivers an instance list that was requested just now.
     pub(crate) fn deliver_instance_list(&mut self, listed: &[ListedInstance]) {
-        self.leader.on_instance_list(listed, &self.state);
+        self.deliver_instance_list_requested_at(self.now.steady_ms, listed);
+    }
+
+    /// Delivers an instance list that was requested at an earlier time.
+    pub(crate) fn deliver_instance_list_requested_at(
+        &mut self,
+        requested_at_ms: u64,
+        listed: &[ListedInstance],
+    ) {
+        let list = InstanceList {
+            requested_at_ms,
+            instances: listed.to_vec(),
+        };
+        self.leader.on_instance_list(&list, &self.state);
         self.process_effects();
     }
 
@@ -1025,10 +1039,15 @@
             ..Wave::default()
         };
         let previously_enabled = std::mem::replace(&mut self.commits_enabled, true);
-        self.state.apply(Command::StartWave { wave: 1, plan });
+        self.apply(Command::StartWave { wave: 1, plan });
         self.commits_enabled = previously_enabled;
     }
 
+    /// Returns the leader's steady clock.
+    pub(crate) fn steady_ms(&self) -> u64 {
+        self.now.steady_ms
+    }
+
     pub(crate) fn respond_to_maintenance(
         &mut self,
         instance: &SmolStr,
