fix(jobs): don't end an incarnation by a list from before it joined (TWICE)

What callers would see: a task runs twice. A new leader ends an incarnation that goes on, and starts its tasks elsewhere.

A new leader ends incarnations of earlier leaders whose instance is away or has another worker by the platform's list. The next incarnation of such a worker takes over its place among them, and may have begun after the list was requested.

Change: a list concerns only incarnations that had joined when it was requested.

Evidence: list_from_before_an_incarnation_joined_does_not_end_it failed before and passes.

--- a/crates/jasminefall-jobs/src/leader/fleet.rs
+++ b/crates/jasminefall-jobs/src/leader/fleet.rs
@@ -161,7 +161,8 @@
     }
 
     /// Ends unreconciled incarnations whose instance is moving or in maintenance, is in another
-    /// pool or has another worker. No run that an earlier leader started there can still be active.
+    /// pool or has another worker. No run that an earlier leader started there can still be active. One that
+    /// joined after the list was requested isn't concerned.
     fn end_replaced_incarnations(&mut self, state: &JobsState) {
         let mut ended = Vec::new();
         for incarnation in self.unreconciled.keys() {
@@ -169,6 +170,7 @@
                 continue;
             };
             let worker = self.workers.get(&handle);
+            let worker = worker.filter(|worker| self.fleet.covers(worker.joined_at_ms));
             let instance = worker.and_then(|worker| worker.heartbeat.instance.as_ref());
             let listed = instance.and_then(|instance| self.fleet.instances.get(instance));
             // An entry of an unknown pool says nothing about the worker.
--- a/crates/jasminefall-jobs/tests/leader/instance_lists.rs
+++ b/crates/jasminefall-jobs/tests/leader/instance_lists.rs
@@ -60,3 +60,29 @@
         assert_eq!(maintained(&harness), ["m-9"]);
     }
 }
+
+/// Guards against TWICE: the next incarnation of a worker, which had taken over what earlier leaders may have
+/// started, was ended by a list from before it began, although it went on.
+#[test]
+fn list_from_before_an_incarnation_joined_does_not_end_it() {
+    let mut harness = Harness::new(1);
+    harness.list_instances();
+    harness.change_leader();
+    let requested_at_ms = harness.steady_ms();
+    harness.advance_by(1_000);
+    harness.restart_under_name(&"i-0".into());
+    harness.send_heartbeats();
+    assert_eq!(harness.worker_count(), 1);
+    let in_maintenance = ListedInstance {
+        up: false,
+        is_unavailable: true,
+        in_maintenance: true,
+        ..harness::up_instance("m-0", harness::POOL)
+    };
+    let list = [in_maintenance];
+    harness.deliver_instance_list_requested_at(requested_at_ms, &list);
+    assert_eq!(harness.worker_count(), 1);
+    harness.advance_by(1_000);
+    harness.deliver_instance_list(&list);
+    assert_eq!(harness.worker_count(), 0, "this list shows its end");
+}
