--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -80,8 +80,8 @@
     /// Time from which a probe shows whether a start without a response has taken effect, on the
     /// leader's steady clock.
     pub(crate) probe_at_ms: Option<u64>,
-    /// The number of the last end that was processed before the incarnation was removed as silent; its
-    /// return begins a new record in the replicated state, which doesn't hold this number.
+    /// The number of the last end that this leader had processed before it removed the incarnation as silent;
+    /// the commit of this end may still be under way.
     settled_upto: u64,
     /// The number of the last run end that was processed.
     pub(crate) ends_seen: u64,
@@ -191,8 +191,7 @@
 
     /// Returns the number up to which the run ends of the worker are recorded.
     pub(crate) fn recorded_upto(&self, state: &JobsState) -> u64 {
-        let record = state.incarnations.get(self.incarnation());
-        let recorded_upto = record.map_or(0, |record| record.recorded_upto);
+        let recorded_upto = state.ends_recorded_upto(self.incarnation());
         recorded_upto.max(self.settled_upto)
     }
 
--- a/crates/jasminefall-jobs/src/state.rs
+++ b/crates/jasminefall-jobs/src/state.rs
@@ -8,6 +8,7 @@
 mod former_pools;
 mod job;
 mod occurrences;
+mod retired;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 pub use self::job::{Job, JobStatus, StepProgress, TaskProgress};
 use self::occurrences::LongJob;
 pub use self::occurrences::{Occurrence, Occurrences};
+pub use self::retired::{MAX_RETIRED_INCARNATIONS, RetiredIncarnations};
 use crate::configuration::Configuration;
 use crate::ids::{IncarnationId, JobKey, QueueKey, TaskId};
 use crate::job::{JobSpec, Resources};
@@ -249,6 +251,11 @@
     /// after the jobs with a long schedule. As the crashes, they decide nothing in [`Self::apply`].
     #[serde(skip)]
     pub former_pools: FormerPools,
+    /// How far the run ends of removed incarnations have been recorded. A snapshot holds them after the
+    /// former pools. As the crashes, they decide nothing in [`Self::apply`]; the leader proposes no end that is
+    /// recorded.
+    #[serde(skip)]
+    pub retired: RetiredIncarnations,
     /// The jobs that were cancelled before they were submitted; derived from the jobs.
     #[serde(skip)]
     pub early_cancellations: BTreeSet<JobKey>,
@@ -281,7 +288,8 @@
         let jobs = self.jobs.iter();
         let long_jobs = jobs.filter_map(|(key, job)| Some((*key, LongJob::of(job)?)));
         let bytes = postcard::to_extend(&long_jobs.collect::<BTreeMap<_, _>>(), bytes)?;
-        postcard::to_extend(&self.former_pools, bytes)
+        let bytes = postcard::to_extend(&self.former_pools, bytes)?;
+        postcard::to_extend(&self.retired, bytes)
     }
 
     /// Decodes the state from a snapshot.
@@ -290,12 +298,16 @@
     ///
     /// Returns the error of the decoder, for example if an incompatible version wrote the snapshot.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let (mut state, rest) = Self::decode_earlier_sections(bytes)?;
-        if rest.is_empty() {
+        let (mut state, former_pools) = Self::decode_earlier_sections(bytes)?;
+        if former_pools.is_empty() {
             state.assume_former_pools();
         } else {
-            // Sections of later versions may follow.
-            (state.former_pools, _) = postcard::take_from_bytes(rest)?;
+            let rest;
+            (state.former_pools, rest) = postcard::take_from_bytes(former_pools)?;
+            if !rest.is_empty() {
+                // Sections of later versions may follow.
+                (state.retired, _) = postcard::take_from_bytes(rest)?;
+            }
         }
         state.index_early_cancellations();
         Ok(state)
@@ -371,7 +383,10 @@
                 Outcome::Done
             }
             Command::Retire(incarnation) => match self.incarnations.remove(&incarnation) {
-                Some(_) => Outcome::Done,
+                Some(record) => {
+                    self.retired.record(incarnation, record.recorded_upto);
+                    Outcome::Done
+                }
                 None => Outcome::Unknown,
             },
             Command::RecordRunEnds {
--- a/crates/jasminefall-jobs/tests/crashes.rs
+++ b/crates/jasminefall-jobs/tests/crashes.rs
@@ -420,9 +420,18 @@
     assert_eq!(give_up(&mut state, 1, task(1, PLAIN, 0)), 0);
 }
 
-/// Returns a snapshot without the section of the former pools, which must be empty.
-fn snapshot_without_former_pools(state: &JobsState) -> Vec<u8> {
+/// Returns a snapshot without the section of the removed incarnations.
+fn snapshot_without_retired(state: &JobsState) -> Vec<u8> {
     let mut bytes = state.to_bytes().unwrap();
+    let section = postcard::to_stdvec(&state.retired).unwrap();
+    assert!(bytes.ends_with(&section));
+    bytes.truncate(bytes.len() - section.len());
+    bytes
+}
+
+/// Returns a snapshot that also lacks the section of the former pools, which must be empty.
+fn snapshot_without_former_pools(state: &JobsState) -> Vec<u8> {
+    let mut bytes = snapshot_without_retired(state);
     assert_eq!(bytes.pop(), Some(0));
     bytes
 }
@@ -489,6 +498,7 @@
         &[
             snapshot_without_long_schedules(&state).len(),
             snapshot_without_former_pools(&state).len(),
+            snapshot_without_retired(&state).len(),
         ],
     ]
     .concat();
--- a/crates/jasminefall-jobs/tests/state.rs
+++ b/crates/jasminefall-jobs/tests/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use jasminefall_jobs::prelude::*;
-use jasminefall_jobs::state::{FormerPools, SurgeRecord};
+use jasminefall_jobs::state::{FormerPools, MAX_RETIRED_INCARNATIONS, SurgeRecord};
 use smol_str::SmolStr;
 
 fn state_with_surge() -> JobsState {
@@ -126,8 +126,9 @@
         JobsState::from_bytes(&bytes).expect("the snapshot is valid"),
         state
     );
-    let section = postcard::to_stdvec(&state.former_pools).expect("the section can be encoded");
-    let earlier = &bytes[..bytes.len() - section.len()];
+    let sections = postcard::to_stdvec(&(&state.former_pools, &state.retired));
+    let sections = sections.expect("the sections can be encoded");
+    let earlier = &bytes[..bytes.len() - sections.len()];
     let read = JobsState::from_bytes(earlier).expect("the snapshot is valid");
     assert_eq!(read.former_pools, former_pools(&["render"]));
 }
@@ -138,10 +139,12 @@
     let state = state_with_surge();
     let bytes = state.to_bytes().expect("the state can be encoded");
     let length = |bytes: Result<Vec<u8>, _>| bytes.expect("the state can be encoded").len();
-    // Maps without an entry.
-    let (long_jobs, former_pools) = (1, 1);
-    let earlier = bytes.len() - former_pools;
+    // Maps without an entry, and without removals.
+    let (long_jobs, former_pools, retired) = (1, 1, 2);
+    let latest = bytes.len() - retired;
+    let earlier = latest - former_pools;
     let earlier_lengths = [
+        latest,
         length(postcard::to_stdvec(&state)),
         length(postcard::to_stdvec(&(&state, &state.surges))),
         earlier - long_jobs - length(postcard::to_stdvec(&state.crashes)),
@@ -153,3 +156,80 @@
         assert_eq!(is_decoded, earlier_lengths.contains(&cut), "{cut} bytes");
     }
 }
+
+fn incarnation(number: usize) -> IncarnationId {
+    IncarnationId {
+        worker: smol_str::format_smolstr!("i-{number}"),
+        started_at_ms: 1,
+    }
+}
+
+/// Registers an incarnation, records one end of it and removes it.
+fn retire(state: &mut JobsState, number: usize, end_number: u64) {
+    state.apply(Command::Register(Box::new(Heartbeat {
+        incarnation: incarnation(number),
+        ..Heartbeat::default()
+    })));
+    let end = RunEnd {
+        number: end_number,
+        task: TaskId {
+            job: JobKey(1),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+        kind: EndKind::Done,
+        checkpoint: SmolStr::default(),
+    };
+    state.apply(Command::RecordRunEnds {
+        life: incarnation(number),
+        ends: vec![end],
+    });
+    state.apply(Command::Retire(incarnation(number)));
+}
+
+/// Guards against an end that is recorded twice: what was recorded of a removed incarnation was lost with it.
+#[test]
+fn recorded_ends_of_removed_incarnations_are_kept_over_snapshots_and_returns() {
+    let mut state = JobsState::default();
+    retire(&mut state, 1, 7);
+    let bytes = state.to_bytes().expect("the state can be encoded");
+    let mut state = JobsState::from_bytes(&bytes).expect("the snapshot is valid");
+    assert_eq!(state.ends_recorded_upto(&incarnation(1)), 7);
+    state.apply(Command::Register(Box::new(Heartbeat {
+        incarnation: incarnation(1),
+        ..Heartbeat::default()
+    })));
+    state.apply(Command::Retire(incarnation(1)));
+    assert_eq!(
+        state.ends_recorded_upto(&incarnation(1)),
+        7,
+        "it returned without an end"
+    );
+    retire(&mut state, 1, 9);
+    assert_eq!(state.ends_recorded_upto(&incarnation(1)), 9);
+    assert_eq!(state.ends_recorded_upto(&incarnation(2)), 0);
+}
+
+/// Guards against a state that grows with each worker that never comes back.
+#[test]
+fn removed_incarnations_are_bounded_and_the_first_ones_are_dropped() {
+    let mut state = JobsState::default();
+    for number in 0..MAX_RETIRED_INCARNATIONS {
+        retire(&mut state, number, 1);
+    }
+    retire(&mut state, 0, 2);
+    retire(&mut state, MAX_RETIRED_INCARNATIONS, 1);
+    assert_eq!(state.retired.len(), MAX_RETIRED_INCARNATIONS);
+    assert_eq!(
+        state.ends_recorded_upto(&incarnation(0)),
+        2,
+        "it was removed again"
+    );
+    assert_eq!(state.ends_recorded_upto(&incarnation(1)), 0);
+    assert_eq!(
+        state.ends_recorded_upto(&incarnation(MAX_RETIRED_INCARNATIONS)),
+        1
+    );
+}
--- a/crates/jasminefall-jobs/tests/support/state_samples.rs
+++ b/crates/jasminefall-jobs/tests/support/state_samples.rs
@@ -5,7 +5,8 @@
 
 use jasminefall_jobs::prelude::*;
 use jasminefall_jobs::state::{
-    IncarnationRecord, JobOwner, Occurrence, Occurrences, StepProgress, SurgeRecord, TaskProgress,
+    IncarnationRecord, JobOwner, Occurrence, Occurrences, RetiredIncarnations, StepProgress,
+    SurgeRecord, TaskProgress,
 };
 
 use crate::samples::{
@@ -186,5 +187,6 @@
         // What is assumed for a snapshot without this section.
         former_pools: BTreeMap::from([(queue_key(), BTreeSet::from([heartbeat().pool]))]),
         early_cancellations: BTreeSet::new(),
+        retired: RetiredIncarnations::default(),
     }
 }
--- a/crates/jasminefall-jobs/tests/workspaces.rs
+++ b/crates/jasminefall-jobs/tests/workspaces.rs
@@ -233,13 +233,15 @@
     assert_eq!(JobsState::from_bytes(&bytes).unwrap(), state);
     let read = JobsState::from_bytes(&bytes).unwrap();
     assert_eq!(read.configuration.access, state.configuration.access);
-    // The last three bytes are the sections of the crashes, of the jobs with long schedules and of the former
-    // pools, without which earlier versions wrote snapshots.
-    for cut in [1, 2, 3] {
+    // The last five bytes are the sections of the crashes, of the jobs with long schedules, of the former
+    // pools and, with two bytes, of the removed incarnations, without which earlier versions wrote snapshots.
+    for cut in [2, 3, 4, 5] {
         let earlier = &bytes[..bytes.len() - cut];
         assert_eq!(JobsState::from_bytes(earlier).as_ref(), Ok(&state));
     }
-    assert!(JobsState::from_bytes(&bytes[..bytes.len() - 4]).is_err());
+    for cut in [1, 6] {
+        assert!(JobsState::from_bytes(&bytes[..bytes.len() - cut]).is_err());
+    }
 }
 
 /// Earlier versions knew no workspaces, so their snapshots end with the surges.
