fix(replica): sync the files that are read back before they count (CONFIG, LOST)

What callers could see: an acknowledged configuration or submission is gone after a control process was killed and power was lost soon after its restart.

Cause: a replica took the entries and the vote that it read at its start for synced, though a process that is killed between a write and its sync leaves them in the page cache only.

Change: opening the storage syncs the log file and its folder first.

Evidence: data_that_is_read_back_after_a_kill_survives_a_loss_of_power failed before (entry 2 and the vote were gone) and passes.

--- a/crates/jasminefall-replica/src/storage.rs
+++ b/crates/jasminefall-replica/src/storage.rs
@@ -74,6 +74,9 @@
         let log_path = folder.join(format!("{LOG_PREFIX}{log_number}"));
         let recovered = recover(folder, &log_path, &mut operations)?;
         let log = open_append(&log_path).map_err(StorageError::io(&log_path))?;
+        // A process that ended between a write and its sync leaves data that a loss of power would take.
+        (operations.sync)(&log).map_err(StorageError::io(&log_path))?;
+        (operations.sync_folder)(folder).map_err(StorageError::io(folder))?;
         let mut storage = Self {
             folder: folder.to_owned(),
             operations,
--- a/crates/jasminefall-replica/tests/storage.rs
+++ b/crates/jasminefall-replica/tests/storage.rs
@@ -3,7 +3,7 @@
 use std::fs::OpenOptions;
 use std::io::{self, Write};
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use jasminefall_replica::prelude::*;
@@ -287,3 +287,51 @@
         open_with_log(valid.path(), &content);
     }
 }
+
+/// Returns operations that record the length of the latest file that was synced; no sync succeeds while
+/// `is_killed` is set.
+fn tracking_operations(
+    synced_bytes: &Arc<AtomicUsize>,
+    is_killed: &Arc<AtomicBool>,
+) -> FileOperations {
+    let (synced_bytes, is_killed) = (synced_bytes.clone(), is_killed.clone());
+    FileOperations {
+        sync: Box::new(move |file| {
+            if is_killed.load(Ordering::SeqCst) {
+                return Err(io::Error::other("the process was killed"));
+            }
+            let length = usize::try_from(file.metadata()?.len()).unwrap();
+            synced_bytes.store(length, Ordering::SeqCst);
+            file.sync_data()
+        }),
+        ..FileOperations::system()
+    }
+}
+
+/// Guards against CONFIG and LOST: entries that a killed process had not synced were read back and acknowledged,
+/// and a loss of power took them.
+#[test]
+fn data_that_is_read_back_after_a_kill_survives_a_loss_of_power() {
+    let folder = TempDir::new().unwrap();
+    let (synced_bytes, is_killed) = (Arc::default(), Arc::default());
+    let open = || {
+        let operations = tracking_operations(&synced_bytes, &is_killed);
+        Storage::open_with(folder.path(), FIRST_INCARNATION, operations).unwrap()
+    };
+    let (mut storage, _) = open();
+    storage.store(voted(1), &[entry(1, 1)]).unwrap();
+    is_killed.store(true, Ordering::SeqCst);
+    storage.store(voted(2), &[entry(2, 2)]).unwrap_err();
+    drop(storage);
+    is_killed.store(false, Ordering::SeqCst);
+
+    let (storage, read_back) = open();
+    assert_eq!(read_back.entries.len(), 2);
+    drop(storage);
+    let log_path = folder.path().join("log-1");
+    let log = OpenOptions::new().write(true).open(log_path).unwrap();
+    let synced_bytes = synced_bytes.load(Ordering::SeqCst) as u64;
+    log.set_len(synced_bytes).unwrap();
+    let (_, recovered) = open();
+    assert_eq!(recovered, read_back);
+}
