--- a/crates/jasminefall-replica/tests/schedules.rs
+++ b/crates/jasminefall-replica/tests/schedules.rs
@@ -24,8 +24,8 @@
     run_schedules(Group::new, DEFAULT_SCHEDULE_COUNT);
 }
 
-/// Guards against the loss of an acknowledged entry, or of the quorum, by replaced machines beside crashes
-/// that lose unsynced data and membership changes at any step.
+/// Guards against the loss of an acknowledged entry, or of the quorum, by replaced machines beside crashes, of
+/// one or of all, that lose unsynced data, and membership changes at any step.
 #[test]
 fn random_schedules_with_replaced_machines_are_safe_and_recover() {
     run_schedules(Group::with_replacements, DEFAULT_REPLACEMENT_SCHEDULE_COUNT);
--- a/crates/jasminefall-replica/tests/schedules/group.rs
+++ b/crates/jasminefall-replica/tests/schedules/group.rs
@@ -15,6 +15,8 @@
 const RECOVERY_TIMEOUT_MS: u64 = 20_000;
 /// The average number of steps between two replacements of a machine.
 const STEPS_PER_REPLACEMENT: u32 = 60;
+/// The average number of steps between two losses of power of all machines.
+const STEPS_PER_POWER_LOSS: u32 = 300;
 const COMPACT_AFTER_ENTRIES: u64 = 12;
 
 /// Holds the parameters of a schedule, drawn from its seed.
@@ -113,6 +115,9 @@
             if self.replaces_machines && self.random.random_ratio(1, STEPS_PER_REPLACEMENT) {
                 self.replace_machine();
             }
+            if self.replaces_machines && self.random.random_ratio(1, STEPS_PER_POWER_LOSS) {
+                self.lose_power();
+            }
             self.advance();
         }
         self.stop_faults();
@@ -566,6 +571,12 @@
         self.start(self.nodes.len() - 1);
     }
 
+    /// Crashes all replicas at the same time and starts them again.
+    fn lose_power(&mut self) {
+        (0..self.nodes.len()).for_each(|position| self.crash(position));
+        (0..self.nodes.len()).for_each(|position| self.start(position));
+    }
+
     fn stop_faults(&mut self) {
         self.faults_stopped = true;
         self.blocked_links.clear();
