--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -14,6 +14,7 @@
 //! - `workers`: workers, their leases and polls
 //! - `lease`: the time until which a worker may hold a lease
 //! - `incarnations`: which incarnations have ended, and which replaces which
+//! - `checkpoints`: the latest checkpoints of the tasks of a step
 //! - `late_starts`: starts that may be carried out after their worker has restarted
 //! - `handovers`: starts that the next incarnation of their worker may have taken
 //! - `responses`: responses of workers to requests, and their run lists
@@ -35,6 +36,7 @@
 
 mod advice;
 mod best_effort;
+mod checkpoints;
 mod clients;
 mod directory;
 mod failures;
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -332,11 +332,9 @@
                 .unwrap_or(i64::MAX)),
         );
         self.log_event(line);
-        if let Some(step) = self.steps.get_mut(&end.task.step_id())
-            && !end.checkpoint.is_empty()
-        {
-            step.checkpoints
-                .insert(end.task.index, end.checkpoint.clone());
+        if let Some(step) = self.steps.get_mut(&end.task.step_id()) {
+            let checkpoints = &mut step.checkpoints;
+            checkpoints.record(end.task.index, end.run, &end.checkpoint);
         }
         let step = self.steps.get(&end.task.step_id());
         let long_running = step.is_some_and(|step| step.step().long_running);
@@ -438,8 +436,8 @@
             if !progress.checkpoint.is_empty() && run.checkpoint != progress.checkpoint {
                 run.checkpoint = progress.checkpoint.clone();
                 if let Some(step) = self.steps.get_mut(&progress.task.step_id()) {
-                    step.checkpoints
-                        .insert(progress.task.index, progress.checkpoint.clone());
+                    let checkpoints = &mut step.checkpoints;
+                    checkpoints.record(progress.task.index, progress.run, &progress.checkpoint);
                 }
             }
             if has_started_up {
@@ -500,6 +498,10 @@
             progressed_at_ms: self.now.steady_ms,
             pace_percent: 100,
         });
+        if let Some(step) = self.steps.get_mut(&progress.task.step_id()) {
+            let checkpoints = &mut step.checkpoints;
+            checkpoints.record(progress.task.index, progress.run, &progress.checkpoint);
+        }
         if !is_needed {
             self.stop_run(progress.task, progress.run, "not-wanted");
         }
@@ -595,7 +597,6 @@
     /// Returns the checkpoint from which a task is resumed; empty if there is none.
     pub(super) fn checkpoint(&self, task: TaskId) -> SmolStr {
         let step = self.steps.get(&task.step_id());
-        let known = step.and_then(|step| step.checkpoints.get(&task.index));
-        known.cloned().unwrap_or_default()
+        step.map_or_else(SmolStr::default, |step| step.checkpoints.of(task.index))
     }
 }
--- a/crates/jasminefall-jobs/src/leader/steps.rs
+++ b/crates/jasminefall-jobs/src/leader/steps.rs
@@ -7,6 +7,7 @@
 
 use super::Leader;
 use super::advice::StepAdvice;
+use super::checkpoints::Checkpoints;
 use crate::ids::{JobKey, QueueKey, StepId, TaskId};
 use crate::job::{JobSpec, StepSpec};
 use crate::policy::durations::StepKind;
@@ -55,8 +56,7 @@
     pub(crate) done_count: u32,
     /// The duration of the longest run that has succeeded.
     pub(crate) longest_run_ms: u64,
-    /// The latest checkpoints, by the index of the task.
-    pub(crate) checkpoints: HashMap<u32, SmolStr>,
+    pub(crate) checkpoints: Checkpoints,
     /// The number of runs of the step on each worker.
     pub(crate) runs_per_worker: HashMap<super::WorkerHandle, u32>,
     /// The answers of the advice service, with the tickets.
@@ -131,9 +131,6 @@
             latency_target_ms: queue.map_or(0, |queue| queue.latency_target_ms),
             stretch_millis: queue.map_or(1_000, |queue| queue.stretch_millis),
         };
-        let tasks = progress.tasks.iter().zip(0..);
-        let with_checkpoint = tasks.filter(|(task, _)| !task.checkpoint.is_empty());
-        let checkpoints = with_checkpoint.map(|(task, index)| (index, task.checkpoint.clone()));
         let longest_chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
         let priority = priority::step_priority(&urgency, &job.spec, position, longest_chain_ms);
         let done: Vec<bool> = progress.tasks.iter().map(|task| task.done).collect();
@@ -158,7 +155,7 @@
             done_count: progress.done,
             longest_run_ms: 0,
             done,
-            checkpoints: checkpoints.collect(),
+            checkpoints: Checkpoints::resumed(spec, progress),
             runs_per_worker: HashMap::new(),
             advice: StepAdvice::default(),
             needs_advice: queue.is_some_and(|queue| queue.needs_advice),
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -16,6 +16,8 @@
 mod ends;
 #[path = "leader/failures.rs"]
 mod failures;
+#[path = "leader/gangs.rs"]
+mod gangs;
 #[path = "leader/handovers.rs"]
 mod handovers;
 #[path = "leader/harness.rs"]
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -804,6 +804,15 @@
         self.answer_polls();
     }
 
+    /// Sets the checkpoint of a run, with which it also ends, and answers the polls.
+    pub(crate) fn report_checkpoint(&mut self, request: &StartRequest, checkpoint: &str) {
+        let worker = self.worker(request.worker);
+        let run = worker.running.get_mut(&request.task);
+        run.expect("the task runs on the worker of its start")
+            .checkpoint = checkpoint.into();
+        self.answer_polls();
+    }
+
     /// Ends a run without answering a poll.
     pub(crate) fn end_unreported(&mut self, request: &StartRequest, kind: EndKind) {
         let name = self.worker_name(request);
@@ -816,7 +825,8 @@
             .workers
             .get_mut(name)
             .expect("the worker has not been removed");
-        worker.running.remove(&request.task);
+        let checkpoint = worker.running.remove(&request.task);
+        let checkpoint = checkpoint.map_or_else(SmolStr::default, |run| run.checkpoint);
         worker.last_end_number += 1;
         let number = worker.last_end_number;
         worker.ended.push(RunEnd {
@@ -824,7 +834,7 @@
             task: request.task,
             run: request.run,
             kind,
-            checkpoint: SmolStr::default(),
+            checkpoint,
         });
     }
 
