refactor(dispatch): let the search for the leader outlive the requests that wait for it

The search was run by one of the waiting requests and began anew with the next one when that request gave up. It is now a future that all of them share, and single requests to control instances stand in a module of their own.

--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -1,24 +1,23 @@
 //! Locating the leader and forwarding requests to it.
 //!
+//! - [`control_group`]: requests to single control instances, and what their responses tell of the leader
 //! - [`topology`]: the known control instances and the links to them
 //! - [`leader_search`]: the search for the leader, and the refresh of the members
 
+mod control_group;
 mod leader_search;
 mod topology;
 
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jasminefall_runtime::clock::monotonic_ms;
-use jasminefall_wire::extended::Extended;
 use jasminefall_wire::handshake::SiteKey;
-use jasminefall_wire::link::LinkError;
 use tokio::sync::watch;
 
-use self::topology::Topology;
+use self::control_group::ControlGroup;
+use self::leader_search::LeaderSearch;
 use crate::message::{Request, Response};
-use crate::time_limit::TimeLimit;
 
 /// The `Retry-After` value of responses without a known leader, in seconds; an election takes one
 /// second.
@@ -26,8 +25,6 @@
 /// The pause after the leader has not executed a request, before it is sent again; short compared with an
 /// election, which takes a second.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// The longest time to wait for one instance; a commit on slow disks takes a few hundred milliseconds.
-const INSTANCE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Reports why a request got no response from the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,14 +78,8 @@
 
 /// Forwards requests to the leading control instance.
 pub struct Forwarder {
-    key: SiteKey,
-    topology: RefCell<Topology>,
-    /// The instance that most recently responded as the leader.
-    answering_leader: watch::Sender<Option<SocketAddr>>,
-    /// Held by the one request that searches the leader for all that wait for it.
-    search: tokio::sync::Mutex<()>,
-    /// The number of refreshes of the members, which selects the instance to ask.
-    refreshes: Cell<usize>,
+    group: Rc<ControlGroup>,
+    search: LeaderSearch,
 }
 
 impl Forwarder {
@@ -96,30 +87,27 @@
     #[must_use]
     pub fn new(key: SiteKey, seeds: Vec<SocketAddr>) -> Self {
         Self {
-            key,
-            topology: RefCell::new(Topology::new(seeds)),
-            answering_leader: watch::Sender::new(None),
-            search: tokio::sync::Mutex::new(()),
-            refreshes: Cell::new(0),
+            group: Rc::new(ControlGroup::new(key, seeds)),
+            search: LeaderSearch::default(),
         }
     }
 
     /// Sets the instance that leads, as another instance has reported.
     #[must_use]
     pub fn with_leader(self, leader: SocketAddr) -> Self {
-        self.topology.borrow_mut().leader = Some(leader);
+        self.group.topology.borrow_mut().leader = Some(leader);
         self
     }
 
     /// Replaces the seeds.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
-        self.topology.borrow_mut().seeds = seeds;
+        self.group.topology.borrow_mut().seeds = seeds;
     }
 
     /// Returns the last known leader.
     #[must_use]
     pub fn leader(&self) -> Option<SocketAddr> {
-        self.topology.borrow().leader
+        self.group.leader()
     }
 
     /// Forwards a request and returns the leader's response.
@@ -142,7 +130,8 @@
         // Whether a copy without a response may still be executed.
         let mut is_copy_under_way = false;
         let mut rejected_by = None;
-        while let Some(address) = self.find_leader(deadline).await {
+        let group = &self.group;
+        while let Some(address) = self.search.find_leader(group, deadline).await {
             if rejected_by.take() == Some(address) {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -151,8 +140,8 @@
                 break;
             }
             let response = tokio::select! {
-                response = self.send(address, remaining, request) => response,
-                leader = self.other_leader_answered(address) => {
+                response = group.send(address, remaining, request) => response,
+                leader = group.other_leader_answered(address) => {
                     log::info!("event=forward_moved from={address} to={leader}");
                     is_copy_under_way = true;
                     continue;
@@ -161,7 +150,7 @@
             match response {
                 Ok(Response::NotLeader { .. }) => {
                     rejected_by = Some(address);
-                    self.clear_leader(address);
+                    group.clear_leader(address);
                 }
                 Ok(Response::Unknown) => {
                     may_be_executed = true;
@@ -169,7 +158,7 @@
                 }
                 Ok(Response::Expired) => rejected_by = Some(address),
                 Ok(response) => {
-                    self.record_leader(address);
+                    group.record_leader(address);
                     // The refusal of one copy doesn't prevent the other one from being accepted.
                     if is_copy_under_way && request.is_submission() && response.is_refusal() {
                         log::info!("event=refusal_unconfirmed path={}", request.client_path());
@@ -177,7 +166,7 @@
                     }
                     return Ok(response);
                 }
-                Err(error) => is_copy_under_way |= self.record_failure(address, &error),
+                Err(error) => is_copy_under_way |= group.record_failure(address, &error),
             }
         }
         Err(if may_be_executed || is_copy_under_way {
@@ -187,78 +176,18 @@
         })
     }
 
-    /// Sends a request to one instance, with the time that remains for its execution.
-    async fn send(
-        &self,
-        address: SocketAddr,
-        remaining: Duration,
-        request: &Request,
-    ) -> Result<Response, LinkError> {
-        let link = self.topology.borrow_mut().link(address, &self.key);
-        let sent_at_ms = monotonic_ms();
-        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-        let limit = {
-            let topology = self.topology.borrow();
-            let clock_ms = topology.clocks.max_clock_ms(address, sent_at_ms);
-            TimeLimit::new(remaining_ms, clock_ms)
-        };
-        let request = Extended::new(request).with_extension(limit);
-        let timeout = remaining.min(INSTANCE_TIMEOUT);
-        let response: Extended<Response, u64> = link.forward(timeout, &request).await?;
-        if let Some(clock_ms) = response.extension {
-            let mut topology = self.topology.borrow_mut();
-            let now_ms = monotonic_ms();
-            topology
-                .clocks
-                .record(address, clock_ms, sent_at_ms, now_ms);
-        }
-        Ok(response.message)
-    }
-
-    /// Records that an instance has responded as the leader.
-    fn record_leader(&self, address: SocketAddr) {
-        let mut topology = self.topology.borrow_mut();
-        topology.leader = Some(address);
-        topology.unresponsive.remove(address);
-        self.answering_leader
-            .send_if_modified(|before| before.replace(address) != Some(address));
-    }
-
-    /// Records a failed attempt; returns whether the instance may have executed the request.
-    fn record_failure(&self, address: SocketAddr, error: &LinkError) -> bool {
-        let may_be_executed = match error {
-            LinkError::NotSent(error) => {
-                log::debug!("event=forward_failed to={address} error=\"{error}\"");
-                false
-            }
-            LinkError::Unknown(error) => {
-                log::warn!("event=forward_unanswered to={address} error=\"{error}\"");
-                let mut topology = self.topology.borrow_mut();
-                topology.unresponsive.insert(address, Instant::now());
-                true
-            }
-        };
-        self.clear_leader(address);
-        may_be_executed
-    }
-
-    /// Waits until an instance other than `address` responds as the leader.
-    async fn other_leader_answered(&self, address: SocketAddr) -> SocketAddr {
-        let mut answering_leader = self.answering_leader.subscribe();
-        while answering_leader.changed().await.is_ok() {
-            let leader = *answering_leader.borrow_and_update();
-            if let Some(leader) = leader.filter(|leader| *leader != address) {
-                return leader;
-            }
+    /// Searches the leader if it isn't known.
+    pub async fn search_if_unknown(&self, limit: Duration) {
+        let found = self.search.find_leader(&self.group, Instant::now() + limit);
+        if found.await.is_none() {
+            log::debug!("event=no_leader");
         }
-        std::future::pending().await
     }
 
-    fn clear_leader(&self, address: SocketAddr) {
-        let mut topology = self.topology.borrow_mut();
-        if topology.leader == Some(address) {
-            log::warn!("event=leader_lost leader={address}");
-            topology.leader = None;
-        }
+    /// Asks one instance other than the leader for the members, in turn with each call.
+    ///
+    /// The members then are those of the group also if all that were known before are replaced.
+    pub async fn refresh_members(&self) {
+        self.group.refresh_members().await;
     }
 }
--- a/crates/jasminefall-dispatch/src/forwarding/leader_search.rs
+++ b/crates/jasminefall-dispatch/src/forwarding/leader_search.rs
@@ -1,16 +1,19 @@
 //! The search for the leader, and the refresh of the members while it is known.
 //!
-//! One search serves all requests that wait for a leader. It asks the known instances side by side, so
-//! that an address that doesn't answer holds up neither the others nor the requests.
+//! One search serves all requests that wait for a leader, and goes on when some of them give up. It asks the
+//! known instances side by side, so that an address that doesn't answer holds up neither the others nor the
+//! requests.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
+use futures::future::{FutureExt, LocalBoxFuture, Shared};
+use futures::stream::{FuturesUnordered, StreamExt};
 
-use super::Forwarder;
+use super::control_group::ControlGroup;
 use crate::message::{ClientOperation, Request, Response};
 
 /// The time after which the next instance is asked as well if the one before has not answered; a living
@@ -36,83 +39,100 @@
     Failed,
 }
 
-impl Forwarder {
+/// Holds the search that is in progress, if there is one.
+#[derive(Default)]
+pub(super) struct LeaderSearch {
+    latest: RefCell<Option<Shared<LocalBoxFuture<'static, SocketAddr>>>>,
+}
+
+impl LeaderSearch {
     /// Returns the leader, which is searched if it isn't known; `None` if no instance has answered as the
     /// leader at the deadline.
     ///
     /// The search ends at most one round trip, [`PROBE_PAUSE`] and [`NEXT_PROBE_DELAY`] for each known
     /// address after a living instance among them knows the leader.
-    pub(super) async fn find_leader(&self, deadline: Instant) -> Option<SocketAddr> {
-        if let Some(leader) = self.leader() {
+    pub(super) async fn find_leader(
+        &self,
+        group: &Rc<ControlGroup>,
+        deadline: Instant,
+    ) -> Option<SocketAddr> {
+        if let Some(leader) = group.leader() {
             return Some(leader);
         }
-        let search = async {
-            let _only_search = self.search.lock().await;
-            match self.leader() {
-                Some(leader) => leader,
-                None => self.search_leader().await,
+        let search = {
+            let mut latest = self.latest.borrow_mut();
+            if latest
+                .as_ref()
+                .is_some_and(|search| search.peek().is_some())
+            {
+                *latest = None;
             }
+            let begin = || search_leader(group.clone()).boxed_local().shared();
+            latest.get_or_insert_with(begin).clone()
         };
         let found = tokio::time::timeout_at(deadline.into(), search).await;
         found.ok()
     }
+}
 
-    /// Asks the known instances until one answers as the leader.
-    async fn search_leader(&self) -> SocketAddr {
-        let began = Instant::now();
-        let mut asked = BTreeSet::new();
-        let mut named = Vec::new();
-        let mut members_by_leader: BTreeMap<_, Vec<_>> = BTreeMap::new();
-        let mut probes = FuturesUnordered::new();
-        loop {
-            let next = self.topology.borrow().next_candidate(&named, &asked);
-            if let Some(address) = next {
-                asked.insert(address);
-                probes.push(self.probe_after(Duration::ZERO, address));
+/// Asks the known instances until one answers as the leader.
+async fn search_leader(group: Rc<ControlGroup>) -> SocketAddr {
+    let began = Instant::now();
+    let mut asked = BTreeSet::new();
+    let mut named: Vec<SocketAddr> = Vec::new();
+    let mut members_by_leader: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    let mut probes = FuturesUnordered::new();
+    loop {
+        named.retain(|address| !asked.contains(address));
+        let next = group.topology.borrow().next_candidate(&named, &asked);
+        if let Some(address) = next {
+            asked.insert(address);
+            probes.push(probe_after(&group, Duration::ZERO, address));
+        }
+        let (address, outcome) = tokio::select! {
+            Some(answered) = probes.next() => answered,
+            () = tokio::time::sleep(NEXT_PROBE_DELAY), if next.is_some() => continue,
+            else => {
+                tokio::time::sleep(PROBE_PAUSE).await;
+                continue;
             }
-            let (address, outcome) = tokio::select! {
-                Some(answered) = probes.next() => answered,
-                () = tokio::time::sleep(NEXT_PROBE_DELAY), if next.is_some() => continue,
-                else => {
-                    tokio::time::sleep(PROBE_PAUSE).await;
-                    continue;
-                }
-            };
-            match outcome {
-                ProbeOutcome::Leads => {
-                    log::info!(
-                        "event=leader_found leader={address} asked={} took_ms={}",
-                        asked.len(),
-                        began.elapsed().as_millis()
-                    );
-                    if let Some(members) = members_by_leader.remove(&address) {
-                        self.topology.borrow_mut().set_members(&members);
-                    }
-                    self.record_leader(address);
-                    return address;
+        };
+        match outcome {
+            ProbeOutcome::Leads => {
+                log::info!(
+                    "event=leader_found leader={address} asked={} took_ms={}",
+                    asked.len(),
+                    began.elapsed().as_millis()
+                );
+                if let Some(members) = members_by_leader.remove(&address) {
+                    group.topology.borrow_mut().set_members(&members);
                 }
-                ProbeOutcome::Follows { leader, members } => {
-                    named.extend(leader);
-                    named.extend(members.iter().copied());
-                    if let Some(leader) = leader {
-                        members_by_leader.insert(leader, members);
-                    }
+                group.record_leader(address);
+                return address;
+            }
+            ProbeOutcome::Follows { leader, members } => {
+                named.extend(leader);
+                named.extend(members.iter().copied());
+                if let Some(leader) = leader {
+                    members_by_leader.insert(leader, members);
                 }
-                ProbeOutcome::Failed => {}
             }
-            probes.push(self.probe_after(PROBE_PAUSE, address));
+            ProbeOutcome::Failed => {}
         }
+        probes.push(probe_after(&group, PROBE_PAUSE, address));
     }
+}
 
-    async fn probe_after(
-        &self,
-        pause: Duration,
-        address: SocketAddr,
-    ) -> (SocketAddr, ProbeOutcome) {
-        tokio::time::sleep(pause).await;
-        (address, self.probe(address).await)
-    }
+async fn probe_after(
+    group: &ControlGroup,
+    pause: Duration,
+    address: SocketAddr,
+) -> (SocketAddr, ProbeOutcome) {
+    tokio::time::sleep(pause).await;
+    (address, group.probe(address).await)
+}
 
+impl ControlGroup {
     /// Asks an instance whether it is the leader.
     async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
         // Any read does, so that no queue has this path. Every release knows it.
@@ -134,17 +154,10 @@
         }
     }
 
-    /// Searches the leader if it isn't known.
-    pub async fn search_if_unknown(&self, limit: Duration) {
-        if self.find_leader(Instant::now() + limit).await.is_none() {
-            log::debug!("event=no_leader");
-        }
-    }
-
     /// Asks one instance other than the leader for the members, in turn with each call.
     ///
     /// The members then are those of the group also if all that were known before are replaced.
-    pub async fn refresh_members(&self) {
+    pub(super) async fn refresh_members(&self) {
         let Some(leader) = self.leader() else {
             return;
         };
@@ -156,7 +169,8 @@
         }
         let turn = self.refreshes.get();
         self.refreshes.set(turn.wrapping_add(1));
-        match self.probe(others[turn % others.len()]).await {
+        let asked = others[turn % others.len()];
+        match self.probe(asked).await {
             ProbeOutcome::Follows {
                 leader: Some(named),
                 members,
@@ -169,7 +183,7 @@
                     self.record_leader(named);
                 }
             }
-            ProbeOutcome::Leads => self.record_leader(others[turn % others.len()]),
+            ProbeOutcome::Leads => self.record_leader(asked),
             ProbeOutcome::Follows { leader: None, .. } | ProbeOutcome::Failed => {}
         }
     }
--- a/crates/jasminefall-dispatch/tests/forwarding.rs
+++ b/crates/jasminefall-dispatch/tests/forwarding.rs
@@ -191,6 +191,31 @@
         .await;
 }
 
+/// Guards against LOST: each request began the search anew, and none lasted until it came to the leader.
+#[tokio::test]
+async fn requests_with_short_limits_find_the_leader_behind_dead_addresses() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let mut listeners = Vec::new();
+            let mut seeds = Vec::new();
+            for _ in 0..20 {
+                let (address, listener) = silent_address().await;
+                seeds.push(address);
+                listeners.push(listener);
+            }
+            seeds.push(ModelledControl::default().serve().await);
+            let forwarder = Forwarder::new(SiteKey::new(KEY), seeds);
+            let mut answered = 0;
+            for number in 0..40 {
+                let request = Request::WaveState(number);
+                answered += u64::from(forwarder.forward(SHORT_LIMIT, &request).await.is_ok());
+            }
+            assert!(answered > 0);
+        })
+        .await;
+}
+
 /// Guards against LOST: an entry knew only members that had all been replaced since the leader changed last.
 #[tokio::test]
 async fn leader_is_found_after_all_members_known_from_its_election_are_replaced() {
