feat(jobs): log which incarnations a new leader knows and when records change

Change: a new leader names the incarnations that it knows from the log (workers_inherited); commits of registrations and of removals are logged (worker_registered, worker_retired); an adopted run names the leadership that started it; a run that the next incarnation has taken is logged (run_taken_over).

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -101,6 +101,8 @@
 /// Run numbers that each leadership has for a task. A leadership counts from a multiple of this
 /// number, so that its run numbers exceed those of all earlier leaders.
 const RUNS_PER_LEADERSHIP: u64 = 1 << 16;
+/// The most incarnations that one log line names.
+const LOGGED_INCARNATIONS: usize = 50;
 
 /// Holds the time limits, rates and mechanisms of the leader.
 ///
@@ -355,6 +357,11 @@
     log_lines: Vec<String>,
 }
 
+/// Returns the leadership that started a run.
+const fn leadership_of_run(run: u64) -> u64 {
+    run.saturating_sub(1) / RUNS_PER_LEADERSHIP + 1
+}
+
 /// Returns the number below all run numbers of a leadership and above those of the earlier ones.
 const fn first_run_number(leadership: u64) -> u64 {
     leadership.saturating_sub(1) * RUNS_PER_LEADERSHIP
@@ -419,6 +426,7 @@
                 .insert(incarnation.clone(), record.heartbeat.pool.clone());
             leader.add_worker(record.heartbeat.clone(), true);
         }
+        leader.log_known_incarnations(state);
         for (key, job) in &state.jobs {
             if job.ended.is_none() {
                 leader.open_job(*key, job, true, state);
@@ -501,6 +509,19 @@
         self.effects.push(Effect::Propose(command));
     }
 
+    /// Logs the incarnations that a new leader knows from the replicated state.
+    fn log_known_incarnations(&mut self, state: &JobsState) {
+        let known: Vec<_> = state.incarnations.keys().collect();
+        for incarnations in known.chunks(LOGGED_INCARNATIONS) {
+            let names: Vec<_> = incarnations.iter().map(ToString::to_string).collect();
+            self.log_event(format!(
+                "event=workers_inherited count={} workers={}",
+                names.len(),
+                names.join(",")
+            ));
+        }
+    }
+
     fn log_event(&mut self, line: String) {
         self.log_lines.push(line);
     }
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -7,7 +7,7 @@
 use super::handovers::Successor;
 use super::lease::LeaseGrant;
 use super::workers::PollState;
-use super::{Leader, PollChannel, Run, RunState, StartRequest, WorkerHandle};
+use super::{Leader, PollChannel, Run, RunState, StartRequest, WorkerHandle, leadership_of_run};
 use crate::ids::{IncarnationId, TaskId};
 use crate::state::{Command, JobsState};
 use crate::worker::{EndKind, Refusal, RunEnd, RunList, RunProgress, WorkerResponse};
@@ -324,10 +324,7 @@
             end.task,
             end.run,
             end.kind.as_str(),
-            self.workers
-                .get(&handle)
-                .map(|worker| worker.incarnation().to_string())
-                .unwrap_or_default(),
+            self.incarnation_name(handle),
             duration_ms.map_or(-1, |duration_ms| i64::try_from(duration_ms)
                 .unwrap_or(i64::MAX)),
         );
@@ -424,7 +421,8 @@
                 run.state = RunState::Running;
             }
             run.listed = true;
-            if run.start_deadline_ms == u64::MAX {
+            let is_handed_over = run.start_deadline_ms == u64::MAX;
+            if is_handed_over {
                 run.start_deadline_ms = list_clock_ms;
             }
             if run.percent != progress.percent {
@@ -443,11 +441,25 @@
             if has_started_up {
                 self.suspects.remove(progress.task);
             }
+            if is_handed_over {
+                self.log_event(format!(
+                    "event=run_taken_over task={} run={} worker={}",
+                    progress.task,
+                    progress.run,
+                    self.incarnation_name(handle)
+                ));
+            }
             return;
         }
         self.adopt_run(handle, progress);
     }
 
+    /// Returns the incarnation with a handle for log lines; empty if it has ended.
+    fn incarnation_name(&self, handle: WorkerHandle) -> String {
+        let worker = self.workers.get(&handle);
+        worker.map_or_else(String::new, |worker| worker.incarnation().to_string())
+    }
+
     /// Adds a run that an earlier leader started. Stops it unless its task is still to be done and
     /// has no other run.
     fn adopt_run(&mut self, handle: WorkerHandle, progress: &RunProgress) {
@@ -472,13 +484,11 @@
             .is_some_and(|runs| !runs.is_empty());
         let is_needed = is_incomplete && !has_other_run;
         self.log_event(format!(
-            "event=run_adopted task={} run={} worker={} wanted={is_needed}",
+            "event=run_adopted task={} run={} worker={} wanted={is_needed} leadership={}",
             progress.task,
             progress.run,
-            self.workers
-                .get(&handle)
-                .map(|worker| worker.incarnation().to_string())
-                .unwrap_or_default()
+            self.incarnation_name(handle),
+            leadership_of_run(progress.run)
         ));
         self.add_run(Run {
             task: progress.task,
@@ -532,8 +542,14 @@
                 if let Some(handle) = self.directory.by_incarnation(&heartbeat.incarnation)
                     && let Some(worker) = self.workers.get_mut(&handle)
                 {
-                    worker.registered = true;
+                    let was_registered = std::mem::replace(&mut worker.registered, true);
                     self.dirty_pools.insert(heartbeat.pool.clone());
+                    if !was_registered {
+                        self.log_event(format!(
+                            "event=worker_registered worker={}",
+                            heartbeat.incarnation
+                        ));
+                    }
                     self.poll_if_due(handle, state);
                 }
             }
@@ -544,8 +560,10 @@
                 self.on_run_ends_recorded(incarnation, ends, state);
             }
             Command::StartWave { wave, .. } => self.record_wave(*wave),
+            Command::Retire(incarnation) => {
+                self.log_event(format!("event=worker_retired worker={incarnation}"));
+            }
             Command::Lead
-            | Command::Retire(_)
             | Command::RecordMaintained { .. }
             | Command::Forget(_)
             | Command::RecordEndedJobs { .. }
