fix(jobs): keep the record of a replaced incarnation until the next one has a record (TWICE)

Cause: a worker that restarts under its name may take a start that was meant for its previous incarnation. A leader that sees the next incarnation removed the record of the previous one (Retire) at once and added that of the next one (Register) in a later command, up to a heartbeat interval later if a run list was the first sign. What was under way was in its memory. A leader that began with a log between the two knew no worker of that name, so nothing was unreconciled and the task started elsewhere.

Change: Retire is proposed once the Register of the next incarnation precedes it in the log, or when the handover ends without one. Whatever prefix of the log a leader begins with has a record of each worker that may hold a run, under its last or an earlier incarnation; its poll by name finds the next one. A leader that knows both from the log hands over at once and waits for the list of the next one only.

Price: if the next incarnation never answers, a leader that follows within 6.2 s waits for it as for any worker that it can't poll.

--- a/crates/jasminefall-jobs/src/leader/handovers.rs
+++ b/crates/jasminefall-jobs/src/leader/handovers.rs
@@ -6,6 +6,10 @@
 //! incarnation a run is on, so a run that no list has shown is kept when its incarnation ends. It is
 //! handed over to the next incarnation, which either lists the run or accepts a stop, after which it
 //! refuses the start.
+//!
+//! A later leader knows nothing of these runs. So that it polls the worker before it starts tasks that an
+//! earlier leader may have started, the replicated state holds a record of an earlier incarnation of the
+//! worker until it holds one of the next incarnation.
 
 use std::collections::BTreeMap;
 
@@ -13,7 +17,7 @@
 
 use super::{Leader, RunState, WorkerHandle};
 use crate::ids::{IncarnationId, TaskId};
-use crate::state::JobsState;
+use crate::state::{Command, JobsState};
 use crate::worker::{Heartbeat, WorkerResponse};
 
 /// The delay between an accepted stop and the probe that proves it, in milliseconds; the run list of the
@@ -38,6 +42,8 @@
     runs: Vec<(TaskId, u64)>,
     /// The ended incarnations on which earlier leaders may have started tasks.
     unreconciled: Vec<IncarnationId>,
+    /// The ended incarnations that are still recorded in the replicated state.
+    recorded: Vec<IncarnationId>,
     ended_at_ms: u64,
 }
 
@@ -60,9 +66,6 @@
             .into_iter()
             .partition(|(task, number)| self.run_mut(*task, *number).is_none_or(|run| run.listed));
         let is_unreconciled = self.unreconciled.contains_key(incarnation);
-        if unlisted.is_empty() && !is_unreconciled {
-            return listed;
-        }
         self.log_event(format!(
             "event=handover_started worker={incarnation} runs={} unreconciled={is_unreconciled}",
             unlisted.len()
@@ -77,6 +80,7 @@
                 address: heartbeat.address.clone(),
                 runs: Vec::new(),
                 unreconciled: Vec::new(),
+                recorded: Vec::new(),
                 ended_at_ms,
             });
         handover.ended_at_ms = ended_at_ms;
@@ -84,9 +88,25 @@
         handover
             .unreconciled
             .extend(is_unreconciled.then(|| incarnation.clone()));
+        handover.recorded.push(incarnation.clone());
+        // A leader may know both incarnations from the replicated state.
+        if let Some(successor) = self.directory.by_name(&incarnation.worker).max() {
+            self.complete_handover(successor);
+        }
         listed
     }
 
+    /// Completes the handover to an incarnation, if there is one.
+    fn complete_handover(&mut self, successor: WorkerHandle) {
+        let Some(worker) = self.workers.get(&successor) else {
+            return;
+        };
+        let incarnation = worker.incarnation().clone();
+        if let Some(handover) = self.handovers.by_worker.remove(&incarnation.worker) {
+            self.hand_over(handover, successor, &incarnation);
+        }
+    }
+
     /// Completes the handovers to the sender of a heartbeat, and ends those that it makes impossible because
     /// another worker uses the instance or the address by now.
     pub(super) fn complete_handovers(&mut self, heartbeat: &Heartbeat) {
@@ -97,9 +117,7 @@
         let Some(successor) = self.directory.by_incarnation(incarnation) else {
             return;
         };
-        if let Some(handover) = self.handovers.by_worker.remove(&incarnation.worker) {
-            self.hand_over(handover, successor, incarnation);
-        }
+        self.complete_handover(successor);
         let is_superseded = |handover: &Handover| {
             handover.address == heartbeat.address
                 || (handover.instance.is_some() && handover.instance == heartbeat.instance)
@@ -136,6 +154,7 @@
             for incarnation in handover.unreconciled {
                 self.mark_reconciled(&incarnation);
             }
+            self.retire_incarnations(handover.recorded);
         }
     }
 
@@ -162,11 +181,31 @@
             };
             self.add_run(run);
         }
+        let is_reconciled = self
+            .workers
+            .get(&successor)
+            .is_some_and(|worker| worker.reconciled);
         for ended in handover.unreconciled {
-            if let Some(pool) = self.unreconciled.remove(&ended) {
+            let Some(pool) = self.unreconciled.remove(&ended) else {
+                continue;
+            };
+            if is_reconciled {
+                self.dirty_pools.insert(pool);
+            } else {
                 self.unreconciled.insert(incarnation.clone(), pool);
             }
         }
+        // Follows the registration of the successor in the log, which has been proposed.
+        self.retire_incarnations(handover.recorded);
+    }
+
+    /// Removes the records of ended incarnations, except of those that have returned.
+    fn retire_incarnations(&mut self, ended: Vec<IncarnationId>) {
+        for incarnation in ended {
+            if self.directory.by_incarnation(&incarnation).is_none() {
+                self.propose(Command::Retire(incarnation));
+            }
+        }
     }
 
     /// Processes the response to a stop request.
--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -228,9 +228,13 @@
                 .saturating_sub(worker.last_heartbeat_at_ms)
         ));
         let runs: Vec<_> = worker.runs.into_iter().collect();
+        let is_recorded = state.incarnations.contains_key(&incarnation) || worker.registered;
         let ended_runs = match successor {
             Successor::None => {
                 self.mark_reconciled(&incarnation);
+                if is_recorded {
+                    self.propose(Command::Retire(incarnation));
+                }
                 runs
             }
             Successor::SameWorker => self.begin_handover(&worker.heartbeat, runs),
@@ -239,9 +243,6 @@
             self.requeue_run(task, run);
         }
         self.dirty_pools.insert(worker.heartbeat.pool);
-        if state.incarnations.contains_key(&incarnation) || worker.registered {
-            self.propose(Command::Retire(incarnation));
-        }
     }
 
     /// Records that each run that an earlier leader started on an incarnation is known or has
