--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -45,15 +45,8 @@
             let run = runs.iter().find(|run| run.number == number);
             run.map(|run| run.requested_at_ms)
         });
-        // A clock that had passed this reading before the request, or can't have reached it yet, belongs to another
-        // incarnation.
-        let is_own_clock = |clock_ms: u64| {
-            !worker.reconciled
-                || (sent_at_ms
-                    .is_none_or(|sent_at_ms| clock_ms >= worker.min_past_clock_ms(sent_at_ms))
-                    && clock_ms <= worker.max_clock_ms(now_ms))
-        };
-        let is_from_successor = clock_ms.is_some_and(|clock_ms| !is_own_clock(clock_ms));
+        let is_from_successor =
+            clock_ms.is_some_and(|clock_ms| !worker.is_own_reading(clock_ms, sent_at_ms, now_ms));
         if let Some(clock_ms) = clock_ms
             && !is_from_successor
         {
@@ -144,7 +137,9 @@
         let now_ms = self.now.steady_ms;
         match response {
             WorkerResponse::Accepted { clock_ms } => {
-                if let Some(worker) = self.workers.get_mut(&handle) {
+                if let Some(worker) = self.workers.get_mut(&handle)
+                    && worker.is_own_reading(*clock_ms, None, now_ms)
+                {
                     worker.observe_clock(*clock_ms, now_ms);
                 }
             }
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -139,7 +139,7 @@
 
     /// Returns the lowest value that the worker's clock can have had at a time that has passed, which may be
     /// before the latest reading.
-    pub(super) const fn min_past_clock_ms(&self, at_ms: u64) -> u64 {
+    const fn min_past_clock_ms(&self, at_ms: u64) -> u64 {
         let (clock_ms, observed_at_ms) = self.clock_reading;
         if at_ms >= observed_at_ms {
             self.min_clock_ms(at_ms)
@@ -149,12 +149,28 @@
     }
 
     /// Returns the highest value that the worker's clock can have now, given its maximum drift.
-    pub(super) const fn max_clock_ms(&self, now_ms: u64) -> u64 {
+    const fn max_clock_ms(&self, now_ms: u64) -> u64 {
         let (clock_ms, observed_at_ms) = self.clock_reading;
         let elapsed_ms = now_ms.saturating_sub(observed_at_ms) + MAX_READING_AGE_MS;
         clock_ms + elapsed_ms + elapsed_ms * CLOCK_DRIFT_MILLIS / 1_000
     }
 
+    /// Returns whether a reading in a response can be of this incarnation's clock. One that the clock had passed
+    /// before the request, or can't have reached yet, is of another incarnation, which has answered in its place.
+    ///
+    /// Without the time of the request a reading may be of any time in the past. The first run list replaces
+    /// what is known of the clock before.
+    pub(super) fn is_own_reading(
+        &self,
+        clock_ms: u64,
+        sent_at_ms: Option<u64>,
+        now_ms: u64,
+    ) -> bool {
+        let had_passed =
+            sent_at_ms.is_some_and(|sent_at_ms| clock_ms < self.min_past_clock_ms(sent_at_ms));
+        !self.reconciled || (!had_passed && clock_ms <= self.max_clock_ms(now_ms))
+    }
+
     /// Returns the value of the worker's clock now, assuming no drift.
     pub(crate) const fn estimated_clock_ms(&self, now_ms: u64) -> u64 {
         let (clock_ms, observed_at_ms) = self.clock_reading;
--- a/crates/jasminefall-jobs/tests/leader.rs
+++ b/crates/jasminefall-jobs/tests/leader.rs
@@ -24,6 +24,8 @@
 mod harness;
 #[path = "leader/hot_workspace.rs"]
 mod hot_workspace;
+#[path = "leader/incarnations.rs"]
+mod incarnations;
 #[path = "leader/instance_lists.rs"]
 mod instance_lists;
 #[path = "leader/isolation.rs"]
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -790,10 +790,14 @@
 
     /// Accepts the stop of a run that its worker does not have.
     pub(crate) fn accept_stop_of_absent_run(&mut self, effect: &Effect) {
+        self.accept_stop_at(effect, self.now.steady_ms);
+    }
+
+    /// Accepts a stop on its worker, and delivers the response with a reading of the worker's clock.
+    pub(crate) fn accept_stop_at(&mut self, effect: &Effect, clock_ms: u64) {
         let Effect::Stop { worker, task, run } = effect else {
             panic!("the effect stops no run: {effect:?}");
         };
-        let clock_ms = self.now.steady_ms;
         let response = WorkerResponse::Accepted { clock_ms };
         self.leader
             .on_stop_response(*worker, (*task, *run), &response, &self.state);
