--- a/crates/jasminefall-jobs/src/leader/handovers.rs
+++ b/crates/jasminefall-jobs/src/leader/handovers.rs
@@ -181,10 +181,13 @@
             };
             self.add_run(run);
         }
-        let is_reconciled = self
-            .workers
-            .get(&successor)
-            .is_some_and(|worker| worker.reconciled);
+        // Requests to the ended incarnation may still be under way.
+        let successor_until_ms = self.max_successor_lease_until_ms();
+        let mut is_reconciled = false;
+        if let Some(worker) = self.workers.get_mut(&successor) {
+            worker.lease.extend_for_successor(successor_until_ms);
+            is_reconciled = worker.reconciled;
+        }
         for ended in handover.unreconciled {
             let Some(pool) = self.unreconciled.remove(&ended) else {
                 continue;
--- a/crates/jasminefall-jobs/src/leader/lease.rs
+++ b/crates/jasminefall-jobs/src/leader/lease.rs
@@ -32,6 +32,9 @@
 pub(crate) struct LeaseBound {
     until_ms: u64,
     granted_by: LeaseGrant,
+    /// The latest end of a lease that the next incarnation may hold by a request to this one, on the leader's
+    /// clock in milliseconds.
+    successor_until_ms: u64,
 }
 
 impl LeaseBound {
@@ -41,16 +44,23 @@
         Self {
             until_ms: 0,
             granted_by: LeaseGrant::None,
+            successor_until_ms: 0,
         }
     }
 
     /// Records that a request may grant a lease until a time on the worker's clock.
     pub(crate) const fn extend(&mut self, until_ms: u64, granted_by: LeaseGrant) {
         if until_ms > self.until_ms {
-            *self = Self {
-                until_ms,
-                granted_by,
-            };
+            self.until_ms = until_ms;
+            self.granted_by = granted_by;
+        }
+    }
+
+    /// Records that a request to this incarnation may grant the next one a lease until a time on the leader's
+    /// clock. The next one reads the request's deadline on its own clock, so that only the maximum bounds its lease.
+    pub(crate) const fn extend_for_successor(&mut self, until_ms: u64) {
+        if until_ms > self.successor_until_ms {
+            self.successor_until_ms = until_ms;
         }
     }
 
@@ -68,4 +78,8 @@
     pub(crate) const fn has_expired(&self, min_clock_ms: u64) -> bool {
         min_clock_ms > self.until_ms
     }
+    /// Returns whether the next incarnation can't hold a lease by a request to this one any more.
+    pub(crate) const fn has_expired_for_successor(&self, now_ms: u64) -> bool {
+        now_ms > self.successor_until_ms
+    }
 }
--- a/crates/jasminefall-jobs/src/leader/placement.rs
+++ b/crates/jasminefall-jobs/src/leader/placement.rs
@@ -336,11 +336,13 @@
         };
         let (spec, reserved) = (step.spec.clone(), step.step().reserved());
         let (charge, long_running) = (step.charge(), step.step().long_running);
+        let successor_until_ms = self.max_successor_lease_until_ms();
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
         };
         let deadline_ms = worker.estimated_clock_ms(now_ms) + START_DEADLINE_MS;
         worker.lease.extend(deadline_ms, LeaseGrant::Start);
+        worker.lease.extend_for_successor(successor_until_ms);
         let incarnation = worker.incarnation().clone();
         let ticket = step.advice.ticket(handle).cloned();
         self.counts.starts += 1;
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -31,6 +31,7 @@
     ) {
         let (handle, task, number) = (request.worker, request.task, request.run);
         let now_ms = self.now.steady_ms;
+        let max_lease_ms = self.max_lease_on_local_clock_ms();
         self.settle_start(request, response);
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
@@ -52,6 +53,13 @@
         {
             worker.observe_clock(clock_ms, now_ms);
         }
+        if matches!(
+            response,
+            WorkerResponse::Accepted { .. } | WorkerResponse::Unknown
+        ) {
+            // The request may have waited behind others before it was sent.
+            worker.lease.extend_for_successor(now_ms + max_lease_ms);
+        }
         match response {
             WorkerResponse::Accepted { .. } if is_from_successor => {
                 self.log_event(format!(
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -27,6 +27,8 @@
 /// How long a worker may hold a poll open, in milliseconds; each poll renews the lease, so this is
 /// also the interval between renewals.
 const LONG_POLL_WAIT_MS: u64 = 1_000;
+/// The longest time between the sending of a request that grants a lease and its receipt, in milliseconds.
+const MAX_REQUEST_DELAY_MS: u64 = 400;
 /// The number of missed heartbeats after which a worker whose lease has expired is removed.
 const REMOVE_AFTER_MISSED_HEARTBEATS: u64 = 4;
 /// The number of missed heartbeats after which no new task is started on a worker.
@@ -291,6 +293,20 @@
         lease_ms + lease_ms * CLOCK_DRIFT_MILLIS / 1_000
     }
 
+    /// Returns the latest end of a lease that a request sent now may grant to the next incarnation of its worker,
+    /// on the leader's clock.
+    pub(super) const fn max_successor_lease_until_ms(&self) -> u64 {
+        self.now.steady_ms + MAX_REQUEST_DELAY_MS + self.max_lease_on_local_clock_ms()
+    }
+
+    /// Returns whether the next incarnation of a worker may have a run that was meant for this one; only a run
+    /// list proves which one has it.
+    fn may_run_on_successor(&self, worker: &Worker) -> bool {
+        let mut runs = worker.runs.iter();
+        !worker.lease.has_expired_for_successor(self.now.steady_ms)
+            && runs.any(|(task, number)| self.run(*task, *number).is_some_and(|run| !run.listed))
+    }
+
     /// Removes silent workers and the runs of expired leases, and sends the polls that are due.
     pub(super) fn check_workers(&mut self, state: &JobsState) {
         let now_ms = self.now.steady_ms;
@@ -305,6 +321,7 @@
             } else {
                 earlier_leases_expired
             };
+            let lease_expired = lease_expired && !self.may_run_on_successor(worker);
             if worker.departing && (lease_expired || worker.has_no_runs()) {
                 departed.push(*handle);
             } else if lease_expired && silent_ms >= remove_after_ms {
@@ -376,6 +393,7 @@
                 && worker.reconciled
                 && !worker.runs.is_empty()
                 && worker.lease.has_expired(worker.min_clock_ms(now_ms))
+                && !self.may_run_on_successor(worker)
             {
                 expired.push(*handle);
             }
@@ -426,6 +444,7 @@
     ) {
         let now_ms = self.now.steady_ms;
         let max_lease_ms = self.settings.max_lease_ms;
+        let successor_until_ms = self.max_successor_lease_until_ms();
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
         };
@@ -460,6 +479,7 @@
         let deadline_ms = extends_lease.then(|| worker.estimated_clock_ms(now_ms) + max_lease_ms);
         if let Some(deadline_ms) = deadline_ms {
             worker.lease.extend(deadline_ms, LeaseGrant::Poll);
+            worker.lease.extend_for_successor(successor_until_ms);
         }
         let acknowledged_upto = worker.acknowledgement(state);
         let wait_ms = if awaits_ends && channel != PollChannel::Probe {
