--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -27,6 +27,8 @@
 /// How long a worker may hold a poll open, in milliseconds; each poll renews the lease, so this is
 /// also the interval between renewals.
 const LONG_POLL_WAIT_MS: u64 = 1_000;
+/// The longest time between the sending of a request that grants a lease and its receipt, in milliseconds.
+const MAX_REQUEST_DELAY_MS: u64 = 400;
 /// The number of missed heartbeats after which a worker whose lease has expired is removed.
 const REMOVE_AFTER_MISSED_HEARTBEATS: u64 = 4;
 /// The number of missed heartbeats after which no new task is started on a worker.
@@ -139,7 +141,7 @@
 
     /// Returns the lowest value that the worker's clock can have had at a time that has passed, which may be
     /// before the latest reading.
-    pub(super) const fn min_past_clock_ms(&self, at_ms: u64) -> u64 {
+    const fn min_past_clock_ms(&self, at_ms: u64) -> u64 {
         let (clock_ms, observed_at_ms) = self.clock_reading;
         if at_ms >= observed_at_ms {
             self.min_clock_ms(at_ms)
@@ -149,12 +151,28 @@
     }
 
     /// Returns the highest value that the worker's clock can have now, given its maximum drift.
-    pub(super) const fn max_clock_ms(&self, now_ms: u64) -> u64 {
+    const fn max_clock_ms(&self, now_ms: u64) -> u64 {
         let (clock_ms, observed_at_ms) = self.clock_reading;
         let elapsed_ms = now_ms.saturating_sub(observed_at_ms) + MAX_READING_AGE_MS;
         clock_ms + elapsed_ms + elapsed_ms * CLOCK_DRIFT_MILLIS / 1_000
     }
 
+    /// Returns whether a reading in a response can be of this incarnation's clock. One that the clock had passed
+    /// before the request, or can't have reached yet, is of another incarnation, which has answered in its place.
+    ///
+    /// Without the time of the request a reading may be of any time in the past. The first run list replaces
+    /// what is known of the clock before.
+    pub(super) fn is_own_reading(
+        &self,
+        clock_ms: u64,
+        sent_at_ms: Option<u64>,
+        now_ms: u64,
+    ) -> bool {
+        let had_passed =
+            sent_at_ms.is_some_and(|sent_at_ms| clock_ms < self.min_past_clock_ms(sent_at_ms));
+        !self.reconciled || (!had_passed && clock_ms <= self.max_clock_ms(now_ms))
+    }
+
     /// Returns the value of the worker's clock now, assuming no drift.
     pub(crate) const fn estimated_clock_ms(&self, now_ms: u64) -> u64 {
         let (clock_ms, observed_at_ms) = self.clock_reading;
@@ -275,6 +293,20 @@
         lease_ms + lease_ms * CLOCK_DRIFT_MILLIS / 1_000
     }
 
+    /// Returns the latest end of a lease that a request sent now may grant to the next incarnation of its worker,
+    /// on the leader's clock.
+    pub(super) const fn max_successor_lease_until_ms(&self) -> u64 {
+        self.now.steady_ms + MAX_REQUEST_DELAY_MS + self.max_lease_on_local_clock_ms()
+    }
+
+    /// Returns whether the next incarnation of a worker may have a run that was meant for this one; only a run
+    /// list proves which one has it.
+    fn may_run_on_successor(&self, worker: &Worker) -> bool {
+        let mut runs = worker.runs.iter();
+        !worker.lease.has_expired_for_successor(self.now.steady_ms)
+            && runs.any(|(task, number)| self.run(*task, *number).is_some_and(|run| !run.listed))
+    }
+
     /// Removes silent workers and the runs of expired leases, and sends the polls that are due.
     pub(super) fn check_workers(&mut self, state: &JobsState) {
         let now_ms = self.now.steady_ms;
@@ -289,6 +321,7 @@
             } else {
                 earlier_leases_expired
             };
+            let lease_expired = lease_expired && !self.may_run_on_successor(worker);
             if worker.departing && (lease_expired || worker.has_no_runs()) {
                 departed.push(*handle);
             } else if lease_expired && silent_ms >= remove_after_ms {
@@ -360,6 +393,7 @@
                 && worker.reconciled
                 && !worker.runs.is_empty()
                 && worker.lease.has_expired(worker.min_clock_ms(now_ms))
+                && !self.may_run_on_successor(worker)
             {
                 expired.push(*handle);
             }
@@ -410,6 +444,7 @@
     ) {
         let now_ms = self.now.steady_ms;
         let max_lease_ms = self.settings.max_lease_ms;
+        let successor_until_ms = self.max_successor_lease_until_ms();
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
         };
@@ -444,6 +479,7 @@
         let deadline_ms = extends_lease.then(|| worker.estimated_clock_ms(now_ms) + max_lease_ms);
         if let Some(deadline_ms) = deadline_ms {
             worker.lease.extend(deadline_ms, LeaseGrant::Poll);
+            worker.lease.extend_for_successor(successor_until_ms);
         }
         let acknowledged_upto = worker.acknowledgement(state);
         let wait_ms = if awaits_ends && channel != PollChannel::Probe {
