--- a/crates/jasminefall-jobs/src/leader/late_starts.rs
+++ b/crates/jasminefall-jobs/src/leader/late_starts.rs
@@ -46,8 +46,8 @@
         self.0.remove(&(task, run));
     }
 
-    /// Returns the starts that a later incarnation of their worker has not been told to stop yet, or has not
-    /// answered in time.
+    /// Returns the starts that another incarnation of their worker has not been told to stop yet, or has not
+    /// answered in time. A later one may have an earlier start time, if the worker's time of day was set back.
     fn unstopped(
         &self,
         worker: &Heartbeat,
@@ -61,7 +61,7 @@
                 stop.worker == handle && (stop.accepted || is_pending)
             });
             start.worker == incarnation.worker
-                && start.started_at_ms < incarnation.started_at_ms
+                && start.started_at_ms != incarnation.started_at_ms
                 && !is_stopped
         });
         starts.map(|(key, _)| *key).collect()
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -226,8 +226,13 @@
 
     /// Restarts a worker under its name; the leader learns of it from the next heartbeat or run list.
     pub(crate) fn restart_under_name(&mut self, name: &SmolStr) {
+        self.restart_under_name_at(name, self.now.wall_ms);
+    }
+
+    /// Restarts a worker under its name at a time on its own wall clock.
+    pub(crate) fn restart_under_name_at(&mut self, name: &SmolStr, started_at_ms: u64) {
         let worker = SimulatedWorker {
-            started_at_ms: self.now.wall_ms,
+            started_at_ms,
             ..SimulatedWorker::default()
         };
         self.workers.insert(name.clone(), worker);
--- a/crates/jasminefall-jobs/tests/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/tests/leader/incarnations.rs
@@ -111,3 +111,88 @@
     advance_with_polls(&mut harness, 600);
     assert_eq!(harness.take_starts().len(), 1);
 }
+
+/// The start of an incarnation on a wall clock that was set back, before that of each earlier one but the first.
+const SET_BACK_MS: u64 = 500;
+
+/// Returns a leader of two workers and a start, not arrived yet, on one whose second incarnation the leader knows.
+fn harness_with_start_on_second_incarnation() -> (Harness, StartRequest, SmolStr) {
+    let mut harness = Harness::new(2);
+    for name in ["i-0", "i-1"] {
+        harness.restart_under_name(&name.into());
+    }
+    harness.send_heartbeats();
+    harness.answer_polls();
+    harness.submit(1, harness::job(&[1], 1_000));
+    let start = harness.take_starts().remove(0);
+    let name = harness.worker_name(&start);
+    (harness, start, name)
+}
+
+fn assert_completes_without_another_start(harness: &mut Harness, name: &str, start: &StartRequest) {
+    advance_with_polls(harness, 8_000);
+    assert_eq!(harness.take_starts(), []);
+    harness.end_on_worker(name, start, EndKind::Done);
+    harness.answer_polls();
+    assert_eq!(harness.status(1), Some(JobStatus::Completed));
+}
+
+/// Guards against TWICE: the next incarnation seems to be an earlier one.
+#[test]
+fn start_taken_after_a_restart_on_a_clock_that_was_set_back_is_not_repeated() {
+    for is_answered in [false, true] {
+        let (mut harness, start, name) = harness_with_start_on_second_incarnation();
+        harness.restart_under_name_at(&name, SET_BACK_MS);
+        harness.send_heartbeats();
+        if is_answered {
+            harness.accept_start_at(&start, 40);
+        } else {
+            harness.accept_start_unanswered(&start);
+        }
+        assert_completes_without_another_start(&mut harness, &name, &start);
+    }
+}
+
+/// Guards against TWICE as above, if the leader is lost after any number of its commands.
+#[test]
+fn next_leader_repeats_no_start_after_a_restart_on_a_clock_that_was_set_back() {
+    for committed in 0.. {
+        let (mut harness, start, name) = harness_with_start_on_second_incarnation();
+        harness.pause_commits();
+        harness.restart_under_name_at(&name, SET_BACK_MS);
+        harness.accept_start_at(&start, 40);
+        harness.answer_polls();
+        harness.send_heartbeats();
+        let has_more = harness.commit_proposed(committed) == committed;
+        harness.resume_commits_of_next_leader();
+        harness.answer_polls();
+        assert_eq!(harness.take_starts(), [], "after {committed} commands");
+        assert_completes_without_another_start(&mut harness, &name, &start);
+        if !has_more {
+            return;
+        }
+    }
+}
+
+/// Guards against TWICE: a start without effect was not stopped on the next incarnation, which could still carry it out.
+#[test]
+fn late_start_is_stopped_after_a_restart_on_a_clock_that_was_set_back() {
+    let (mut harness, start, name) = harness_with_start_on_second_incarnation();
+    harness.lose_start_response(&start);
+    advance_with_polls(&mut harness, 1_500);
+    let again = harness.take_starts().remove(0);
+    harness.refuse_start(&again);
+    let again = harness.take_starts().remove(0);
+    assert_ne!(harness.worker_name(&again), name);
+    harness.accept_start(&again);
+    advance_with_polls(&mut harness, 1_000);
+    harness.restart_under_name_at(&name, SET_BACK_MS);
+    harness.take_effects();
+    let is_of_start = |effect: &Effect| matches!(effect, Effect::Stop { task, run, .. } if (*task, *run) == (start.task, start.run));
+    let mut waited_ms = 0;
+    while !harness.take_effects().iter().any(is_of_start) {
+        advance_with_polls(&mut harness, 50);
+        waited_ms += 50;
+        assert!(waited_ms <= 6_500, "the start may still be carried out");
+    }
+}
