fix(jobs): register a vanished worker again while its removal is not applied (PROGRESS)

A job that crashes its workers was given up and never shown as failed.

Cause: the ends that give a job up are recorded for the crashed worker, which needs a record in the log. Whether it has one was read from the applied state. If the worker had been removed as silent, and that was proposed and not applied, the ends followed the removal and had no effect; the leader took the task for given up and didn't start it again.

The second also guards the numbers of these ends while ends of the worker are not applied yet: the record that is added again counts from zero.

What counts now is whether the worker has a record once all proposals have been applied.

--- a/crates/jasminefall-jobs/src/leader/records.rs
+++ b/crates/jasminefall-jobs/src/leader/records.rs
@@ -5,14 +5,17 @@
 
 use std::collections::HashMap;
 
+use super::Leader;
 use crate::ids::IncarnationId;
-use crate::state::Command;
+use crate::state::{Command, JobsState};
 
 /// Counts the proposals for the record of one incarnation that have not been applied yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 struct PendingRecord {
     additions: usize,
     removals: usize,
+    /// Whether the latest proposal adds the record.
+    is_recorded: bool,
 }
 
 /// Holds the proposals that have not been applied yet, by the incarnation that they add or remove.
@@ -26,10 +29,12 @@
             Command::Register(heartbeat) => {
                 let pending = self.0.entry(heartbeat.incarnation.clone()).or_default();
                 pending.additions += 1;
+                pending.is_recorded = true;
             }
             Command::Retire(incarnation) => {
                 let pending = self.0.entry(incarnation.clone()).or_default();
                 pending.removals += 1;
+                pending.is_recorded = false;
             }
             _ => {}
         }
@@ -61,3 +66,14 @@
         pending.is_some_and(|pending| pending.removals > 0)
     }
 }
+
+impl Leader {
+    /// Returns whether an incarnation has a record once all proposals have been applied.
+    pub(super) fn will_be_recorded(&self, incarnation: &IncarnationId, state: &JobsState) -> bool {
+        let pending = self.pending_records.0.get(incarnation);
+        pending.map_or_else(
+            || state.incarnations.contains_key(incarnation),
+            |pending| pending.is_recorded,
+        )
+    }
+}
--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -319,7 +319,7 @@
                 continue;
             };
             // The ends of a run can only be recorded for a registered incarnation.
-            let is_registered = state.incarnations.contains_key(&incarnation);
+            let is_registered = self.will_be_recorded(&incarnation, state);
             if !is_registered {
                 self.propose(Command::Register(Box::new(vanished.heartbeat)));
             }
--- a/crates/jasminefall-jobs/tests/leader/crashes.rs
+++ b/crates/jasminefall-jobs/tests/leader/crashes.rs
@@ -4,6 +4,7 @@
 
 use jasminefall_jobs::leader::StartRequest;
 use jasminefall_jobs::prelude::*;
+use smol_str::{SmolStr, format_smolstr};
 
 use crate::harness::{self, Harness};
 
@@ -226,3 +227,63 @@
     crash_and_restart(&mut harness, &start);
     assert_eq!(harness.state.crashes_of(start.task), 1);
 }
+
+/// Returns a leader that has lost one worker under the only task of a job, and the start of its second run.
+fn harness_with_second_run() -> (Harness, StartRequest) {
+    let mut harness = Harness::new(3);
+    harness.submit(1, harness::job(&[1], 100));
+    let start = harness.take_starts().remove(0);
+    harness.accept_start(&start);
+    crash_and_restart(&mut harness, &start);
+    let start = harness.take_starts().remove(0);
+    harness.accept_start(&start);
+    harness.answer_polls();
+    (harness, start)
+}
+
+/// Lets the leader remove a crashed worker as silent, and learn then that its instance had started again before.
+fn vanish_and_restart(harness: &mut Harness, name: &SmolStr) {
+    let restarted_at_ms = harness.wall_ms() + 1_000;
+    for _ in 0..80 {
+        harness.advance(100);
+        harness.answer_polls();
+    }
+    assert_eq!(harness.worker_count(), 2);
+    let restarted = format_smolstr!("{name}-restarted");
+    harness.restart_under_name_at(&restarted, restarted_at_ms);
+    harness.send_heartbeats();
+}
+
+/// Guards against PROGRESS: the ends that give a job up followed a removal of the record that they need, which had been proposed
+/// and not applied, so that they had no effect.
+#[test]
+fn job_is_given_up_although_the_removal_of_the_vanished_worker_is_not_applied_yet() {
+    let (mut harness, start) = harness_with_second_run();
+    harness.pause_commits();
+    let name = harness.crash_worker(&start);
+    vanish_and_restart(&mut harness, &name);
+    harness.resume_commits();
+    assert_eq!(harness.status(1), Some(JobStatus::Failed));
+}
+
+/// Guards against PROGRESS: ends without effect, since their numbers are those of ends that have been proposed before.
+#[test]
+fn job_is_given_up_although_ends_of_the_vanished_worker_are_not_applied_yet() {
+    let mut harness = Harness::new(3);
+    harness.submit(1, harness::job(&[2], 100));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    crash_and_restart(&mut harness, &starts[0]);
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.answer_polls();
+    assert_eq!(starts.len(), 2);
+    assert_eq!(starts[0].worker, starts[1].worker);
+    harness.pause_commits();
+    let name = harness.worker_name(&starts[0]);
+    harness.end_run(&starts[0], EndKind::Done);
+    harness.remove_worker(&name);
+    vanish_and_restart(&mut harness, &name);
+    harness.resume_commits();
+    assert_eq!(harness.status(1), Some(JobStatus::Failed));
+}
