fix(jobs): end a handover only by a worker that is later than the ended incarnation (TWICE)

Two runs of a task at the same time would have been seen.

Cause: another worker at the address or on the instance ends a handover, since nothing can take over the starts any more. A heartbeat of the worker that was there before, held up in the network, arrived between the end of an incarnation and the first heartbeat of the next one, and counted as that, so that the runs were started elsewhere and the record was removed.

Evidence: the new test failed before (the task was started again at once) and passes now. Change: only the sender of a heartbeat that has started later than the ended incarnation ends its handover.

--- a/crates/jasminefall-jobs/src/leader/handovers.rs
+++ b/crates/jasminefall-jobs/src/leader/handovers.rs
@@ -38,6 +38,8 @@
 struct Handover {
     instance: Option<SmolStr>,
     address: SmolStr,
+    /// The start of the latest incarnation that has ended, in milliseconds since 1970.
+    started_at_ms: u64,
     /// The runs that no run list has shown.
     runs: Vec<(TaskId, u64)>,
     /// The ended incarnations on which earlier leaders may have started tasks.
@@ -78,12 +80,14 @@
             .or_insert_with(|| Handover {
                 instance: heartbeat.instance.clone(),
                 address: heartbeat.address.clone(),
+                started_at_ms: incarnation.started_at_ms,
                 runs: Vec::new(),
                 unreconciled: Vec::new(),
                 recorded: Vec::new(),
                 ended_at_ms,
             });
         handover.ended_at_ms = ended_at_ms;
+        handover.started_at_ms = handover.started_at_ms.max(incarnation.started_at_ms);
         handover.runs.extend(unlisted);
         handover
             .unreconciled
@@ -118,9 +122,11 @@
             return;
         };
         self.complete_handover(successor);
+        // A delayed heartbeat may be of a worker that was there before.
         let is_superseded = |handover: &Handover| {
-            handover.address == heartbeat.address
-                || (handover.instance.is_some() && handover.instance == heartbeat.instance)
+            incarnation.started_at_ms > handover.started_at_ms
+                && (handover.address == heartbeat.address
+                    || (handover.instance.is_some() && handover.instance == heartbeat.instance))
         };
         self.abandon_handovers(is_superseded);
     }
--- a/crates/jasminefall-jobs/tests/leader/handovers.rs
+++ b/crates/jasminefall-jobs/tests/leader/handovers.rs
@@ -382,3 +382,19 @@
     let is_recorded = |id: &IncarnationId| id.worker == name && id.started_at_ms == returned;
     assert!(harness.state.incarnations.keys().any(is_recorded));
 }
+
+/// Guards against TWICE: the worker was taken for replaced by one that had been at its address before.
+#[test]
+fn delayed_heartbeat_of_an_earlier_worker_at_the_address_ends_no_handover() {
+    let (mut harness, start) = harness_with_start_under_way();
+    let name = harness.worker_name(&start);
+    harness.restart_under_name(&name);
+    harness.accept_start_at(&start, NEW_CLOCK_MS);
+    harness.answer_polls();
+    let number = harness::instance_number(&name);
+    harness.heartbeat_with(number, |heartbeat| {
+        heartbeat.incarnation.worker = "i-earlier".into();
+        heartbeat.incarnation.started_at_ms = 0;
+    });
+    assert_eq!(harness.take_starts(), []);
+}
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -1094,7 +1094,7 @@
 }
 
 /// Returns the number of the instance of a worker, which follows the first hyphen of its name.
-fn instance_number(name: &str) -> usize {
+pub(crate) fn instance_number(name: &str) -> usize {
     let number = name.split('-').nth(1).and_then(|text| text.parse().ok());
     number.expect("the name of a worker holds the number of its instance")
 }
