fix(jobs): remove the record of an empty worker at once when its instance moves or is maintained

A leader that began within 6.2 s of a move or a maintenance waited up to 6.2 s with the tasks of that pool, until the platform's list arrived.

Cause: the record of an incarnation stayed for a handover although the worker had no runs, and no start was unanswered that the next incarnation could take. Evidence: the new test failed before (no start) and passes. Change: such a worker leaves nothing to hand over.

--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -175,7 +175,15 @@
             if self.workers.get(&handle).is_some_and(outlives) {
                 return Some(handle);
             }
-            self.end_incarnation_permanently(handle, cause, Successor::SameWorker, state);
+            let may_leave_starts = self.workers.get(&handle).is_some_and(|worker| {
+                !worker.has_no_runs() || self.late_starts.concern(&worker.incarnation().worker)
+            });
+            let successor = if may_leave_starts {
+                Successor::SameWorker
+            } else {
+                Successor::None
+            };
+            self.end_incarnation_permanently(handle, cause, successor, state);
         }
         if let Some(known) = self.fleet.instances.get_mut(instance) {
             known.worker = None;
--- a/crates/jasminefall-jobs/src/leader/late_starts.rs
+++ b/crates/jasminefall-jobs/src/leader/late_starts.rs
@@ -41,6 +41,11 @@
 pub(crate) struct LateStarts(BTreeMap<(TaskId, u64), LateStart>);
 
 impl LateStarts {
+    /// Returns whether a later incarnation of a worker may carry out a start.
+    pub(super) fn concern(&self, worker: &str) -> bool {
+        self.0.values().any(|start| start.worker == worker)
+    }
+
     /// Removes a start that has been carried out or refused.
     pub(super) fn settle(&mut self, task: TaskId, run: u64) {
         self.0.remove(&(task, run));
--- a/crates/jasminefall-jobs/tests/leader/handovers.rs
+++ b/crates/jasminefall-jobs/tests/leader/handovers.rs
@@ -1,6 +1,6 @@
 //! Starts that a worker takes after it has restarted under its name, as in review/1 (TWICE).
 
-use jasminefall_jobs::leader::{Effect, StartRequest};
+use jasminefall_jobs::leader::{Effect, InstanceResponse, StartRequest};
 use jasminefall_jobs::prelude::*;
 
 use crate::harness::{self, Harness};
@@ -398,3 +398,22 @@
     });
     assert_eq!(harness.take_starts(), []);
 }
+
+/// Guards against a wait of 6 s for a worker that has left no starts behind.
+#[test]
+fn empty_instance_that_enters_maintenance_delays_no_task_of_the_next_leader() {
+    let mut harness = Harness::new(2);
+    harness.list_instances();
+    harness.start_wave(&["m-1"]);
+    harness.advance(1_000);
+    harness.answer_polls();
+    let sent = harness.take_maintenance();
+    harness.respond_to_maintenance(&sent[0], InstanceResponse::Done);
+    harness.remove_worker("i-1");
+    harness.advance(200);
+    harness.submit(1, harness::job(&[1], 100));
+    harness.take_starts();
+    harness.change_leader();
+    harness.answer_polls();
+    assert_eq!(harness.take_starts().len(), 1);
+}
