--- a/crates/jasminefall-jobs/tests/leader/handovers.rs
+++ b/crates/jasminefall-jobs/tests/leader/handovers.rs
@@ -417,3 +417,19 @@
     harness.answer_polls();
     assert_eq!(harness.take_starts().len(), 1);
 }
+
+/// Guards against a record that no leader removes, for which each later one waits.
+#[test]
+fn record_of_a_worker_that_leaves_before_its_registration_is_committed_is_removed() {
+    let mut harness = Harness::new(1);
+    harness.pause_commits();
+    harness.start_worker();
+    harness.advance_by(50);
+    harness.answer_polls();
+    harness.heartbeat_with(1, |heartbeat| heartbeat.draining = true);
+    harness.answer_polls();
+    harness.depart("i-1");
+    harness.resume_commits();
+    assert_eq!(harness.worker_count(), 1);
+    assert_eq!(harness.state.incarnations.len(), 1);
+}
