fix(jobs): number the ends of a replaced worker after those it has listed (PROGRESS)

A job that crashes its workers was given up and never shown as failed.

Cause: the ends that give a job up continue the numbers of the ends that the crashed worker has listed. Of a worker that the leader no longer knew, as its next incarnation had replaced it, only the applied ends counted; the record is kept for the next incarnation, so that ends with the numbers of others that had been proposed and not applied were skipped.

The leader keeps the number of the last end that it has processed of each ended and each silent incarnation; it is used here as well.

--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -58,6 +58,19 @@
         false
     }
 
+    /// Returns the number of the last run end that was processed of an incarnation, which may have ended.
+    pub(super) fn ends_seen(&self, incarnation: &IncarnationId) -> u64 {
+        let handle = self.directory.by_incarnation(incarnation);
+        let worker = handle.and_then(|handle| self.workers.get(&handle));
+        let ended = self.ended_incarnations.get(incarnation);
+        let silent = self.silent_incarnations.get(incarnation);
+        let known = worker.map(|worker| worker.ends_seen);
+        let known = known.or_else(|| ended.map(|ended| ended.ends_seen));
+        known
+            .or_else(|| silent.map(|(ends_seen, _)| *ends_seen))
+            .unwrap_or_default()
+    }
+
     /// Processes a worker's deregistration: ends its draining incarnations.
     ///
     /// The worker ends only once it has received the acknowledgement, or some time later without one,
--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -401,10 +401,8 @@
 
     /// Ends the jobs of tasks that are given up, and clears the tasks that were suspects because of them.
     fn give_up(&mut self, incarnation: &IncarnationId, runs: &[LostRun], state: &JobsState) {
-        let handle = self.directory.by_incarnation(incarnation);
-        let worker = handle.and_then(|handle| self.workers.get(&handle));
         // Ends that the worker listed may have been proposed and not applied yet.
-        let mut last_number = worker.map_or(0, |worker| worker.ends_seen);
+        let mut last_number = self.ends_seen(incarnation);
         let mut failed_jobs = BTreeSet::new();
         let mut ends = Vec::new();
         for run in runs {
--- a/crates/jasminefall-jobs/tests/leader/crashes.rs
+++ b/crates/jasminefall-jobs/tests/leader/crashes.rs
@@ -287,3 +287,39 @@
     harness.resume_commits();
     assert_eq!(harness.status(1), Some(JobStatus::Failed));
 }
+
+/// Guards against PROGRESS as above, while the record is kept for the next incarnation of the worker.
+#[test]
+fn job_is_given_up_although_ends_of_a_replaced_worker_are_not_applied_yet() {
+    let mut harness = Harness::new(3);
+    harness.submit(1, harness::job(&[2], 100));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    crash_and_restart(&mut harness, &starts[0]);
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    harness.answer_polls();
+    harness.pause_commits();
+    harness.fail_poll(&starts[0]);
+    harness.advance(50);
+    harness.answer_polls();
+    harness.end_unreported(&starts[0], EndKind::Done);
+    let name = harness.worker_name(&starts[0]);
+    harness.answer_next_poll();
+    harness.cut_off(&name);
+    let restarted_at_ms = harness.wall_ms() + 1_000;
+    for _ in 0..80 {
+        harness.advance(100);
+        harness.answer_polls();
+        harness.heartbeat_with(1, |_| {});
+    }
+    harness.reconnect(&name);
+    harness.restart_under_name_at(&name, restarted_at_ms);
+    for _ in 0..3 {
+        harness.advance_by(200);
+        harness.answer_polls();
+    }
+    harness.send_heartbeats();
+    harness.resume_commits();
+    assert_eq!(harness.status(1), Some(JobStatus::Failed));
+}
