--- a/crates/jasminefall-dispatch/src/forwarding.rs
+++ b/crates/jasminefall-dispatch/src/forwarding.rs
@@ -126,8 +126,7 @@
         request: &Request,
     ) -> Result<Response, ForwardError> {
         let deadline = Instant::now() + limit;
-        let mut may_be_executed = false;
-        // Whether a copy without a response may still be executed.
+        // Whether a copy without a response, or of a leader that stepped down, may still be executed.
         let mut is_copy_under_way = false;
         let mut rejected_by = None;
         let group = &self.group;
@@ -153,7 +152,7 @@
                     group.clear_leader(address);
                 }
                 Ok(Response::Unknown) => {
-                    may_be_executed = true;
+                    is_copy_under_way = true;
                     rejected_by = Some(address);
                 }
                 Ok(Response::Expired) => rejected_by = Some(address),
@@ -169,7 +168,7 @@
                 Err(error) => is_copy_under_way |= group.record_failure(address, &error),
             }
         }
-        Err(if may_be_executed || is_copy_under_way {
+        Err(if is_copy_under_way {
             ForwardError::Unknown
         } else {
             ForwardError::NotExecuted
--- a/crates/jasminefall-dispatch/tests/forwarding.rs
+++ b/crates/jasminefall-dispatch/tests/forwarding.rs
@@ -36,6 +36,8 @@
     /// The wave numbers of the received requests.
     received: Rc<RefCell<Vec<u64>>>,
     is_unresponsive: Rc<Cell<bool>>,
+    /// Whether it steps down while the next request waits for a majority.
+    steps_down: Rc<Cell<bool>>,
     /// What it names if it isn't the leader itself.
     followed: Rc<RefCell<Option<KnownGroup>>>,
 }
@@ -48,6 +50,7 @@
         let Self {
             received,
             is_unresponsive,
+            steps_down,
             followed,
         } = self.clone();
         let service = ControlService {
@@ -64,6 +67,7 @@
                         received.borrow_mut().push(number);
                         Response::Wave { complete: true }
                     }
+                    _ if steps_down.take() => Response::Unknown,
                     _ => Response::RetryAfter { after_ms: 1_000 },
                 };
                 let is_unresponsive = is_unresponsive.get();
@@ -296,6 +300,24 @@
         .await;
 }
 
+/// Guards against REFUSED: a leader stepped down while a submission waited for a majority, the next leader refused the second
+/// copy since its key had been revoked, and started the job of the first copy.
+#[tokio::test]
+async fn refusal_of_a_submission_is_no_answer_after_a_leader_stepped_down_with_another_copy() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let (previous_leader, _new_leader, seeds, forwarder) = two_leaders().await;
+            forwarder.forward(LIMIT, &submission()).await.unwrap();
+            assert_eq!(forwarder.leader(), Some(seeds[0]));
+
+            previous_leader.steps_down.set(true);
+            let refused = forwarder.forward(LIMIT, &submission()).await;
+            assert_eq!(refused, Err(ForwardError::Unknown));
+        })
+        .await;
+}
+
 /// Calls the leader while the known leader goes through `changes`, given as ports; the instance at
 /// port `unresponsive` never responds. Returns the result and the called ports.
 async fn call_during_changes(
