test(jobs): lose the leader at each command of a replacement in random schedules

Change: groups of workers restart under their names, beside departures, moves to another pool and removals as silent; a schedule is played once, and then once for each command proposed in such periods with the log cut before it. Clocks begin near those of the incarnation before, above or below. A new rule, UNKNOWN-WORKER: a leader begins while a task runs on a worker of which the log has no incarnation.

--- a/crates/jasminefall-jobs/tests/schedules.rs
+++ b/crates/jasminefall-jobs/tests/schedules.rs
@@ -13,7 +13,7 @@
 
 use std::ops::Range;
 
-use plan::{Mix, Outages, Setup};
+use plan::{LeaderLoss, Mix, Outages, Replacements, Setup};
 use world::{Counts, World};
 
 /// Returns the seeds to play: those of the environment or else the default ones.
@@ -30,31 +30,70 @@
     }
 }
 
-/// Plays a schedule for each seed and panics with the broken rules; returns what happened in all.
-fn play(setup: Setup, seeds: Range<u64>) -> Counts {
-    let mut total = Counts::default();
-    let mut broken = Vec::new();
-    for seed in seeds.clone() {
+/// Collects what happened in the schedules that were played, and the rules that they broke.
+#[derive(Debug, Default)]
+struct Report {
+    total: Counts,
+    plays: usize,
+    broken: Vec<String>,
+}
+
+impl Report {
+    /// Plays a schedule, prints the first broken rule of the report, and returns the world at the end.
+    fn play(&mut self, setup: Setup, seed: u64, name: &str) -> World {
         let mut world = World::new(setup, seed);
+        self.plays += 1;
         match world.run() {
-            Ok(counts) => total.add(&counts),
+            Ok(counts) => self.total.add(&counts),
             Err(violation) => {
-                if broken.is_empty() {
-                    println!("seed={seed} {violation}");
+                if self.broken.is_empty() {
+                    println!("seed={name} {violation}");
                     println!("{}", world.events_of(&violation).join("\n"));
                 }
-                broken.push(format!("{seed}:{}", violation.rule));
+                self.broken.push(format!("{name}:{}", violation.rule));
             }
         }
+        world
     }
-    println!("{total:?}");
-    let (count, total_count) = (broken.len(), seeds.count());
-    assert!(
-        broken.is_empty(),
-        "{count} of {total_count} seeds break a rule: {}",
-        broken.join(" ")
-    );
-    total
+
+    /// Panics with the broken rules; `plays` names what was played.
+    fn finish(self, plays: &str) -> Counts {
+        println!("{:?}", self.total);
+        assert!(
+            self.broken.is_empty(),
+            "{} of {} {plays} break a rule: {}",
+            self.broken.len(),
+            self.plays,
+            self.broken.join(" ")
+        );
+        self.total
+    }
+}
+
+/// Plays a schedule for each seed and panics with the broken rules; returns what happened in all.
+fn play(setup: Setup, seeds: Range<u64>) -> Counts {
+    let mut report = Report::default();
+    for seed in seeds {
+        report.play(setup, seed, &seed.to_string());
+    }
+    report.finish("seeds")
+}
+
+/// Plays the schedule of each seed without a loss of the leader, and then once for each command that is
+/// proposed while workers are being replaced, with the log cut before this command.
+fn play_each_boundary(setup: Setup, seeds: Range<u64>) -> Counts {
+    let mut report = Report::default();
+    for seed in seeds.clone() {
+        let boundaries = report.play(setup, seed, &seed.to_string()).boundaries();
+        for number in boundaries {
+            let setup = Setup {
+                leader_loss: LeaderLoss::BeforeCommand(number),
+                ..setup
+            };
+            report.play(setup, seed, &format!("{seed}/{number}"));
+        }
+    }
+    report.finish(&format!("schedules of {} seeds", seeds.count()))
 }
 
 /// Plays the default seeds without those that KNOWN-RED.txt lists, or the seeds of the environment.
@@ -123,6 +162,41 @@
     );
 }
 
+/// Guards against TWICE: the log ends between the commands that replace an incarnation, and the next leader
+/// doesn't know that a worker may have runs.
+#[test]
+fn leader_lost_at_each_command_of_a_replacement_breaks_no_rule() {
+    let counts = play_each_boundary(Setup::REPLACEMENTS, seeds(1..6));
+    assert!(
+        counts.taken_by_successor > 0 && counts.departures > 0 && counts.lapses > 0,
+        "{counts:?}"
+    );
+}
+
+/// Guards against TWICE: the next incarnation of a worker is taken for an earlier one.
+#[test]
+fn leader_lost_while_wall_clocks_go_back_breaks_no_rule() {
+    let setup = Setup {
+        replacements: Some(Replacements {
+            wall_clock_goes_back: true,
+        }),
+        ..Setup::REPLACEMENTS
+    };
+    let counts = play_each_boundary(setup, seeds(1..3));
+    assert!(counts.taken_by_successor > 0, "{counts:?}");
+}
+
+/// Guards against TWICE: requests that a lost leader gave up reach the next incarnation of their worker.
+#[test]
+fn leader_lost_while_the_network_holds_requests_breaks_no_rule() {
+    let setup = Setup {
+        network_holds_requests: true,
+        ..Setup::REPLACEMENTS
+    };
+    let counts = play_each_boundary(setup, seeds(1..3));
+    assert!(counts.taken_by_successor > 0, "{counts:?}");
+}
+
 #[test]
 fn departures_break_no_rule() {
     let setup = Setup {
--- a/crates/jasminefall-jobs/tests/schedules/fleet.rs
+++ b/crates/jasminefall-jobs/tests/schedules/fleet.rs
@@ -5,7 +5,7 @@
 use smol_str::format_smolstr;
 
 use super::{Event, WALL_CLOCK_MS, World};
-use crate::plan::{Fault, POOL};
+use crate::plan::{Fault, POOL, SPARE_POOL};
 use crate::worker::Worker;
 
 impl World {
@@ -19,12 +19,14 @@
             Some(previous) if keeps_name => previous.incarnation.worker.clone(),
             _ => format_smolstr!("i-{slot}-{life}"),
         };
+        let clock_back_ms = std::mem::take(&mut self.slots[slot].clock_back_ms);
         let incarnation = IncarnationId {
             worker: name,
-            started_at_ms: WALL_CLOCK_MS + self.now_ms,
+            started_at_ms: WALL_CLOCK_MS + self.now_ms - clock_back_ms,
         };
+        let previous_clock_ms = previous.map(|previous| previous.clock_ms(self.now_ms));
         let clock = (
-            self.random.random_range(1_000..5_000_000),
+            self.first_clock_ms(previous_clock_ms),
             self.random.random_range(0..=20),
         );
         let capacity = self.slots[slot].capacity;
@@ -37,13 +39,27 @@
         self.send_heartbeat(life);
     }
 
+    /// Draws the first value of a worker's clock. After most replacements it is near the value that the clock
+    /// of the previous incarnation would have, above or below, so that one can be taken for the other.
+    fn first_clock_ms(&mut self, previous_ms: Option<u64>) -> u64 {
+        const NEAR_MS: u64 = 12_000;
+        let near_ms = previous_ms.filter(|_| self.setup.replacements.is_some());
+        match near_ms {
+            Some(near_ms) if self.random.random_ratio(2, 3) => {
+                let lowest_ms = near_ms.saturating_sub(NEAR_MS).max(1_000);
+                self.random.random_range(lowest_ms..near_ms + NEAR_MS)
+            }
+            _ => self.random.random_range(1_000..5_000_000),
+        }
+    }
+
     pub(super) fn send_heartbeat(&mut self, life: usize) {
         let now_ms = self.now_ms;
         let worker = &mut self.workers[life];
         if !worker.is_up || !worker.sends_heartbeats {
             return;
         }
-        let heartbeat = worker.heartbeat(POOL, now_ms);
+        let heartbeat = worker.heartbeat(self.slots[worker.slot].pool, now_ms);
         let slot = worker.slot;
         let interval_ms = self.settings.heartbeat_ms;
         self.after(
@@ -104,6 +120,17 @@
         if !self.workers[life].is_up {
             return;
         }
+        let restart_ms = match self.setup.restart_ms {
+            Some(restart_ms) => restart_ms..restart_ms + 1,
+            None if self.setup.restarts_under_name => 100..1_000,
+            None => 2_000..4_000,
+        };
+        let restart_ms = self.random.random_range(restart_ms);
+        self.replace(life, is_crash, restart_ms);
+    }
+
+    /// Ends an incarnation that is up; the next one begins after a while.
+    fn replace(&mut self, life: usize, is_crash: bool, restart_ms: u64) {
         let runs = self.workers[life].shut_down();
         let incarnation = self.workers[life].incarnation.clone();
         self.note(format!("down worker={incarnation} crash={is_crash}"));
@@ -117,12 +144,7 @@
         self.counts.lost_runs += runs.len() as u64;
         self.counts.crashes += u64::from(is_crash);
         let slot = self.workers[life].slot;
-        let restart_ms = match self.setup.restart_ms {
-            Some(restart_ms) => restart_ms..restart_ms + 1,
-            None if self.setup.restarts_under_name => 100..1_000,
-            None => 2_000..4_000,
-        };
-        self.after(restart_ms, Event::WorkerJoins { slot });
+        self.schedule(self.now_ms + restart_ms, Event::WorkerJoins { slot });
     }
 
     pub(super) fn on_fault(&mut self, fault: Fault) {
@@ -141,12 +163,55 @@
                 self.note(format!("cut worker={incarnation} lasts_ms={lasts_ms}"));
             }
             Fault::Crash { slot } => self.shut_down(self.slots[slot].life, true),
+            Fault::Restart {
+                slot,
+                after_ms,
+                clock_back_ms,
+            } => {
+                let life = self.slots[slot].life;
+                if self.workers[life].is_up {
+                    self.slots[slot].clock_back_ms = clock_back_ms;
+                    self.replace(life, true, after_ms);
+                }
+            }
+            Fault::Move { slot, after_ms } => self.move_worker(slot, after_ms),
             Fault::Drain { slot } => self.drain(self.slots[slot].life),
             Fault::LeaderLost { absent_ms } => self.lose_leader(absent_ms),
             Fault::Capacity { slot, percent } => self.change_capacity(slot, percent),
         }
     }
 
+    /// Takes a worker down, which begins again in the other pool; the pool of one that is down changes, too.
+    fn move_worker(&mut self, slot: usize, after_ms: u64) {
+        let other_pool = if self.slots[slot].pool == POOL {
+            SPARE_POOL
+        } else {
+            POOL
+        };
+        self.slots[slot].pool = other_pool;
+        let life = self.slots[slot].life;
+        let incarnation = self.workers[life].incarnation.clone();
+        self.note(format!("moves worker={incarnation} to_pool={other_pool}"));
+        if self.workers[life].is_up {
+            // Nothing announces it, so the leader can't tell it from a crash.
+            self.replace(life, true, after_ms);
+        }
+    }
+
+    /// Returns whether a worker is being replaced or leaves, or isn't known to the leader and the log as it is.
+    pub(super) fn is_replacing_workers(&self) -> bool {
+        self.slots.iter().any(|slot| {
+            let worker = &self.workers[slot.life];
+            let name = &worker.incarnation.worker;
+            let recorded = self.state.incarnations.keys();
+            let mut recorded = recorded.filter(|known| known.worker == *name);
+            let is_recorded_alone =
+                recorded.next() == Some(&worker.incarnation) && recorded.next().is_none();
+            let is_listed = worker.listed_for == Some(self.fencing_token);
+            !worker.is_up || worker.draining || !is_recorded_alone || !is_listed
+        })
+    }
+
     pub(super) fn change_capacity(&mut self, slot: usize, percent: u64) {
         let full = self.plan.capacities[slot];
         let capacity = Resources {
--- a/crates/jasminefall-jobs/tests/schedules/log.rs
+++ b/crates/jasminefall-jobs/tests/schedules/log.rs
@@ -5,9 +5,20 @@
 use rand::Rng;
 
 use super::{Event, Leadership, WALL_CLOCK_MS, World};
-use crate::plan::{self, ATTEMPTS, PlannedJob};
+use crate::plan::{self, ATTEMPTS, LeaderLoss, PlannedJob};
 use crate::worker::Worker;
 
+/// Names a command, with the worker that it is about.
+fn kind_of(command: &Command) -> String {
+    match command {
+        Command::Register(heartbeat) => format!("register worker={}", heartbeat.incarnation),
+        Command::Retire(incarnation) => format!("retire worker={incarnation}"),
+        Command::RecordRunEnds { life, .. } => format!("record-run-ends worker={life}"),
+        Command::Submit { job, .. } => format!("submit job={job}"),
+        _ => "other".to_owned(),
+    }
+}
+
 impl World {
     pub(super) fn drive_leader(&mut self, input: impl FnOnce(&mut Leader, &JobsState)) {
         let Some(leadership) = &mut self.leadership else {
@@ -65,6 +76,47 @@
         self.proposals.push_back((at_ms, command));
         let fencing_token = self.fencing_token;
         self.schedule(at_ms, Event::Commit { fencing_token });
+        let number = self.proposed;
+        self.proposed += 1;
+        if self.loses_leader_before(number) {
+            let lost_ms = self.random.random_range(self.now_ms..at_ms);
+            let loss = Event::LeaderLostBefore {
+                fencing_token,
+                number,
+            };
+            self.schedule(lost_ms, loss);
+        }
+    }
+
+    /// Decides whether the leader is lost before the command with this number is committed.
+    fn loses_leader_before(&mut self, number: u64) -> bool {
+        let first_restart_ms = self.plan.first_restart_ms;
+        let is_boundary = first_restart_ms.is_some_and(|first_ms| self.now_ms >= first_ms)
+            && self.is_replacing_workers();
+        if is_boundary {
+            self.boundaries.push(number);
+        }
+        match self.setup.leader_loss {
+            LeaderLoss::BeforeCommand(lost) if number == lost => true,
+            LeaderLoss::BeforeCommand(lost) if number > lost && is_boundary => {
+                let is_lost = self.further_losses > 0 && self.random.random_ratio(1, 12);
+                self.further_losses -= u32::from(is_lost);
+                is_lost
+            }
+            _ => false,
+        }
+    }
+
+    /// Ends the leadership; the log ends before the command with this number.
+    pub(super) fn lose_leader_before(&mut self, number: u64) {
+        let first = self.proposed - self.proposals.len() as u64;
+        let committed = usize::try_from(number.saturating_sub(first)).unwrap_or(0);
+        if let Some((_, command)) = self.proposals.get(committed) {
+            let kind = kind_of(command);
+            self.note(format!("leader lost before number={number} command={kind}"));
+        }
+        let absent_ms = self.random.random_range(300..2_500);
+        self.end_leadership(committed, absent_ms);
     }
 
     pub(super) fn commit(&mut self) {
@@ -102,13 +154,18 @@
 
     /// Ends the leadership; a part of its proposals is committed, the others are lost.
     pub(super) fn lose_leader(&mut self, absent_ms: u64) {
-        if self.leadership.take().is_none() {
-            return;
+        if self.leadership.is_some() {
+            let committed = self.random.random_range(0..=self.proposals.len());
+            self.end_leadership(committed, absent_ms);
         }
+    }
+
+    /// Ends the leadership; the first proposals are committed, the others are lost.
+    fn end_leadership(&mut self, committed: usize, absent_ms: u64) {
+        self.leadership = None;
         self.note("leader lost".to_owned());
         self.waits.disturb(self.now_ms + absent_ms);
         self.requests.clear();
-        let committed = self.random.random_range(0..=self.proposals.len());
         for (number, (_, command)) in std::mem::take(&mut self.proposals).into_iter().enumerate() {
             if number < committed {
                 self.apply(&command);
@@ -122,6 +179,8 @@
     pub(super) fn elect_leader(&mut self) {
         self.fencing_token += self.random.random_range(1..=3);
         self.state.apply(Command::Lead);
+        self.facts
+            .on_election(&self.workers, &self.state, self.now_ms);
         let clock_offset_ms = self.random.random_range(100_000..10_000_000);
         let now = Now {
             steady_ms: self.now_ms + clock_offset_ms,
@@ -161,6 +220,15 @@
         }
     }
 
+    /// Returns whether the faults are over and every job has ended.
+    pub(super) fn is_over(&self) -> bool {
+        let has_ended = |job: &PlannedJob| {
+            let job = self.state.jobs.get(&job.key);
+            job.is_some_and(|job| job.status().is_final())
+        };
+        self.now_ms > self.setup.calm_from_ms && self.plan.jobs.iter().all(has_ended)
+    }
+
     pub(super) fn check_progress(&mut self) {
         let is_healthy = |job: &&PlannedJob| !job.long_running && !self.plan.is_deadly(job.key);
         for job in self.plan.jobs.iter().filter(is_healthy) {
--- a/crates/jasminefall-jobs/tests/schedules/plan.rs
+++ b/crates/jasminefall-jobs/tests/schedules/plan.rs
@@ -9,10 +9,15 @@
 
 pub(crate) const ATTEMPTS: u32 = 3;
 pub(crate) const POOL: &str = "render";
+/// A pool without jobs, to which workers are moved for a while.
+pub(crate) const SPARE_POOL: &str = "spare";
 /// Time of the first and the last fault, in milliseconds.
 const FAULTS_MS: std::ops::Range<u64> = 3_000..28_000;
 /// Duration of a task of a job with long tasks, in milliseconds.
 const LONG_TASK_MS: std::ops::RangeInclusive<u64> = 10_000..=25_000;
+/// Duration of a task of a job that is submitted just before a group restarts, in milliseconds: it outlasts the
+/// time without a leader.
+const REPLACED_TASK_MS: std::ops::Range<u64> = 2_000..6_000;
 const FULL_CAPACITY: Resources = Resources {
     cpu_millis: 8_000,
     memory_mb: 16_000,
@@ -30,6 +35,8 @@
     pub(crate) max_deadly_millis: u32,
     /// Periods in which half the requests to a worker get no response.
     pub(crate) lossy_periods: u32,
+    /// The share of starts and stops that are late by up to a second in such a period.
+    pub(crate) queued_percent: u32,
     pub(crate) cuts: u32,
     pub(crate) crashes: u32,
     pub(crate) departures: u32,
@@ -45,6 +52,10 @@
     pub(crate) mix: Option<Mix>,
     /// Failures of a data centre.
     pub(crate) outages: Option<Outages>,
+    /// Restarts of groups of workers, beside departures, moves and cuts of single ones.
+    pub(crate) replacements: Option<Replacements>,
+    /// A loss of the leader beside those of `leader_changes`.
+    pub(crate) leader_loss: LeaderLoss,
     /// Time after which a worker that has ended is followed by the next one; drawn if there is none.
     pub(crate) restart_ms: Option<u64>,
     /// Time from which the advice service answers every request.
@@ -84,6 +95,24 @@
     pub(crate) loses_leader: bool,
 }
 
+/// Defines a series of restarts that overlap; the workers of a group crash at the same time, and begin again
+/// under their names in the same millisecond.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Replacements {
+    /// Whether the wall clocks of a group go back at one of its restarts.
+    pub(crate) wall_clock_goes_back: bool,
+}
+
+/// Defines when the leader is lost because of what it has proposed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LeaderLoss {
+    /// Never.
+    None,
+    /// Between the proposal and the commit of the command with this number, so that the log ends just before it.
+    /// Some later leaders are lost in the same way while workers are being replaced.
+    BeforeCommand(u64),
+}
+
 impl Setup {
     pub(crate) const PLAIN: Self = Self {
         workers: 6,
@@ -91,6 +120,7 @@
         refuses_overload: true,
         max_deadly_millis: 0,
         lossy_periods: 6,
+        queued_percent: 25,
         cuts: 6,
         crashes: 2,
         departures: 0,
@@ -101,6 +131,8 @@
         needs_advice: false,
         mix: None,
         outages: None,
+        replacements: None,
+        leader_loss: LeaderLoss::None,
         restart_ms: None,
         advice_fails_until_ms: u64::MAX,
         checks_waits: false,
@@ -125,6 +157,22 @@
         end_ms: 270_000,
         ..Self::PLAIN
     };
+    /// Groups of workers restart under their names, beside few other faults.
+    pub(crate) const REPLACEMENTS: Self = Self {
+        jobs: 24,
+        lossy_periods: 0,
+        queued_percent: 75,
+        cuts: 0,
+        crashes: 0,
+        restarts_under_name: true,
+        replacements: Some(Replacements {
+            wall_clock_goes_back: false,
+        }),
+        last_submit_ms: 12_000,
+        calm_from_ms: 24_000,
+        end_ms: 90_000,
+        ..Self::PLAIN
+    };
 }
 
 /// Defines a disturbance; each concerns the worker that is in a slot at its time.
@@ -143,6 +191,18 @@
     Crash {
         slot: usize,
     },
+    /// The worker crashes and begins again under its name.
+    Restart {
+        slot: usize,
+        after_ms: u64,
+        /// How far its wall clock goes back.
+        clock_back_ms: u64,
+    },
+    /// The worker is taken down and begins again in the other pool.
+    Move {
+        slot: usize,
+        after_ms: u64,
+    },
     Drain {
         slot: usize,
     },
@@ -191,6 +251,8 @@
     pub(crate) jobs: Vec<PlannedJob>,
     pub(crate) behaviours: BTreeMap<TaskId, Behaviour>,
     pub(crate) faults: Vec<(u64, Fault)>,
+    /// The time of the first restart of a group.
+    pub(crate) first_restart_ms: Option<u64>,
     /// The share of requests that are harmed in a lossy period.
     pub(crate) harmed_percent: u32,
     /// The capacity of the worker in each slot.
@@ -204,6 +266,7 @@
             jobs: Vec::new(),
             behaviours: BTreeMap::new(),
             faults: Vec::new(),
+            first_restart_ms: None,
             harmed_percent: random.random_range(40..80),
             longest_task_ms: [400, 800, 1_500, 2_500][random.random_range(0..4)],
             capacities: vec![FULL_CAPACITY; setup.workers],
@@ -329,6 +392,94 @@
             let restart_ms = setup.restart_ms.unwrap_or_default();
             self.add_outages(outages, restart_ms, random);
         }
+        if let Some(replacements) = setup.replacements {
+            self.add_group_restarts(replacements, random);
+            self.add_single_replacements(random);
+        }
+    }
+
+    /// Adds restarts of groups of workers, most of which get requests late at that time.
+    fn add_group_restarts(&mut self, replacements: Replacements, random: &mut StdRng) {
+        let count = random.random_range(3..=5_usize);
+        let goes_back_at = random.random_range(0..count);
+        let mut at_ms = random.random_range(2_500..4_000);
+        self.first_restart_ms = Some(at_ms);
+        for number in 0..count {
+            let after_ms = random.random_range(10..400);
+            let goes_back = replacements.wall_clock_goes_back && number == goes_back_at;
+            let clock_back_ms = if goes_back {
+                random.random_range(1..60_000)
+            } else {
+                0
+            };
+            self.submit_before_restart(at_ms, (number, count), random);
+            let one_in = random.random_range(1..=3);
+            for slot in 0..self.capacities.len() {
+                if !random.random_ratio(1, one_in) {
+                    continue;
+                }
+                if random.random_ratio(3, 4) {
+                    // Ends soon, so that the next leader is not held up by what it can't know of other workers.
+                    let begins_ms = at_ms - random.random_range(100..800);
+                    let lasts_ms = at_ms - begins_ms + after_ms + random.random_range(0..300);
+                    self.faults
+                        .push((begins_ms, Fault::Lossy { slot, lasts_ms }));
+                }
+                let restart = Fault::Restart {
+                    slot,
+                    after_ms,
+                    clock_back_ms,
+                };
+                self.faults.push((at_ms, restart));
+            }
+            at_ms += random.random_range(200..3_000);
+        }
+    }
+
+    /// Lets every second job of one group's share be submitted so that its starts are under way as the group
+    /// restarts.
+    fn submit_before_restart(
+        &mut self,
+        restart_ms: u64,
+        (group, groups): (usize, usize),
+        random: &mut StdRng,
+    ) {
+        let jobs = self.jobs.iter_mut().skip(group).step_by(groups).step_by(2);
+        for job in jobs.filter(|job| !job.long_running) {
+            job.submit_at_ms = restart_ms - random.random_range(50..700);
+            let tasks = self.behaviours.iter_mut();
+            for (_, behaviour) in tasks.filter(|(task, _)| task.job == job.key) {
+                behaviour.duration_ms = random.random_range(REPLACED_TASK_MS);
+            }
+        }
+    }
+
+    /// Adds a worker that is removed as silent and returns, one that departs, and one that is moved to the
+    /// other pool and back.
+    fn add_single_replacements(&mut self, random: &mut StdRng) {
+        let slots = self.capacities.len();
+        let times_ms = 2_500..12_000;
+        // No task starts while a worker of an earlier leader has not answered, which hides what others do.
+        if random.random_ratio(1, 2) {
+            let cut = Fault::Cut {
+                slot: random.random_range(0..slots),
+                lasts_ms: random.random_range(7_000..11_000),
+            };
+            self.faults
+                .push((random.random_range(times_ms.clone()), cut));
+        }
+        let drain = Fault::Drain {
+            slot: random.random_range(0..slots),
+        };
+        self.faults
+            .push((random.random_range(times_ms.clone()), drain));
+        let slot = random.random_range(0..slots);
+        let first_ms = random.random_range(times_ms);
+        let second_ms = first_ms + random.random_range(1_500..4_000);
+        for at_ms in [first_ms, second_ms] {
+            let after_ms = random.random_range(30..1_000);
+            self.faults.push((at_ms, Fault::Move { slot, after_ms }));
+        }
     }
 
     /// Adds failures of the data centre that has every second or third slot.
@@ -410,8 +561,13 @@
     }
 }
 
-/// Returns a configuration with one queue and one pool.
+/// Returns a configuration with one queue and its pool, and another pool if workers are moved.
 pub(crate) fn configuration(setup: &Setup) -> Configuration {
+    let spare_pool = setup.replacements.map(|_| Pool {
+        name: SPARE_POOL.into(),
+        refuses_overload: setup.refuses_overload,
+        standby: false,
+    });
     Configuration {
         version: 1,
         document: b"{}".to_vec(),
@@ -430,7 +586,10 @@
             name: POOL.into(),
             refuses_overload: setup.refuses_overload,
             standby: false,
-        }],
+        }]
+        .into_iter()
+        .chain(spare_pool)
+        .collect(),
         ..Configuration::default()
     }
 }
--- a/crates/jasminefall-jobs/tests/schedules/requests.rs
+++ b/crates/jasminefall-jobs/tests/schedules/requests.rs
@@ -23,11 +23,12 @@
             _ => (0, false),
         };
         // In a lossy period, requests queue behind others without an answer.
-        let queued_ms = if is_lossy && !is_list && self.random.random_ratio(1, 4) {
-            self.random.random_range(0..1_000)
-        } else {
-            0
-        };
+        let queued_ms =
+            if is_lossy && !is_list && self.random.random_ratio(self.setup.queued_percent, 100) {
+                self.random.random_range(0..1_000)
+            } else {
+                0
+            };
         let unknown = if is_list {
             Answer::List(Err(WorkerResponse::Unknown))
         } else {
@@ -56,6 +57,7 @@
         let request = Request {
             id,
             life,
+            meant_for: life,
             fencing_token: self.fencing_token,
             effect,
             is_answered: !is_harmed,
@@ -121,6 +123,7 @@
         ));
         self.schedule(lapse_at_ms, Event::LeaseExpires { life });
         if outcome == Ok(true) {
+            self.counts.started_by_successor += u64::from(request.meant_for != life);
             self.begin_run(life, start);
         }
         let response = match outcome {
@@ -305,6 +308,9 @@
         let Some((handle, effect)) = self.requests.remove(&request) else {
             return;
         };
+        if matches!(answer, Answer::List(Ok(_))) {
+            self.workers[life].listed_for = Some(self.fencing_token);
+        }
         self.drive_leader(|leader, state| match (effect, answer) {
             (Effect::Start(start), Answer::Run(response)) => {
                 leader.on_start_response(&start, &response, state);
--- a/crates/jasminefall-jobs/tests/schedules/rules.rs
+++ b/crates/jasminefall-jobs/tests/schedules/rules.rs
@@ -212,6 +212,28 @@
             .then(|| format!("uses {} of {} mcpu", used.cpu_millis, capacity.cpu_millis))
     }
 
+    /// UNKNOWN-WORKER: a leader begins while a task runs on a worker of which the log has no incarnation, so
+    /// that it doesn't wait for the worker's runs.
+    pub(crate) fn on_election(&mut self, workers: &[Worker], state: &JobsState, at_ms: u64) {
+        for worker in workers.iter().filter(|worker| worker.is_up) {
+            let name = &worker.incarnation.worker;
+            let mut recorded = state.incarnations.keys();
+            if recorded.any(|known| known.worker == *name) {
+                continue;
+            }
+            let Some((task, run)) = worker.running.keys().next() else {
+                continue;
+            };
+            self.violation.get_or_insert_with(|| Violation {
+                rule: "UNKNOWN-WORKER",
+                at_ms,
+                job: task.job,
+                start: Some((*task, worker.incarnation.clone())),
+                cause: format!("run {run} is active and the log has no incarnation of the worker"),
+            });
+        }
+    }
+
     pub(crate) fn on_end(&mut self, life: usize, task: TaskId, run: u64, end: (EndKind, u64)) {
         self.remove_active(life, task, run);
         match end {
--- a/crates/jasminefall-jobs/tests/schedules/worker.rs
+++ b/crates/jasminefall-jobs/tests/schedules/worker.rs
@@ -33,6 +33,8 @@
     pub(crate) ended: Vec<RunEnd>,
     pub(crate) held_polls: Vec<HeldPoll>,
     pub(crate) lease_until_ms: u64,
+    /// The fencing token of the last leader that has received a run list.
+    pub(crate) listed_for: Option<u64>,
     started_at_ms: u64,
     first_clock_ms: u64,
     slow_millis: u64,
@@ -61,6 +63,7 @@
             ended: Vec::new(),
             held_polls: Vec::new(),
             lease_until_ms: 0,
+            listed_for: None,
             started_at_ms,
             first_clock_ms,
             slow_millis,
--- a/crates/jasminefall-jobs/tests/schedules/world.rs
+++ b/crates/jasminefall-jobs/tests/schedules/world.rs
@@ -24,6 +24,8 @@
 mod waits;
 
 const TICK_MS: u64 = 10;
+/// The most leaders that are lost after the one of [`LeaderLoss::BeforeCommand`].
+const FURTHER_LOSSES: u32 = 3;
 /// The most events that are listed for a broken rule.
 const LISTED_EVENTS: usize = 40;
 /// Time after which a request without an answer has failed, beyond the wait that it asks for.
@@ -35,6 +37,8 @@
 struct Request {
     id: u64,
     life: usize,
+    /// The index of the incarnation that the leader has sent it to.
+    meant_for: usize,
     fencing_token: u64,
     effect: Effect,
     is_answered: bool,
@@ -53,6 +57,11 @@
         fencing_token: u64,
     },
     LeaderElected,
+    /// The leader is lost before the command with this number is committed.
+    LeaderLostBefore {
+        fencing_token: u64,
+        number: u64,
+    },
     Fault(Fault),
     Submit(usize),
     CancelLongRunning,
@@ -123,6 +132,9 @@
     cut_until_ms: u64,
     /// Heartbeats lost one after the other.
     heartbeats_lost: u32,
+    /// How far the wall clock of the next incarnation goes back.
+    clock_back_ms: u64,
+    pool: &'static str,
 }
 
 /// Counts what happened, so that a test can tell that it tried what it is for.
@@ -140,6 +152,8 @@
     pub(crate) late_requests: u64,
     /// Requests that a later incarnation than the intended one has received.
     pub(crate) taken_by_successor: u64,
+    /// The starts among them that have taken effect.
+    pub(crate) started_by_successor: u64,
     pub(crate) departures: u64,
     pub(crate) capacity_changes: u64,
     pub(crate) advice: u64,
@@ -156,6 +170,7 @@
         self.leaderships += other.leaderships;
         self.late_requests += other.late_requests;
         self.taken_by_successor += other.taken_by_successor;
+        self.started_by_successor += other.started_by_successor;
         self.departures += other.departures;
         self.capacity_changes += other.capacity_changes;
         self.advice += other.advice;
@@ -175,6 +190,12 @@
     fencing_token: u64,
     /// Proposed commands and the times at which they are committed.
     proposals: VecDeque<(u64, Command)>,
+    /// The number of commands that leaders have proposed.
+    proposed: u64,
+    /// The numbers of the commands that were proposed while workers were being replaced.
+    boundaries: Vec<u64>,
+    /// The most leaders that can still be lost after the one of [`LeaderLoss::BeforeCommand`].
+    further_losses: u32,
     /// Commands of clients that no leader has taken.
     client_commands: Vec<Command>,
     /// Requests of the current leader without an answer.
@@ -208,6 +229,8 @@
             lossy_until_ms: 0,
             cut_until_ms: 0,
             heartbeats_lost: 0,
+            clock_back_ms: 0,
+            pool: plan::POOL,
         });
         let slots = slots.collect();
         let mut world = Self {
@@ -222,6 +245,9 @@
             leadership: None,
             fencing_token: 0,
             proposals: VecDeque::new(),
+            proposed: 0,
+            boundaries: Vec::new(),
+            further_losses: FURTHER_LOSSES,
             client_commands: Vec::new(),
             requests: BTreeMap::new(),
             workers: Vec::new(),
@@ -258,7 +284,11 @@
                 break;
             }
             self.now_ms = at_ms;
+            let may_be_over = matches!(event, Event::Tick) && self.setup.replacements.is_some();
             self.on_event(event);
+            if may_be_over && self.is_over() {
+                break;
+            }
             if let Some(violation) = self.facts.take_violation() {
                 return Err(violation);
             }
@@ -270,6 +300,15 @@
         }
     }
 
+    /// Returns the numbers of the commands that were proposed while workers were being replaced, and of the
+    /// first one after each such period.
+    pub(crate) fn boundaries(&self) -> Vec<u64> {
+        let boundaries: BTreeSet<_> = self.boundaries.iter().copied().collect();
+        let with_next = boundaries.iter().flat_map(|number| [*number, *number + 1]);
+        let with_next: BTreeSet<_> = with_next.filter(|number| *number < self.proposed).collect();
+        with_next.into_iter().collect()
+    }
+
     /// Returns the last recorded events of the task or job of a violation and of the workers that its
     /// runs were on.
     pub(crate) fn events_of(&self, violation: &Violation) -> Vec<String> {
@@ -319,6 +358,14 @@
             Event::Commit { fencing_token } if fencing_token == self.fencing_token => self.commit(),
             Event::Commit { .. } => {}
             Event::LeaderElected => self.elect_leader(),
+            Event::LeaderLostBefore {
+                fencing_token,
+                number,
+            } => {
+                if fencing_token == self.fencing_token && self.leadership.is_some() {
+                    self.lose_leader_before(number);
+                }
+            }
             Event::Fault(fault) => self.on_fault(fault),
             Event::Submit(number) => self.submit(number),
             Event::CancelLongRunning => self.cancel_long_running(),
