--- a/crates/jasminefall-jobs/tests/schedules.rs
+++ b/crates/jasminefall-jobs/tests/schedules.rs
@@ -90,7 +90,11 @@
                 leader_loss: LeaderLoss::BeforeCommand(number),
                 ..setup
             };
-            report.play(setup, seed, &format!("{seed}/{number}"));
+            let world = report.play(setup, seed, &format!("{seed}/{number}"));
+            assert!(
+                world.has_cut_log(),
+                "{seed}/{number} plays another schedule"
+            );
         }
     }
     report.finish(&format!("schedules of {} seeds", seeds.count()))
--- a/crates/jasminefall-jobs/tests/schedules/log.rs
+++ b/crates/jasminefall-jobs/tests/schedules/log.rs
@@ -115,6 +115,7 @@
             let kind = kind_of(command);
             self.note(format!("leader lost before number={number} command={kind}"));
         }
+        self.counts.log_cuts += 1;
         let absent_ms = self.random.random_range(300..2_500);
         self.end_leadership(committed, absent_ms);
     }
--- a/crates/jasminefall-jobs/tests/schedules/world.rs
+++ b/crates/jasminefall-jobs/tests/schedules/world.rs
@@ -149,6 +149,8 @@
     pub(crate) lost_runs: u64,
     pub(crate) lapses: u64,
     pub(crate) leaderships: u64,
+    /// Leaders that were lost because of what they had proposed.
+    pub(crate) log_cuts: u64,
     pub(crate) late_requests: u64,
     /// Requests that a later incarnation than the intended one has received.
     pub(crate) taken_by_successor: u64,
@@ -168,6 +170,7 @@
         self.crashes += other.crashes;
         self.lapses += other.lapses;
         self.leaderships += other.leaderships;
+        self.log_cuts += other.log_cuts;
         self.late_requests += other.late_requests;
         self.taken_by_successor += other.taken_by_successor;
         self.started_by_successor += other.started_by_successor;
@@ -309,6 +312,11 @@
         with_next.into_iter().collect()
     }
 
+    /// Returns whether a leader was lost because of [`LeaderLoss::BeforeCommand`].
+    pub(crate) const fn has_cut_log(&self) -> bool {
+        self.counts.log_cuts > 0
+    }
+
     /// Returns the last recorded events of the task or job of a violation and of the workers that its
     /// runs were on.
     pub(crate) fn events_of(&self, violation: &Violation) -> Vec<String> {
