--- a/crates/jasminefall-jobs/tests/leader/handovers.rs
+++ b/crates/jasminefall-jobs/tests/leader/handovers.rs
@@ -1,6 +1,6 @@
 //! Starts that a worker takes after it has restarted under its name, as in review/1 (TWICE).
 
-use jasminefall_jobs::leader::{Effect, StartRequest};
+use jasminefall_jobs::leader::{Effect, InstanceResponse, StartRequest};
 use jasminefall_jobs::prelude::*;
 
 use crate::harness::{self, Harness};
@@ -382,3 +382,54 @@
     let is_recorded = |id: &IncarnationId| id.worker == name && id.started_at_ms == returned;
     assert!(harness.state.incarnations.keys().any(is_recorded));
 }
+
+/// Guards against TWICE: the worker was taken for replaced by one that had been at its address before.
+#[test]
+fn delayed_heartbeat_of_an_earlier_worker_at_the_address_ends_no_handover() {
+    let (mut harness, start) = harness_with_start_under_way();
+    let name = harness.worker_name(&start);
+    harness.restart_under_name(&name);
+    harness.accept_start_at(&start, NEW_CLOCK_MS);
+    harness.answer_polls();
+    let number = harness::instance_number(&name);
+    harness.heartbeat_with(number, |heartbeat| {
+        heartbeat.incarnation.worker = "i-earlier".into();
+        heartbeat.incarnation.started_at_ms = 0;
+    });
+    assert_eq!(harness.take_starts(), []);
+}
+
+/// Guards against a wait of 6 s for a worker that has left no starts behind.
+#[test]
+fn empty_instance_that_enters_maintenance_delays_no_task_of_the_next_leader() {
+    let mut harness = Harness::new(2);
+    harness.list_instances();
+    harness.start_wave(&["m-1"]);
+    harness.advance(1_000);
+    harness.answer_polls();
+    let sent = harness.take_maintenance();
+    harness.respond_to_maintenance(&sent[0], InstanceResponse::Done);
+    harness.remove_worker("i-1");
+    harness.advance(200);
+    harness.submit(1, harness::job(&[1], 100));
+    harness.take_starts();
+    harness.change_leader();
+    harness.answer_polls();
+    assert_eq!(harness.take_starts().len(), 1);
+}
+
+/// Guards against a record that no leader removes, for which each later one waits.
+#[test]
+fn record_of_a_worker_that_leaves_before_its_registration_is_committed_is_removed() {
+    let mut harness = Harness::new(1);
+    harness.pause_commits();
+    harness.start_worker();
+    harness.advance_by(50);
+    harness.answer_polls();
+    harness.heartbeat_with(1, |heartbeat| heartbeat.draining = true);
+    harness.answer_polls();
+    harness.depart("i-1");
+    harness.resume_commits();
+    assert_eq!(harness.worker_count(), 1);
+    assert_eq!(harness.state.incarnations.len(), 1);
+}
