fix(jobs): probe a worker whose next incarnation seems to be an earlier one (TWICE)

A worker that restarted under its name after its time of day was set back got no tasks for 6 s, and starts that were under way to it could take effect unnoticed.

Cause: incarnations are ordered by their start times on the worker's clock. Heartbeats of the next incarnation were ignored as those of an earlier one until the incarnation before was removed as silent, since an idle worker is not polled.

An ignored heartbeat makes a probe of the worker's known incarnation due, whose run list tells which one there is; the next heartbeat joins. Heartbeats of incarnations that this leader has ended were delayed and cause none.

--- a/crates/jasminefall-jobs/src/leader/heartbeats.rs
+++ b/crates/jasminefall-jobs/src/leader/heartbeats.rs
@@ -58,6 +58,7 @@
     fn join_worker(&mut self, heartbeat: Heartbeat) -> bool {
         if self.has_later_incarnation(&heartbeat) || self.has_ended(&heartbeat) {
             self.log_ignored(&heartbeat, "incarnation-ended");
+            self.probe_known_incarnations(&heartbeat);
             return false;
         }
         self.log_event(format!(
@@ -75,6 +76,21 @@
         true
     }
 
+    /// Probes the known incarnations of the worker that has sent an ignored heartbeat: if its time of day was set
+    /// back, its latest incarnation seems to be an earlier one, and only a run list shows which one there is. A
+    /// heartbeat of an incarnation that is known to have ended was delayed.
+    fn probe_known_incarnations(&mut self, ignored: &Heartbeat) {
+        if self.ended_incarnations.contains_key(&ignored.incarnation) {
+            return;
+        }
+        let now_ms = self.now.steady_ms;
+        for handle in self.directory.by_name(&ignored.incarnation.worker) {
+            if let Some(worker) = self.workers.get_mut(&handle) {
+                worker.probe_at_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+
     /// Updates a known worker; returns false if it has been removed since.
     fn update_worker(
         &mut self,
--- a/crates/jasminefall-jobs/tests/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/tests/leader/incarnations.rs
@@ -220,3 +220,20 @@
     }
     assert!(is_started);
 }
+
+/// Guards against TWICE: what is under way reaches the next incarnation, of which the leader learnt only once the one before
+/// was removed as silent, 6 s later.
+#[test]
+fn idle_worker_joins_at_once_after_a_restart_on_a_clock_that_was_set_back() {
+    let mut harness = Harness::new(1);
+    let name = SmolStr::from("i-0");
+    harness.restart_under_name(&name);
+    harness.send_heartbeats();
+    harness.answer_polls();
+    harness.restart_under_name_at(&name, SET_BACK_MS);
+    harness.take_log_lines("worker_joined");
+    advance_with_polls(&mut harness, 200);
+    assert_eq!(harness.take_log_lines("worker_joined").len(), 1);
+    harness.submit(1, harness::job(&[1], 1_000));
+    assert_eq!(harness.take_starts().len(), 1);
+}
