fix(jobs): let no heartbeat of an ended incarnation end the present one (TWICE)

What callers saw: nothing yet; two runs of a task at the same time in the random schedules with wall clocks that go back.

Cause: a heartbeat ends the incarnations of its worker with an earlier start time, and this came before the look whether its own sender had ended. After a restart on a clock set back, a delayed heartbeat of the ended incarnation seemed to be later than the present one and ended it, and its tasks started elsewhere.

--- a/crates/jasminefall-jobs/src/leader/heartbeats.rs
+++ b/crates/jasminefall-jobs/src/leader/heartbeats.rs
@@ -15,6 +15,14 @@
             self.log_ignored(&heartbeat, cause);
             return false;
         }
+        // Start times order incarnations only while the worker's time of day isn't set back, so that an ended one may seem
+        // to be later than the present one.
+        if self.ended_incarnations.contains_key(&heartbeat.incarnation)
+            && (self.has_later_incarnation(&heartbeat) || self.has_ended(&heartbeat))
+        {
+            self.log_ignored(&heartbeat, "incarnation-ended");
+            return false;
+        }
         self.end_earlier_incarnations(&heartbeat, state);
         let is_accepted = match known {
             Some(handle) => self.update_worker(handle, heartbeat.clone(), state),
--- a/crates/jasminefall-jobs/tests/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/tests/leader/incarnations.rs
@@ -246,3 +246,30 @@
     let again = harness.take_starts();
     assert!(again.iter().all(|again| again.task != start.task));
 }
+
+/// Guards against TWICE: a delayed heartbeat of an ended incarnation ended the present one, which had begun on a clock set back.
+#[test]
+fn delayed_heartbeat_ends_no_incarnation_that_began_on_a_clock_set_back() {
+    let mut harness = Harness::new(2);
+    let names = [SmolStr::from("i-0"), SmolStr::from("i-1")];
+    for name in &names {
+        harness.restart_under_name(name);
+    }
+    advance_with_polls(&mut harness, 100);
+    let ended_at_ms = harness.started_at_ms(&names[0]);
+    for name in &names {
+        harness.restart_under_name_at(name, SET_BACK_MS);
+    }
+    advance_with_polls(&mut harness, 1_000);
+    harness.submit(1, harness::job(&[1], 1_000));
+    let start = harness.take_starts().remove(0);
+    harness.accept_start(&start);
+    harness.answer_polls();
+    for name in &names {
+        harness.heartbeat_with(harness::instance_number(name), |heartbeat| {
+            heartbeat.incarnation.started_at_ms = ended_at_ms;
+        });
+    }
+    assert_eq!(harness.worker_count(), 2);
+    assert_eq!(harness.take_starts(), []);
+}
