fix(jobs): wait for unknown runs in the pools of all recorded incarnations of a worker (TWICE)

Cause: a leader that knows two incarnations of a worker from the log, the later one in another pool, hands the wait for unknown runs over to the later one. The pool of the earlier one took the place of the later one's own, so tasks of that pool started before its list had arrived.

Change: the wait holds the pools of all incarnations that it stands for.

--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -316,8 +316,9 @@
     workers: BTreeMap<WorkerHandle, Worker>,
     directory: Directory,
     /// Incarnations on which an earlier leader may have started tasks and whose run list this
-    /// leader has not read yet, with their pools.
-    unreconciled: BTreeMap<IncarnationId, SmolStr>,
+    /// leader has not read yet, with the pools of these tasks: a worker may take starts that were meant for
+    /// its previous incarnation in another pool.
+    unreconciled: BTreeMap<IncarnationId, BTreeSet<SmolStr>>,
     /// Incarnations that have ended permanently.
     ended_incarnations: HashMap<IncarnationId, EndedIncarnation>,
     /// Incarnations that were removed as silent and may return, with the number of the last end that was
@@ -428,7 +429,7 @@
         for (incarnation, record) in &state.incarnations {
             leader
                 .unreconciled
-                .insert(incarnation.clone(), record.heartbeat.pool.clone());
+                .insert(incarnation.clone(), [record.heartbeat.pool.clone()].into());
             leader.add_worker(record.heartbeat.clone(), true);
         }
         leader.log_known_incarnations(state);
--- a/crates/jasminefall-jobs/src/leader/handovers.rs
+++ b/crates/jasminefall-jobs/src/leader/handovers.rs
@@ -195,13 +195,15 @@
             is_reconciled = worker.reconciled;
         }
         for ended in handover.unreconciled {
-            let Some(pool) = self.unreconciled.remove(&ended) else {
+            let Some(pools) = self.unreconciled.remove(&ended) else {
                 continue;
             };
             if is_reconciled {
-                self.dirty_pools.insert(pool);
+                self.dirty_pools.extend(pools);
             } else {
-                self.unreconciled.insert(incarnation.clone(), pool);
+                // Added to its own pool, which may be another one.
+                let known = self.unreconciled.entry(incarnation.clone());
+                known.or_default().extend(pools);
             }
         }
         // Follows the registration of the successor in the log, which has been proposed.
--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -269,8 +269,8 @@
     /// Records that each run that an earlier leader started on an incarnation is known or has
     /// ended.
     pub(super) fn mark_reconciled(&mut self, incarnation: &IncarnationId) {
-        if let Some(pool) = self.unreconciled.remove(incarnation) {
-            self.dirty_pools.insert(pool);
+        if let Some(pools) = self.unreconciled.remove(incarnation) {
+            self.dirty_pools.extend(pools);
         }
     }
 
@@ -278,6 +278,6 @@
     pub(super) fn is_unreconciled(&self, pool: &str) -> bool {
         self.unreconciled
             .values()
-            .any(|unreconciled_pool| unreconciled_pool == pool)
+            .any(|unreconciled_pools| unreconciled_pools.contains(pool))
     }
 }
--- a/crates/jasminefall-jobs/src/leader/usage.rs
+++ b/crates/jasminefall-jobs/src/leader/usage.rs
@@ -255,7 +255,7 @@
             return;
         }
         self.usage.unconfirmed_computed_at_ms = Some(now_ms);
-        let pools: BTreeSet<&SmolStr> = self.unreconciled.values().collect();
+        let pools: BTreeSet<&SmolStr> = self.unreconciled.values().flatten().collect();
         let mut unconfirmed: HashMap<WorkspaceName, Resources> = HashMap::new();
         let mut add = |workspace: &WorkspaceName, needs: &Resources| {
             let uses = unconfirmed.entry(workspace.clone()).or_default();
--- a/crates/jasminefall-jobs/src/leader/waits.rs
+++ b/crates/jasminefall-jobs/src/leader/waits.rs
@@ -313,7 +313,7 @@
         }
         let mut context = WaitContext {
             state,
-            unreconciled_pools: self.unreconciled.values().collect(),
+            unreconciled_pools: self.unreconciled.values().flatten().collect(),
             isolated: self.isolated_tasks(),
             has_worker: HashMap::new(),
         };
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -345,6 +345,7 @@
         if earlier_leases_expired && !self.unreconciled.is_empty() {
             let pools: BTreeSet<_> = std::mem::take(&mut self.unreconciled)
                 .into_values()
+                .flatten()
                 .collect();
             self.dirty_pools.extend(pools);
         }
--- a/crates/jasminefall-jobs/tests/leader/handovers.rs
+++ b/crates/jasminefall-jobs/tests/leader/handovers.rs
@@ -433,3 +433,27 @@
     assert_eq!(harness.worker_count(), 1);
     assert_eq!(harness.state.incarnations.len(), 1);
 }
+
+/// Guards against TWICE: the pool of the ended incarnation took the place of that of the next one, which had changed it.
+#[test]
+fn leader_that_knows_incarnations_in_two_pools_waits_with_the_tasks_of_both() {
+    let mut harness = Harness::new(1);
+    harness.set_queue_pool(2, harness::OTHER_POOL);
+    harness.start_ready_worker_in_other_pool();
+    harness.restart_under_name(&"i-0".into());
+    let started_at_ms = harness.started_at_ms("i-0");
+    harness.pause_commits();
+    harness.heartbeat_with(0, |heartbeat| {
+        heartbeat.incarnation.started_at_ms = started_at_ms;
+        heartbeat.pool = harness::OTHER_POOL.into();
+    });
+    assert_eq!(harness.commit_proposed(1), 1);
+    harness.submit(1, harness::job(&[1], 100));
+    harness.resume_commits_of_next_leader();
+    harness.answer_next_poll();
+    harness.cut_off("i-0");
+    harness.answer_next_poll();
+    harness.answer_next_poll();
+    assert_eq!(harness.worker_count(), 2);
+    assert_eq!(harness.take_starts(), []);
+}
