--- a/crates/jasminefall-jobs/tests/schedules.rs
+++ b/crates/jasminefall-jobs/tests/schedules.rs
@@ -156,7 +156,7 @@
         leader_changes: 2,
         ..Setup::PLAIN
     };
-    let counts = play_except(setup, 1..250, &[32, 33, 49, 182, 193, 215]);
+    let counts = play_except(setup, 1..250, &[32, 33, 49, 193, 215]);
     assert!(counts.crashes > 0 && counts.completed > 0, "{counts:?}");
 }
 
@@ -368,7 +368,7 @@
         checks_waits: true,
         ..Setup::PLAIN
     };
-    let counts = play_except(setup, 1..100, &[20, 94]);
+    let counts = play_except(setup, 1..100, &[20]);
     assert!(counts.crashes > 0 && counts.completed > 0, "{counts:?}");
 }
 
