--- a/crates/jasminefall-dispatch/src/control/worker_channels.rs
+++ b/crates/jasminefall-dispatch/src/control/worker_channels.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jasminefall_jobs::leader::{PollChannel, PollRequest, StartRequest, WorkerHandle};
+use jasminefall_jobs::leader::{
+    PollChannel, PollRequest, REQUEST_TIMEOUT_MS, StartRequest, WorkerHandle,
+};
 use jasminefall_jobs::prelude::*;
 use jasminefall_platform::worker_requests::{
     EncodedRequest, TARGET_WORKER_HEADER, decode_run_list, decode_worker_response, encode_pace,
@@ -20,7 +22,7 @@
 
 /// The longest time to wait for a worker, which normally responds within a few milliseconds. A request
 /// that is queued behind a request without a response is delayed by this time.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(REQUEST_TIMEOUT_MS);
 /// The largest number of concurrent requests to one worker, polls excluded; each needs a connection.
 const MAX_REQUEST_CHANNELS: usize = 2;
 /// How long an idle connection is kept open while the budget allows it, since the platform charges for
--- a/crates/jasminefall-jobs/src/leader.rs
+++ b/crates/jasminefall-jobs/src/leader.rs
@@ -92,7 +92,7 @@
 pub use self::usage::WorkspaceUse;
 pub use self::waits::WaitReason;
 use self::waits::Waits;
-pub use self::workers::{Worker, WorkerHandle};
+pub use self::workers::{REQUEST_TIMEOUT_MS, Worker, WorkerHandle};
 use crate::ids::{IncarnationId, StepId, TaskId};
 use crate::job::JobSpec;
 use crate::policy::durations::DurationEstimator;
--- a/crates/jasminefall-jobs/src/leader/lease.rs
+++ b/crates/jasminefall-jobs/src/leader/lease.rs
@@ -78,6 +78,7 @@
     pub(crate) const fn has_expired(&self, min_clock_ms: u64) -> bool {
         min_clock_ms > self.until_ms
     }
+
     /// Returns whether the next incarnation can't hold a lease by a request to this one any more.
     pub(crate) const fn has_expired_for_successor(&self, now_ms: u64) -> bool {
         now_ms > self.successor_until_ms
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -27,8 +27,9 @@
 /// How long a worker may hold a poll open, in milliseconds; each poll renews the lease, so this is
 /// also the interval between renewals.
 const LONG_POLL_WAIT_MS: u64 = 1_000;
-/// The longest time between the sending of a request that grants a lease and its receipt, in milliseconds.
-const MAX_REQUEST_DELAY_MS: u64 = 400;
+/// The time after which a request to a worker is given up, beyond the wait that a poll asks for, in milliseconds; until
+/// then it may be received.
+pub const REQUEST_TIMEOUT_MS: u64 = 400;
 /// The number of missed heartbeats after which a worker whose lease has expired is removed.
 const REMOVE_AFTER_MISSED_HEARTBEATS: u64 = 4;
 /// The number of missed heartbeats after which no new task is started on a worker.
@@ -296,7 +297,7 @@
     /// Returns the latest end of a lease that a request sent now may grant to the next incarnation of its worker,
     /// on the leader's clock.
     pub(super) const fn max_successor_lease_until_ms(&self) -> u64 {
-        self.now.steady_ms + MAX_REQUEST_DELAY_MS + self.max_lease_on_local_clock_ms()
+        self.now.steady_ms + REQUEST_TIMEOUT_MS + self.max_lease_on_local_clock_ms()
     }
 
     /// Returns whether the next incarnation of a worker may have a run that was meant for this one; only a run
