--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -188,8 +188,10 @@
             if self.workers.get(&handle).is_some_and(outlives) {
                 return Some(handle);
             }
+            // Without runs and late starts, there is nothing that a next incarnation could take.
             let may_leave_starts = self.workers.get(&handle).is_some_and(|worker| {
-                !worker.has_no_runs() || self.late_starts.concern(&worker.incarnation().worker)
+                !worker.has_no_runs()
+                    || self.late_starts.has_start_for(&worker.incarnation().worker)
             });
             let successor = if may_leave_starts {
                 Successor::SameWorker
--- a/crates/jasminefall-jobs/src/leader/late_starts.rs
+++ b/crates/jasminefall-jobs/src/leader/late_starts.rs
@@ -42,7 +42,7 @@
 
 impl LateStarts {
     /// Returns whether a later incarnation of a worker may carry out a start.
-    pub(super) fn concern(&self, worker: &str) -> bool {
+    pub(super) fn has_start_for(&self, worker: &str) -> bool {
         self.0.values().any(|start| start.worker == worker)
     }
 
