--- a/crates/jasminefall-jobs/tests/leader/crashes.rs
+++ b/crates/jasminefall-jobs/tests/leader/crashes.rs
@@ -228,17 +228,18 @@
     assert_eq!(harness.state.crashes_of(start.task), 1);
 }
 
-/// Returns a leader that has lost one worker under the only task of a job, and the start of its second run.
-fn harness_with_second_run() -> (Harness, StartRequest) {
+/// Returns a leader that has lost one worker under all tasks of a job, and the starts of their second runs, on one worker.
+fn harness_with_second_runs(tasks: u32) -> (Harness, Vec<StartRequest>) {
     let mut harness = Harness::new(3);
-    harness.submit(1, harness::job(&[1], 100));
-    let start = harness.take_starts().remove(0);
-    harness.accept_start(&start);
-    crash_and_restart(&mut harness, &start);
-    let start = harness.take_starts().remove(0);
-    harness.accept_start(&start);
+    harness.submit(1, harness::job(&[tasks], 100));
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
+    crash_and_restart(&mut harness, &starts[0]);
+    let starts = harness.take_starts();
+    harness.accept_starts(&starts);
     harness.answer_polls();
-    (harness, start)
+    assert!(starts.iter().all(|start| start.worker == starts[0].worker));
+    (harness, starts)
 }
 
 /// Lets the leader remove a crashed worker as silent, and learn then that its instance had started again before.
@@ -258,9 +259,9 @@
 /// and not applied, so that they had no effect.
 #[test]
 fn job_is_given_up_although_the_removal_of_the_vanished_worker_is_not_applied_yet() {
-    let (mut harness, start) = harness_with_second_run();
+    let (mut harness, starts) = harness_with_second_runs(1);
     harness.pause_commits();
-    let name = harness.crash_worker(&start);
+    let name = harness.crash_worker(&starts[0]);
     vanish_and_restart(&mut harness, &name);
     harness.resume_commits();
     assert_eq!(harness.status(1), Some(JobStatus::Failed));
@@ -269,16 +270,8 @@
 /// Guards against PROGRESS: ends without effect, since their numbers are those of ends that have been proposed before.
 #[test]
 fn job_is_given_up_although_ends_of_the_vanished_worker_are_not_applied_yet() {
-    let mut harness = Harness::new(3);
-    harness.submit(1, harness::job(&[2], 100));
-    let starts = harness.take_starts();
-    harness.accept_starts(&starts);
-    crash_and_restart(&mut harness, &starts[0]);
-    let starts = harness.take_starts();
-    harness.accept_starts(&starts);
-    harness.answer_polls();
+    let (mut harness, starts) = harness_with_second_runs(2);
     assert_eq!(starts.len(), 2);
-    assert_eq!(starts[0].worker, starts[1].worker);
     harness.pause_commits();
     let name = harness.worker_name(&starts[0]);
     harness.end_run(&starts[0], EndKind::Done);
@@ -291,14 +284,7 @@
 /// Guards against PROGRESS as above, while the record is kept for the next incarnation of the worker.
 #[test]
 fn job_is_given_up_although_ends_of_a_replaced_worker_are_not_applied_yet() {
-    let mut harness = Harness::new(3);
-    harness.submit(1, harness::job(&[2], 100));
-    let starts = harness.take_starts();
-    harness.accept_starts(&starts);
-    crash_and_restart(&mut harness, &starts[0]);
-    let starts = harness.take_starts();
-    harness.accept_starts(&starts);
-    harness.answer_polls();
+    let (mut harness, starts) = harness_with_second_runs(2);
     harness.pause_commits();
     harness.fail_poll(&starts[0]);
     harness.advance(50);
