--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -58,6 +58,19 @@
         false
     }
 
+    /// Returns the number of the last run end that was processed of an incarnation, which may have ended.
+    pub(super) fn ends_seen(&self, incarnation: &IncarnationId) -> u64 {
+        let handle = self.directory.by_incarnation(incarnation);
+        let worker = handle.and_then(|handle| self.workers.get(&handle));
+        let ended = self.ended_incarnations.get(incarnation);
+        let silent = self.silent_incarnations.get(incarnation);
+        let known = worker.map(|worker| worker.ends_seen);
+        let known = known.or_else(|| ended.map(|ended| ended.ends_seen));
+        known
+            .or_else(|| silent.map(|(ends_seen, _)| *ends_seen))
+            .unwrap_or_default()
+    }
+
     /// Processes a worker's deregistration: ends its draining incarnations.
     ///
     /// The worker ends only once it has received the acknowledgement, or some time later without one,
@@ -175,7 +188,15 @@
             if self.workers.get(&handle).is_some_and(outlives) {
                 return Some(handle);
             }
-            self.end_incarnation_permanently(handle, cause, Successor::SameWorker, state);
+            let may_leave_starts = self.workers.get(&handle).is_some_and(|worker| {
+                !worker.has_no_runs() || self.late_starts.concern(&worker.incarnation().worker)
+            });
+            let successor = if may_leave_starts {
+                Successor::SameWorker
+            } else {
+                Successor::None
+            };
+            self.end_incarnation_permanently(handle, cause, successor, state);
         }
         if let Some(known) = self.fleet.instances.get_mut(instance) {
             known.worker = None;
@@ -228,7 +249,7 @@
                 .saturating_sub(worker.last_heartbeat_at_ms)
         ));
         let runs: Vec<_> = worker.runs.into_iter().collect();
-        let is_recorded = state.incarnations.contains_key(&incarnation) || worker.registered;
+        let is_recorded = self.will_be_recorded(&incarnation, state);
         let ended_runs = match successor {
             Successor::None => {
                 self.mark_reconciled(&incarnation);
@@ -248,8 +269,8 @@
     /// Records that each run that an earlier leader started on an incarnation is known or has
     /// ended.
     pub(super) fn mark_reconciled(&mut self, incarnation: &IncarnationId) {
-        if let Some(pool) = self.unreconciled.remove(incarnation) {
-            self.dirty_pools.insert(pool);
+        if let Some(pools) = self.unreconciled.remove(incarnation) {
+            self.dirty_pools.extend(pools);
         }
     }
 
@@ -257,6 +278,6 @@
     pub(super) fn is_unreconciled(&self, pool: &str) -> bool {
         self.unreconciled
             .values()
-            .any(|unreconciled_pool| unreconciled_pool == pool)
+            .any(|unreconciled_pools| unreconciled_pools.contains(pool))
     }
 }
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -31,6 +31,7 @@
     ) {
         let (handle, task, number) = (request.worker, request.task, request.run);
         let now_ms = self.now.steady_ms;
+        let max_lease_ms = self.max_lease_on_local_clock_ms();
         self.settle_start(request, response);
         let Some(worker) = self.workers.get_mut(&handle) else {
             return;
@@ -45,20 +46,20 @@
             let run = runs.iter().find(|run| run.number == number);
             run.map(|run| run.requested_at_ms)
         });
-        // A clock that had passed this reading before the request, or can't have reached it yet, belongs to another
-        // incarnation.
-        let is_own_clock = |clock_ms: u64| {
-            !worker.reconciled
-                || (sent_at_ms
-                    .is_none_or(|sent_at_ms| clock_ms >= worker.min_past_clock_ms(sent_at_ms))
-                    && clock_ms <= worker.max_clock_ms(now_ms))
-        };
-        let is_from_successor = clock_ms.is_some_and(|clock_ms| !is_own_clock(clock_ms));
+        let is_from_successor =
+            clock_ms.is_some_and(|clock_ms| !worker.is_own_reading(clock_ms, sent_at_ms, now_ms));
         if let Some(clock_ms) = clock_ms
             && !is_from_successor
         {
             worker.observe_clock(clock_ms, now_ms);
         }
+        if matches!(
+            response,
+            WorkerResponse::Accepted { .. } | WorkerResponse::Unknown
+        ) {
+            // The request may have waited behind others before it was sent.
+            worker.lease.extend_for_successor(now_ms + max_lease_ms);
+        }
         match response {
             WorkerResponse::Accepted { .. } if is_from_successor => {
                 self.log_event(format!(
@@ -144,7 +145,9 @@
         let now_ms = self.now.steady_ms;
         match response {
             WorkerResponse::Accepted { clock_ms } => {
-                if let Some(worker) = self.workers.get_mut(&handle) {
+                if let Some(worker) = self.workers.get_mut(&handle)
+                    && worker.is_own_reading(*clock_ms, None, now_ms)
+                {
                     worker.observe_clock(*clock_ms, now_ms);
                 }
             }
@@ -519,6 +522,7 @@
 
     /// Updates the leader after a command was applied to the replicated state.
     pub fn on_applied(&mut self, command: &Command, state: &JobsState) {
+        self.pending_records.record_applied(command);
         match command {
             Command::Submit { job, .. } | Command::SubmitWithKey { job, .. } => {
                 if state.is_cancelled_early(*job) {
@@ -539,7 +543,9 @@
                 self.apply_configuration(state);
             }
             Command::Register(heartbeat) => {
-                if let Some(handle) = self.directory.by_incarnation(&heartbeat.incarnation)
+                // The record that is added now may be removed by a later command.
+                if !self.pending_records.awaits_removal(&heartbeat.incarnation)
+                    && let Some(handle) = self.directory.by_incarnation(&heartbeat.incarnation)
                     && let Some(worker) = self.workers.get_mut(&handle)
                 {
                     let was_registered = std::mem::replace(&mut worker.registered, true);
--- a/crates/jasminefall-jobs/src/leader/suspects.rs
+++ b/crates/jasminefall-jobs/src/leader/suspects.rs
@@ -319,7 +319,7 @@
                 continue;
             };
             // The ends of a run can only be recorded for a registered incarnation.
-            let is_registered = state.incarnations.contains_key(&incarnation);
+            let is_registered = self.will_be_recorded(&incarnation, state);
             if !is_registered {
                 self.propose(Command::Register(Box::new(vanished.heartbeat)));
             }
@@ -401,10 +401,8 @@
 
     /// Ends the jobs of tasks that are given up, and clears the tasks that were suspects because of them.
     fn give_up(&mut self, incarnation: &IncarnationId, runs: &[LostRun], state: &JobsState) {
-        let handle = self.directory.by_incarnation(incarnation);
-        let worker = handle.and_then(|handle| self.workers.get(&handle));
         // Ends that the worker listed may have been proposed and not applied yet.
-        let mut last_number = worker.map_or(0, |worker| worker.ends_seen);
+        let mut last_number = self.ends_seen(incarnation);
         let mut failed_jobs = BTreeSet::new();
         let mut ends = Vec::new();
         for run in runs {
--- a/crates/jasminefall-jobs/tests/leader/harness.rs
+++ b/crates/jasminefall-jobs/tests/leader/harness.rs
@@ -226,8 +226,13 @@
 
     /// Restarts a worker under its name; the leader learns of it from the next heartbeat or run list.
     pub(crate) fn restart_under_name(&mut self, name: &SmolStr) {
+        self.restart_under_name_at(name, self.now.wall_ms);
+    }
+
+    /// Restarts a worker under its name at a time on its own wall clock.
+    pub(crate) fn restart_under_name_at(&mut self, name: &SmolStr, started_at_ms: u64) {
         let worker = SimulatedWorker {
-            started_at_ms: self.now.wall_ms,
+            started_at_ms,
             ..SimulatedWorker::default()
         };
         self.workers.insert(name.clone(), worker);
@@ -790,10 +795,14 @@
 
     /// Accepts the stop of a run that its worker does not have.
     pub(crate) fn accept_stop_of_absent_run(&mut self, effect: &Effect) {
+        self.accept_stop_at(effect, self.now.steady_ms);
+    }
+
+    /// Accepts a stop on its worker, and delivers the response with a reading of the worker's clock.
+    pub(crate) fn accept_stop_at(&mut self, effect: &Effect, clock_ms: u64) {
         let Effect::Stop { worker, task, run } = effect else {
             panic!("the effect stops no run: {effect:?}");
         };
-        let clock_ms = self.now.steady_ms;
         let response = WorkerResponse::Accepted { clock_ms };
         self.leader
             .on_stop_response(*worker, (*task, *run), &response, &self.state);
@@ -1085,7 +1094,7 @@
 }
 
 /// Returns the number of the instance of a worker, which follows the first hyphen of its name.
-fn instance_number(name: &str) -> usize {
+pub(crate) fn instance_number(name: &str) -> usize {
     let number = name.split('-').nth(1).and_then(|text| text.parse().ok());
     number.expect("the name of a worker holds the number of its instance")
 }
