refactor(jobs): one judgement of clocks in responses, and one of heartbeats of ended incarnations

The responses to starts and those to stops and paces each judged a reading and then recorded it; a heartbeat was ignored as that of an ended incarnation in two places.

--- a/crates/jasminefall-jobs/src/leader/heartbeats.rs
+++ b/crates/jasminefall-jobs/src/leader/heartbeats.rs
@@ -18,9 +18,8 @@
         // Start times order incarnations only while the worker's time of day isn't set back, so that an ended one may seem
         // to be later than the present one.
         if self.ended_incarnations.contains_key(&heartbeat.incarnation)
-            && (self.has_later_incarnation(&heartbeat) || self.has_ended(&heartbeat))
+            && self.ignores_as_ended(&heartbeat)
         {
-            self.log_ignored(&heartbeat, "incarnation-ended");
             return false;
         }
         self.end_earlier_incarnations(&heartbeat, state);
@@ -64,9 +63,7 @@
 
     /// Adds the sender of a heartbeat, unless its incarnation has ended or been replaced.
     fn join_worker(&mut self, heartbeat: Heartbeat) -> bool {
-        if self.has_later_incarnation(&heartbeat) || self.has_ended(&heartbeat) {
-            self.log_ignored(&heartbeat, "incarnation-ended");
-            self.probe_known_incarnations(&heartbeat);
+        if self.ignores_as_ended(&heartbeat) {
             return false;
         }
         self.log_event(format!(
@@ -84,6 +81,16 @@
         true
     }
 
+    /// Returns whether a heartbeat is ignored, since its sender has ended or been replaced.
+    fn ignores_as_ended(&mut self, heartbeat: &Heartbeat) -> bool {
+        let is_ignored = self.has_later_incarnation(heartbeat) || self.has_ended(heartbeat);
+        if is_ignored {
+            self.log_ignored(heartbeat, "incarnation-ended");
+            self.probe_known_incarnations(heartbeat);
+        }
+        is_ignored
+    }
+
     /// Probes the known incarnations of the worker that has sent an ignored heartbeat: if its time of day was set
     /// back, its latest incarnation seems to be an earlier one, and only a run list shows which one there is. A
     /// heartbeat of an incarnation that is known to have ended was delayed.
--- a/crates/jasminefall-jobs/src/leader/incarnations.rs
+++ b/crates/jasminefall-jobs/src/leader/incarnations.rs
@@ -251,11 +251,10 @@
                 .saturating_sub(worker.last_heartbeat_at_ms)
         ));
         let runs: Vec<_> = worker.runs.into_iter().collect();
-        let is_recorded = self.will_be_recorded(&incarnation, state);
         let ended_runs = match successor {
             Successor::None => {
                 self.mark_reconciled(&incarnation);
-                if is_recorded {
+                if self.will_be_recorded(&incarnation, state) {
                     self.propose(Command::Retire(incarnation));
                 }
                 runs
--- a/crates/jasminefall-jobs/src/leader/responses.rs
+++ b/crates/jasminefall-jobs/src/leader/responses.rs
@@ -46,13 +46,8 @@
             let run = runs.iter().find(|run| run.number == number);
             run.map(|run| run.requested_at_ms)
         });
-        let is_from_successor =
-            clock_ms.is_some_and(|clock_ms| !worker.is_own_reading(clock_ms, sent_at_ms, now_ms));
-        if let Some(clock_ms) = clock_ms
-            && !is_from_successor
-        {
-            worker.observe_clock(clock_ms, now_ms);
-        }
+        let is_from_successor = clock_ms
+            .is_some_and(|clock_ms| !worker.observe_response_clock(clock_ms, sent_at_ms, now_ms));
         if matches!(
             response,
             WorkerResponse::Accepted { .. } | WorkerResponse::Unknown
@@ -145,10 +140,8 @@
         let now_ms = self.now.steady_ms;
         match response {
             WorkerResponse::Accepted { clock_ms } => {
-                if let Some(worker) = self.workers.get_mut(&handle)
-                    && worker.is_own_reading(*clock_ms, None, now_ms)
-                {
-                    worker.observe_clock(*clock_ms, now_ms);
+                if let Some(worker) = self.workers.get_mut(&handle) {
+                    worker.observe_response_clock(*clock_ms, None, now_ms);
                 }
             }
             WorkerResponse::Refused { .. } => {}
--- a/crates/jasminefall-jobs/src/leader/workers.rs
+++ b/crates/jasminefall-jobs/src/leader/workers.rs
@@ -158,20 +158,25 @@
         clock_ms + elapsed_ms + elapsed_ms * CLOCK_DRIFT_MILLIS / 1_000
     }
 
-    /// Returns whether a reading in a response can be of this incarnation's clock. One that the clock had passed
-    /// before the request, or can't have reached yet, is of another incarnation, which has answered in its place.
+    /// Records a reading of the clock in a response, unless it is of another incarnation, which has answered in place
+    /// of this one; returns whether it can be of this one. This clock had passed another one's reading before the
+    /// request, or can't have reached it yet.
     ///
     /// Without the time of the request a reading may be of any time in the past. The first run list replaces
     /// what is known of the clock before.
-    pub(super) fn is_own_reading(
-        &self,
+    pub(super) fn observe_response_clock(
+        &mut self,
         clock_ms: u64,
         sent_at_ms: Option<u64>,
         now_ms: u64,
     ) -> bool {
         let had_passed =
             sent_at_ms.is_some_and(|sent_at_ms| clock_ms < self.min_past_clock_ms(sent_at_ms));
-        !self.reconciled || (!had_passed && clock_ms <= self.max_clock_ms(now_ms))
+        let is_own = !self.reconciled || (!had_passed && clock_ms <= self.max_clock_ms(now_ms));
+        if is_own {
+            self.observe_clock(clock_ms, now_ms);
+        }
+        is_own
     }
 
     /// Returns the value of the worker's clock now, assuming no drift.
